--- /dev/null
+++ b/core/version/site/site.go
@@ -0,0 +1,241 @@
+package site
+
+import (
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Site is the whole configuration. Treat it as immutable.
+type Site struct {
+	// Name tells sites apart in reports.
+	Name string `yaml:"name"`
+	// Hold bounds how long a dispatcher goes on without its leader and the
+	// platform; zero lets keys stay home until a proof or the operator's word.
+	Hold time.Duration `yaml:"hold,omitempty"`
+	// Services are what callers can ask for.
+	Services []Service `yaml:"services"`
+	// DataCentres hold the backend servers.
+	DataCentres []DataCentre `yaml:"dataCentres"`
+	// Presets are the operator's prepared settings; one is in force.
+	Presets []Preset `yaml:"presets"`
+	// Outs are the data centres and hosts marked out.
+	Outs []Out `yaml:"outs,omitempty"`
+	// Change describes the change that made this version, for conflicts.
+	Change string `yaml:"change,omitempty"`
+	// Writer is a token unique to the write, by which a writer whose reply was
+	// lost recognises its own change.
+	Writer string `yaml:"writer,omitempty"`
+}
+
+// Service is a set of backend servers that answer the same requests.
+type Service struct {
+	Name string `yaml:"name"`
+	// Keyed services give each key a sole owner.
+	Keyed bool `yaml:"keyed"`
+	// KeySegment is the path segment, counted from 1 after the service's name,
+	// that holds the key; zero means the Catkinstep-Key header.
+	KeySegment int `yaml:"keySegment,omitempty"`
+	// Shards is the number of hash ranges; default 256.
+	Shards int `yaml:"shards,omitempty"`
+	// Slots is how many requests one server runs at once.
+	Slots int `yaml:"slots"`
+	// Connections bounds the connections to one server.
+	Connections int `yaml:"connections"`
+	// ChecksTokens says that servers refuse orders with an old fencing token.
+	ChecksTokens bool `yaml:"checksTokens"`
+	// Deadline is a caller's time limit when it names none; default 5s.
+	Deadline time.Duration `yaml:"deadline,omitempty"`
+	// OrderDeadline bounds one attempt at a server; default 1s.
+	OrderDeadline time.Duration `yaml:"orderDeadline,omitempty"`
+	// Idempotent lists the methods that may be run more than once.
+	Idempotent []string `yaml:"idempotent,omitempty"`
+	// RememberIDs is how long ids of non-idempotent requests are kept; default 2m.
+	RememberIDs time.Duration `yaml:"rememberIds,omitempty"`
+	// Levels are the service levels that the burn report counts against.
+	Levels Levels `yaml:"levels,omitempty"`
+}
+
+// Levels are the promises to callers that the burn report measures.
+type Levels struct {
+	// Answered is the share of requests to be answered, as 0.999.
+	Answered float64 `yaml:"answered,omitempty"`
+	// Within is the latency that FastShare of the answers must keep.
+	Within time.Duration `yaml:"within,omitempty"`
+	// FastShare is the share of answers to be within that latency.
+	FastShare float64 `yaml:"fastShare,omitempty"`
+}
+
+// DataCentre is a place with entry hosts and backend servers of its own.
+type DataCentre struct {
+	Name    string   `yaml:"name"`
+	Servers []Server `yaml:"servers"`
+}
+
+// Server is one backend server.
+type Server struct {
+	Address string `yaml:"address"`
+	Service string `yaml:"service"`
+}
+
+// Preset is a prepared set of limits.
+type Preset struct {
+	Name string `yaml:"name"`
+	// InForce marks the one preset that counts.
+	InForce bool `yaml:"inForce,omitempty"`
+	// Queue bounds the orders waiting for one server; default 32.
+	Queue int `yaml:"queue,omitempty"`
+	// RetryShare bounds retries as a share of requests; default 0.1.
+	RetryShare float64 `yaml:"retryShare,omitempty"`
+	// HedgeShare bounds hedges as a share of lookups; default 0.05, and a
+	// negative share turns hedging off.
+	HedgeShare float64 `yaml:"hedgeShare,omitempty"`
+	// Out lists data centres that this preset takes out.
+	Out []string `yaml:"out,omitempty"`
+}
+
+// Out takes a data centre or a host out of service.
+type Out struct {
+	DataCentre string `yaml:"dataCentre,omitempty"`
+	// Host is a backend server's address, or an IP number for all on it.
+	Host string `yaml:"host,omitempty"`
+	// Lost is the operator's word that what is out has stopped for good, so
+	// that its keys may move without its consent.
+	Lost bool `yaml:"lost,omitempty"`
+}
+
+// Marshal gives the stored form of the site.
+func (s Site) Marshal() ([]byte, error) {
+	data, err := yaml.Marshal(s)
+	if err != nil {
+		return nil, &Error{Op: "marshal", Kind: Malformed, Err: err}
+	}
+	return data, nil
+}
+
+// Unmarshal reads the stored form. Use Parse for text a person wrote.
+func Unmarshal(data []byte) (Site, error) {
+	var s Site
+	if err := yaml.Unmarshal(data, &s); err != nil {
+		return Site{}, &Error{Op: "unmarshal", Kind: Malformed, Err: err}
+	}
+	return s.withDefaults(), nil
+}
+
+// Service finds a service by name.
+func (s Site) Service(name string) (Service, bool) {
+	for _, v := range s.Services {
+		if v.Name == name {
+			return v, true
+		}
+	}
+	return Service{}, false
+}
+
+// DataCentre finds a data centre by name.
+func (s Site) DataCentre(name string) (DataCentre, bool) {
+	for _, d := range s.DataCentres {
+		if d.Name == name {
+			return d, true
+		}
+	}
+	return DataCentre{}, false
+}
+
+// Preset returns the preset in force.
+func (s Site) Preset() Preset {
+	for _, p := range s.Presets {
+		if p.InForce {
+			return p
+		}
+	}
+	return Preset{}
+}
+
+// DataCentreOut tells whether a data centre is out by a mark or the preset.
+func (s Site) DataCentreOut(name string) bool {
+	for _, o := range s.Outs {
+		if o.DataCentre == name {
+			return true
+		}
+	}
+	for _, d := range s.Preset().Out {
+		if d == name {
+			return true
+		}
+	}
+	return false
+}
+
+// DataCentreLost tells whether the operator vouched that a data centre stopped.
+func (s Site) DataCentreLost(name string) bool {
+	for _, o := range s.Outs {
+		if o.DataCentre == name && o.Lost {
+			return true
+		}
+	}
+	return false
+}
+
+// HostOut tells whether a backend server is marked out.
+func (s Site) HostOut(address string) bool { return s.hostMark(address).Host != "" }
+
+// HostLost tells whether the operator vouched that a host stopped for good.
+func (s Site) HostLost(address string) bool { return s.hostMark(address).Lost }
+
+// Runs tells whether a method of the service may run more than once.
+func (v Service) Runs(method string) (idempotent bool) {
+	for _, m := range v.Idempotent {
+		if strings.EqualFold(m, method) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s Site) hostMark(address string) Out {
+	for _, o := range s.Outs {
+		if o.Host == "" {
+			continue
+		}
+		if o.Host == address || strings.HasPrefix(address, o.Host+":") {
+			return o
+		}
+	}
+	return Out{}
+}
+
+func (s Site) withDefaults() Site {
+	services := make([]Service, len(s.Services))
+	for i, v := range s.Services {
+		v.Shards = or(v.Shards, 256)
+		v.Deadline = or(v.Deadline, 5*time.Second)
+		v.OrderDeadline = or(v.OrderDeadline, time.Second)
+		v.RememberIDs = or(v.RememberIDs, 2*time.Minute)
+		if len(v.Idempotent) == 0 {
+			v.Idempotent = []string{"GET", "HEAD"}
+		}
+		v.Levels.Answered = or(v.Levels.Answered, 0.999)
+		v.Levels.Within = or(v.Levels.Within, 100*time.Millisecond)
+		v.Levels.FastShare = or(v.Levels.FastShare, 0.99)
+		services[i] = v
+	}
+	presets := make([]Preset, len(s.Presets))
+	for i, p := range s.Presets {
+		p.Queue = or(p.Queue, 32)
+		p.RetryShare = or(p.RetryShare, 0.1)
+		p.HedgeShare = or(p.HedgeShare, 0.05)
+		presets[i] = p
+	}
+	s.Services, s.Presets = services, presets
+	return s
+}
+
+func or[T comparable](v, fallback T) T {
+	var zero T
+	if v == zero {
+		return fallback
+	}
+	return v
+}
