Core: shards, homes, tables, the leader's decisions and a daemon's control state

Decisions take the present time and return commands; no I/O. A leader's writes are conditional on the table version it looked at, releases are bound to that version, and homes carry a floor per data centre, so that a replaced leader that wakes can give nothing away.

--- /dev/null
+++ b/core/process/daemon/follow.go
@@ -0,0 +1,251 @@
+package daemon
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"catkinstep/core/connection/wire"
+	"catkinstep/core/process/leader"
+	"catkinstep/core/version/route"
+	"catkinstep/core/version/table"
+)
+
+// follow sends heartbeats to the leader, and steps in for a leader that is lost.
+func (u *update) follow() {
+	if u.lead != nil {
+		u.lead.Heard(u.now, u.makeBeat())
+		return
+	}
+	l := u.table().Leader
+	if l.Address != "" && l.Address != u.self.Address {
+		u.sendBeat(l)
+	}
+	if u.version(u.tableObject()) > 0 && l.Address != "" && !u.leaderLost() {
+		u.beat.suspect = time.Time{}
+		return
+	}
+	if u.beat.suspect.IsZero() {
+		u.beat.suspect = u.now
+	}
+	if !u.leaving.IsZero() || u.now.Before(u.beat.suspect.Add(u.rank())) || u.now.Before(u.platform.next) {
+		return
+	}
+	u.ask(u.tableObject())
+}
+
+func (u *update) sendBeat(l table.Daemon) {
+	if u.now.Before(u.beat.next) || !u.beat.sent.IsZero() && u.now.Sub(u.beat.sent) < u.beatPatience {
+		return
+	}
+	if u.beat.ok.IsZero() {
+		u.beat.ok = u.now // a fresh daemon waits as long as any other
+	}
+	u.beat.sent = u.now
+	u.beat.next = u.now.Add(u.beatEvery)
+	u.do(BeatCmd{To: l, Beat: u.makeBeat()})
+	u.clearLoads()
+}
+
+func (u *update) leaderLost() bool {
+	if u.table().Leader.Address == u.self.Address {
+		return true // an earlier run of this very daemon
+	}
+	return u.beat.refused || !u.beat.ok.IsZero() && u.now.Sub(u.beat.ok) > u.beatPatience
+}
+
+// rank staggers the candidates, so that one write usually settles who leads
+// and the others need no call of the platform at all.
+func (u *update) rank() time.Duration {
+	others := slices.DeleteFunc(slices.Clone(u.table().Daemons), func(d table.Daemon) bool { return d == u.table().Leader })
+	at := slices.Index(others, u.self)
+	if at < 0 {
+		at = len(others) + int(u.self.Incarnation%4)
+	}
+	return time.Duration(at) * u.rankDelay
+}
+
+// tryLead writes this daemon into the table as its leader, if that is still
+// what the data centre needs. The write is conditional on the version just
+// read, so of several candidates one wins.
+func (u *update) tryLead(o *wire.Object) {
+	if u.lead != nil || u.beat.suspect.IsZero() || !u.leaving.IsZero() || !u.free(u.tableObject()) {
+		return
+	}
+	if u.now.Before(u.beat.suspect.Add(u.rank())) {
+		return
+	}
+	t := u.table()
+	if o == nil && u.version(u.tableObject()) > 0 {
+		return // the platform knows less than we do: not to be built on
+	}
+	if o != nil && o.Version < u.version(u.tableObject()) {
+		return
+	}
+	if t.Leader.Address != "" && !u.leaderLost() {
+		return
+	}
+	next := t.Clone()
+	next.DataCentre = u.dataCentre
+	next.Leader = u.self
+	next.Epoch = max(t.Epoch, u.homes.Floors[u.dataCentre]) + 1
+	next.Daemons = slices.DeleteFunc(next.Daemons, func(d table.Daemon) bool { return d.Address == u.self.Address })
+	next.Daemons = append(next.Daemons, u.self)
+	u.write(u.tableObject(), u.version(u.tableObject()), next.Marshal())
+}
+
+// checkLead begins or ends the leading as the table in force says.
+func (u *update) checkLead() {
+	t := u.table()
+	leads := t.Leader == u.self && u.version(u.tableObject()) > 0
+	switch {
+	case leads && u.lead == nil:
+		u.lead = leader.New(u.self, u.dataCentre, u.now, u.settings.leader...)
+		u.lead.Heard(u.now, u.makeBeat())
+		u.beat = beating{}
+		u.do(WatchCmd{On: true})
+		u.do(LeadCmd{Leading: true, Epoch: t.Epoch})
+		u.ask(HomesObject)
+		u.ask(SiteObject)
+	case !leads && u.lead != nil:
+		u.lead = nil
+		u.decision = leader.Decision{}
+		u.beat = beating{}
+		u.do(WatchCmd{On: false})
+		u.do(LeadCmd{Leading: false, Epoch: t.Epoch})
+	case !leads:
+		if l := t.Leader; l.Address != "" && u.beat.refused {
+			u.beat.refused = false
+			u.beat.ok = u.now
+		}
+	}
+}
+
+func (u *update) makeBeat() *wire.Beat {
+	b := &wire.Beat{
+		From: u.self.Address, Incarnation: u.self.Incarnation, DataCentre: u.dataCentre,
+		Leaving: !u.leaving.IsZero(), Versions: u.Versions(), Servers: u.reports,
+	}
+	for _, server := range slices.Sorted(maps.Keys(u.quiet)) {
+		r := u.quiet[server]
+		if r.TableVersion == u.version(u.tableObject()) {
+			b.Released = append(b.Released, r)
+		}
+	}
+	return b
+}
+
+// beaten answers a heartbeat to this daemon.
+func (u *update) beaten(msg BeatMsg) {
+	leading := u.lead != nil && (u.site.Hold == 0 || u.now.Before(u.leaseEnd()))
+	reply := &wire.BeatReply{Leading: leading, Epoch: u.table().Epoch, Versions: u.Versions()}
+	if u.lead != nil {
+		u.lead.Heard(u.now, msg.Beat)
+		u.lead.Count(u.site, msg.Beat)
+		if len(msg.Beat.Released) > 0 {
+			u.decide()
+		}
+		reply.Wanted = u.decision.Wanted[msg.Beat.From]
+	}
+	reply.Objects = u.newerThan(msg.Beat.Versions)
+	u.do(BeatReplyCmd{Call: msg.Call, Reply: reply})
+}
+
+func (u *update) beatAnswered(msg BeatReplyMsg) {
+	u.beat.sent = time.Time{}
+	u.absorb(msg.Reply.Objects)
+	if u.lead != nil || msg.To != u.table().Leader {
+		return
+	}
+	if !msg.Reply.Leading {
+		return // as good as silent
+	}
+	u.beat.refused = false
+	if msg.Sent.After(u.beat.ok) {
+		u.beat.ok = msg.Sent
+	}
+	u.stale = u.stale || u.site.Hold > 0
+	u.hold(msg.Reply.Wanted)
+}
+
+func (u *update) beatFailed(msg BeatFailedMsg) {
+	u.beat.sent = time.Time{}
+	if msg.To == u.table().Leader {
+		u.beat.refused = u.beat.refused || msg.Refused
+	}
+}
+
+// hold asks traffic to stop for what the leader wants released. A request made
+// for another version of the table is dropped; the leader asks again.
+func (u *update) hold(wanted []*wire.Release) {
+	for _, r := range wanted {
+		if r.TableVersion != u.version(u.tableObject()) || u.table().Dispatches[r.Server].Daemon != u.self {
+			continue
+		}
+		have, ok := u.holds[r.Server]
+		next := route.Hold{All: have.All || r.All, Shards: map[uint32]bool{}, Version: r.TableVersion}
+		for s := range have.Shards {
+			next.Shards[s] = true
+		}
+		for _, s := range r.Shards {
+			next.Shards[s] = true
+		}
+		if ok && next.All == have.All && len(next.Shards) == len(have.Shards) {
+			continue
+		}
+		u.holds[r.Server] = next
+		u.stale = true
+	}
+}
+
+// dropHolds lets traffic go on where a later table still names this daemon. A
+// release is bound to one version of the table: once a later one is in force,
+// no write that builds on the release can succeed.
+func (u *update) dropHolds() {
+	for server, h := range u.holds {
+		if h.Version < u.version(u.tableObject()) {
+			delete(u.holds, server)
+			delete(u.quiet, server)
+		}
+	}
+}
+
+// quieted notes that what a hold asked for has stopped, and tells the leader
+// at once: every millisecond until then the shards have no owner at work.
+func (u *update) quieted(msg QuietMsg) {
+	h, ok := u.holds[msg.Server]
+	if !ok || h.Version != msg.Version {
+		return
+	}
+	u.quiet[msg.Server] = &wire.Release{Server: msg.Server, All: msg.All, Shards: msg.Shards, TableVersion: msg.Version}
+	u.beat.next = u.now
+	if u.lead != nil {
+		u.lead.Heard(u.now, u.makeBeat())
+		u.decide()
+		return
+	}
+	if l := u.table().Leader; l.Address != "" {
+		u.sendBeat(l)
+	}
+}
+
+func (u *update) clearLoads() {
+	reports := make([]*wire.ServerReport, len(u.reports))
+	for i, r := range u.reports {
+		reports[i] = &wire.ServerReport{Server: r.Server, State: r.State, Limit: r.Limit}
+	}
+	u.reports = reports
+}
+
+// mergeReports keeps loads that no heartbeat has carried yet.
+func mergeReports(have, next []*wire.ServerReport) []*wire.ServerReport {
+	waiting := map[string][]*wire.ShardLoad{}
+	for _, r := range have {
+		waiting[r.Server] = r.Loads
+	}
+	out := make([]*wire.ServerReport, len(next))
+	for i, r := range next {
+		out[i] = &wire.ServerReport{Server: r.Server, State: r.State, Limit: r.Limit, Loads: append(waiting[r.Server], r.Loads...)}
+	}
+	return out
+}
--- /dev/null
+++ b/core/process/leader/owner.go
@@ -0,0 +1,214 @@
+package leader
+
+import (
+	"slices"
+	"time"
+
+	"catkinstep/core/connection/wire"
+	"catkinstep/core/version/shard"
+	"catkinstep/core/version/site"
+)
+
+// shards moves the ownership of shards towards what is wanted.
+func (p *plan) shards() {
+	if p.HomesVersion < p.t.HomesSeen {
+		return // the homes known here are older than what the table builds on
+	}
+	if p.Homes.Floors[p.dataCentre] != p.t.Epoch {
+		// A leader before us, paused since, could still wake and give away what
+		// we assign here. Once the homes carry our epoch it finds itself replaced.
+		return
+	}
+	for _, v := range p.Site.Services {
+		row, ok := p.Homes.Rows[v.Name]
+		if !ok {
+			continue
+		}
+		p.ensureRow(v, len(row))
+		for s := range row {
+			p.settleHome(v, s)
+		}
+		p.moveOwners(v)
+	}
+}
+
+func (p *plan) ensureRow(v site.Service, shards int) {
+	var servers []string
+	for _, s := range p.myServers() {
+		if s.Service == v.Name {
+			servers = append(servers, s.Address)
+		}
+	}
+	have, ok := p.t.Rows[v.Name]
+	if ok && !slices.ContainsFunc(servers, func(s string) bool { return !slices.Contains(have.Servers, s) }) {
+		return
+	}
+	p.t.EnsureRow(v.Name, shards, servers)
+	p.changed = true
+}
+
+// settleHome handles the shards that come, go, or are gone.
+func (p *plan) settleHome(v site.Service, s int) {
+	r := p.t.Rows[v.Name]
+	owned := r.Owner[s] != shard.None
+	switch {
+	case !p.home(v.Name, s):
+		if owned || r.Leaving[s] {
+			r.Owner[s], r.Leaving[s] = shard.None, false
+			r.Source[s] = shard.None
+			p.changed = true
+		}
+	case !p.staying(v.Name, s):
+		if r.Leaving[s] {
+			return
+		}
+		if owned && !p.mayMove(v, r.Servers[r.Owner[s]], uint32(s)) {
+			return
+		}
+		p.t.Leave(v.Name, uint32(s), p.Table.LastLedger(v.Name, uint32(s)))
+		p.changed = true
+	case r.Leaving[s] && p.HomesVersion > p.tried:
+		r.Leaving[s] = false
+		p.changed = true
+	}
+}
+
+func (p *plan) moveOwners(v site.Service) {
+	want := p.wantedOwners(v)
+	for s, to := range want {
+		r := p.t.Rows[v.Name]
+		if !p.home(v.Name, s) || !p.staying(v.Name, s) || r.Leaving[s] || to == r.Owner[s] || to == shard.None {
+			continue
+		}
+		if _, ok := p.Table.Dispatches[r.Servers[to]]; !ok {
+			continue // its dispatcher comes first
+		}
+		if r.Owner[s] != shard.None && !p.mayMove(v, r.Servers[r.Owner[s]], uint32(s)) {
+			continue
+		}
+		from := p.Table.LastLedger(v.Name, uint32(s))
+		if from == (shard.Ledger{}) {
+			from, _ = p.Homes.Source(v.Name, uint32(s))
+		}
+		p.t.Assign(v.Name, uint32(s), to, from, p.HomesVersion)
+		p.changed = true
+	}
+}
+
+// wantedOwners plans anew only when the servers' weights or the shards at home
+// change, or when it is time to even out the loads: a plan that followed every
+// wobble of the loads would ask for releases and take them back.
+func (p *plan) wantedOwners(v site.Service) []int {
+	r := p.t.Rows[v.Name]
+	weights := p.weights(v, r.Servers)
+	mine := make([]bool, len(r.Owner))
+	for s := range mine {
+		mine[s] = p.home(v.Name, s) && p.staying(v.Name, s)
+	}
+	w := p.want[v.Name]
+	if w == nil || len(w.loads) != len(r.Owner) {
+		w = &wish{loads: make([]float64, len(r.Owner)), counted: make([]float64, len(r.Owner)), balanced: p.now}
+		p.want[v.Name] = w
+	}
+	due := p.now.Sub(w.balanced) >= p.balanceEvery
+	if due {
+		w.fold(p.now.Sub(w.balanced))
+		w.balanced = p.now
+	}
+	if !due && slices.Equal(weights, w.weights) && slices.Equal(mine, w.mine) {
+		return w.owner
+	}
+	moves := 0
+	if slices.Equal(weights, w.weights) && slices.Equal(mine, w.mine) {
+		moves = p.balanceMoves
+	}
+	w.weights, w.mine = weights, mine
+	w.owner = w.spread(r.Owner, weights, mine, moves)
+	return w.owner
+}
+
+// weights are the servers' shares: nothing for those that cannot take work,
+// and little for one that has just started, in step with what it bears.
+func (p *plan) weights(v site.Service, servers []string) []float64 {
+	out := make([]float64, len(servers))
+	for i, address := range servers {
+		if !p.serves(address) || p.Site.HostOut(address) || p.Site.DataCentreOut(p.dataCentre) {
+			continue
+		}
+		h := p.servers[address]
+		r := p.report(p.t.Dispatches[address].Daemon, address)
+		if h == nil {
+			continue
+		}
+		if r == nil || r.State == wire.ServerState_SERVER_STATE_STARTING {
+			// Its dispatcher is new and has not reported yet: as before.
+			if h.okSince.IsZero() && !p.holds(v.Name, i) {
+				continue
+			}
+			out[i] = p.lastWeight(v.Name, i)
+			continue
+		}
+		if r.State != wire.ServerState_SERVER_STATE_OK {
+			continue
+		}
+		if !p.holds(v.Name, i) && p.now.Sub(h.okSince) < p.returnAfter && p.anyOwned(v.Name) {
+			continue
+		}
+		out[i] = 1
+		if h.ramping {
+			out[i] = max(0.25, min(1, float64(int(r.Limit*4))/4))
+		}
+	}
+	return out
+}
+
+func (p *plan) lastWeight(service string, i int) float64 {
+	if w := p.want[service]; w != nil && i < len(w.weights) {
+		return w.weights[i]
+	}
+	return 1
+}
+
+func (p *plan) holds(service string, server int) bool {
+	return slices.Contains(p.t.Rows[service].Owner, server)
+}
+
+func (p *plan) anyOwned(service string) bool {
+	return slices.ContainsFunc(p.t.Rows[service].Owner, func(o int) bool { return o != shard.None })
+}
+
+// fold takes the orders counted over a span into the smoothed loads.
+func (w *wish) fold(span time.Duration) {
+	for s, n := range w.counted {
+		rate := n / span.Seconds()
+		w.loads[s] += (rate - w.loads[s]) / 2
+		w.counted[s] = 0
+	}
+}
+
+// spread plans the shards at home only. Sizes blend the counted load with an
+// even part, so that idle shards are spread too and noise moves nothing.
+func (w *wish) spread(owner []int, weights []float64, mine []bool, moves int) []int {
+	total := 0.0
+	var at []int
+	for s := range owner {
+		if mine[s] {
+			at = append(at, s)
+			total += w.loads[s]
+		}
+	}
+	have, sizes := make([]int, len(at)), make([]float64, len(at))
+	for i, s := range at {
+		have[i] = owner[s]
+		sizes[i] = 1
+		if total > 1 {
+			sizes[i] = 0.1 + 0.9*w.loads[s]*float64(len(at))/total
+		}
+	}
+	spread := shard.Spreader{Sizes: sizes, Slack: 0.05, MaxMoves: moves}.Spread(have, weights)
+	want := slices.Clone(owner)
+	for i, s := range at {
+		want[s] = spread[i]
+	}
+	return want
+}
--- /dev/null
+++ b/core/process/leader/plan.go
@@ -0,0 +1,319 @@
+package leader
+
+import (
+	"slices"
+	"time"
+
+	"catkinstep/core/connection/wire"
+	"catkinstep/core/version/site"
+	"catkinstep/core/version/table"
+)
+
+// plan is one decision in the making.
+type plan struct {
+	*Leader
+	View
+	now     time.Time
+	t       table.Table
+	changed bool
+	wanted  map[string]map[string]*wire.Release
+	homes   map[string][]int // the home that each shard should have
+	probe   []table.Daemon
+}
+
+func (p *plan) decision() Decision {
+	d := Decision{Homes: p.newHomes(), Wanted: map[string][]*wire.Release{}, Probe: p.probe}
+	for daemon, byServer := range p.wanted {
+		for _, r := range byServer {
+			r.TableVersion = p.TableVersion
+			d.Wanted[daemon] = append(d.Wanted[daemon], r)
+		}
+	}
+	if p.changed {
+		p.t.Compact()
+		d.Table = &p.t
+	}
+	return d
+}
+
+// observe follows the state of each server over time.
+func (p *plan) observe() {
+	for _, v := range p.myServers() {
+		s := p.servers[v.Address]
+		if s == nil {
+			s = &server{lastOK: p.now}
+			p.servers[v.Address] = s
+		}
+		r := p.report(p.t.Dispatches[v.Address].Daemon, v.Address)
+		switch {
+		case r == nil:
+		case r.State == wire.ServerState_SERVER_STATE_OK:
+			if s.okSince.IsZero() {
+				s.okSince = p.now
+				s.ramping = true
+			}
+			s.lastOK = p.now
+			if r.Limit >= 1 {
+				s.ramping = false
+			}
+		default:
+			s.okSince = time.Time{}
+		}
+	}
+}
+
+// daemons keeps the list of members.
+func (p *plan) daemons() {
+	for _, peer := range p.peers {
+		if !p.fit(p.now, peer.daemon) || p.t.Knows(peer.daemon) {
+			continue
+		}
+		p.t.Daemons = slices.DeleteFunc(p.t.Daemons, func(d table.Daemon) bool { return d.Address == peer.daemon.Address })
+		p.t.Daemons = append(p.t.Daemons, peer.daemon)
+		p.changed = true
+	}
+	before := len(p.t.Daemons)
+	p.t.Daemons = slices.DeleteFunc(p.t.Daemons, func(d table.Daemon) bool {
+		return p.silentFor(p.now, d) > p.forgetAfter || p.ended(d) && !p.dispatching(d)
+	})
+	p.changed = p.changed || len(p.t.Daemons) != before
+	sortDaemons(p.t.Daemons)
+	for _, d := range p.t.Daemons {
+		if p.silentFor(p.now, d) > p.suspectAfter/2 && !p.ended(d) {
+			p.probe = append(p.probe, d)
+		}
+	}
+}
+
+// dispatches gives each server a dispatcher and a backup.
+func (p *plan) dispatches() {
+	if len(p.t.Dispatches) == 0 && p.now.Sub(p.since) < p.settleFor {
+		return // the other daemons have not been heard yet
+	}
+	for _, v := range p.myServers() {
+		d := p.t.Dispatches[v.Address]
+		switch {
+		case d.Daemon.Address == "", p.mayReplace(v, d):
+			p.dispatch(v.Address, d)
+		case p.leaving(d.Daemon) && len(p.fitDaemons()) > 0, p.overloaded(v.Address, d):
+			if p.released(v.Address, nil) {
+				p.dispatch(v.Address, d)
+				break
+			}
+			p.wantAll(v.Address, d.Daemon)
+		}
+		p.backup(v.Address)
+	}
+	for address, d := range p.t.Dispatches {
+		if p.serves(address) {
+			continue
+		}
+		// A server that the site no longer names: stop, then forget it.
+		if p.ownsNothing(address) && (p.released(address, nil) || p.ended(d.Daemon)) {
+			delete(p.t.Dispatches, address)
+			p.changed = true
+			continue
+		}
+		p.wantAll(address, d.Daemon)
+	}
+}
+
+// mayReplace tells whether a dispatcher may be replaced without its consent.
+//
+// A daemon that is silent may be paused and go on sending when it wakes. That
+// is harmless where the server checks fencing tokens: the next dispatcher sends
+// nothing before the server took the higher token, and then refuses the old
+// one. Other servers need the proof that the process ended, the operator's
+// word, or the end of the hold.
+func (p *plan) mayReplace(v site.Server, d table.Dispatch) bool {
+	if p.ended(d.Daemon) {
+		return true
+	}
+	if p.working(p.now, d.Daemon) || len(p.fitDaemons()) == 0 {
+		return false
+	}
+	service, _ := p.Site.Service(v.Service)
+	return service.ChecksTokens || p.Site.HostLost(d.Daemon.Address) || p.holdOver(service, p.silentFor(p.now, d.Daemon))
+}
+
+// holdOver tells whether someone silent for so long has surely stopped. A
+// leader that was replaced may have renewed for one hold after its last word
+// with the platform, and a dispatcher goes on for one hold after that.
+func (p *plan) holdOver(s site.Service, silent time.Duration) bool {
+	if p.Site.Hold == 0 {
+		return false
+	}
+	bound := 2*p.Site.Hold + s.OrderDeadline + time.Second
+	return silent > bound && p.now.Sub(p.since) > bound
+}
+
+func (p *plan) dispatch(address string, d table.Dispatch) {
+	next := p.pick(d.Daemon, d.Backup)
+	if next.Address == "" {
+		return
+	}
+	p.t.SetDispatch(address, next, table.Daemon{})
+	p.changed = true
+}
+
+func (p *plan) backup(address string) {
+	d, ok := p.t.Dispatches[address]
+	if !ok || d.Backup != (table.Daemon{}) && d.Backup != d.Daemon && p.fit(p.now, d.Backup) {
+		return
+	}
+	next := p.pick(d.Daemon, table.Daemon{})
+	if next == d.Daemon {
+		next = table.Daemon{}
+	}
+	if next == d.Backup {
+		return
+	}
+	d.Backup = next
+	p.t.Dispatches[address] = d
+	p.changed = true
+}
+
+// pick chooses the preferred daemon if it is fit, else the fit one with the
+// fewest servers; not is taken only when there is no other.
+func (p *plan) pick(not, preferred table.Daemon) table.Daemon {
+	fit := p.fitDaemons()
+	if slices.Contains(fit, preferred) && preferred != not {
+		return preferred
+	}
+	var best table.Daemon
+	for _, d := range fit {
+		if d == not {
+			continue
+		}
+		if best.Address == "" || p.load(d) < p.load(best) {
+			best = d
+		}
+	}
+	if best.Address == "" && slices.Contains(fit, not) {
+		return not
+	}
+	return best
+}
+
+// overloaded tells whether a server should go to a daemon with fewer of them.
+// One at a time: each handover makes the server wait for some milliseconds.
+func (p *plan) overloaded(address string, d table.Dispatch) bool {
+	if p.now.Sub(p.since) < 4*p.settleFor || !p.fit(p.now, d.Daemon) {
+		return false
+	}
+	for other, releases := range p.wanted {
+		for s, r := range releases {
+			if r.All && (other != d.Daemon.Address || s != address) {
+				return false
+			}
+		}
+	}
+	least := p.pick(d.Daemon, table.Daemon{})
+	return least != d.Daemon && p.load(d.Daemon) >= p.load(least)+2
+}
+
+func (p *plan) load(d table.Daemon) int {
+	n := 0
+	for _, have := range p.t.Dispatches {
+		if have.Daemon == d {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *plan) dispatching(d table.Daemon) bool { return p.load(d) > 0 }
+
+func (p *plan) fitDaemons() []table.Daemon {
+	var fit []table.Daemon
+	for _, d := range p.t.Daemons {
+		if p.fit(p.now, d) {
+			fit = append(fit, d)
+		}
+	}
+	return fit
+}
+
+func (p *plan) myServers() []site.Server {
+	d, _ := p.Site.DataCentre(p.dataCentre)
+	return d.Servers
+}
+
+func (p *plan) serves(address string) bool {
+	return slices.ContainsFunc(p.myServers(), func(v site.Server) bool { return v.Address == address })
+}
+
+func (p *plan) ownsNothing(address string) bool {
+	for name, r := range p.t.Rows {
+		for s := range r.Owner {
+			if o, ok := p.t.Owner(name, uint32(s)); ok && o == address {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// released tells whether the dispatcher of a server has stopped: altogether
+// when s is nil, else for that shard. Only a release at the very version that
+// the coming write is conditional on counts; a dispatcher that has seen a
+// later version may have begun to send again.
+func (p *plan) released(address string, s *uint32) bool {
+	d := p.Table.Dispatches[address]
+	peer, ok := p.peers[d.Daemon.Address]
+	if !ok || peer.daemon != d.Daemon {
+		return false
+	}
+	for _, r := range peer.released {
+		if r.Server != address || r.TableVersion != p.TableVersion {
+			continue
+		}
+		if r.All || s != nil && slices.Contains(r.Shards, *s) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *plan) release(address string, d table.Daemon) *wire.Release {
+	byServer := p.wanted[d.Address]
+	if byServer == nil {
+		byServer = map[string]*wire.Release{}
+		p.wanted[d.Address] = byServer
+	}
+	if byServer[address] == nil {
+		byServer[address] = &wire.Release{Server: address}
+	}
+	return byServer[address]
+}
+
+func (p *plan) wantAll(address string, d table.Daemon) { p.release(address, d).All = true }
+
+func (p *plan) wantShard(address string, s uint32) {
+	r := p.release(address, p.Table.Dispatches[address].Daemon)
+	r.Shards = append(r.Shards, s)
+}
+
+// mayMove tells whether a shard may leave its owner now, and asks for the
+// release when it may not. The operator's word that a host is lost, and the
+// end of the hold, stand in for a release that cannot come.
+func (p *plan) mayMove(service site.Service, address string, s uint32) bool {
+	if p.released(address, &s) || p.Site.HostLost(address) {
+		return true
+	}
+	if h := p.servers[address]; h != nil && h.okSince.IsZero() && p.holdOver(service, p.now.Sub(h.lastOK)) {
+		return true
+	}
+	p.wantShard(address, s)
+	return false
+}
+
+func (p *plan) home(service string, s int) bool {
+	return p.Homes.Home(service, uint32(s)) == p.dataCentre
+}
+
+func (p *plan) staying(service string, s int) bool {
+	want := p.homes[service]
+	return s >= len(want) || want[s] < 0 || p.Homes.DataCentres[want[s]] == p.dataCentre
+}
+
--- a/core/version/site/rules.go
+++ b/core/version/site/rules.go
@@ -1,12 +1,22 @@
 package site
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
+
+// minHold is several times the longest wait between two words of the leader
+// with the platform, so that a quiet platform ends nobody's lease.
+const minHold = 15 * time.Second
 
 // site applies the rules that no type can express.
 func (c *Checker) site(s Site) {
 	if s.Name == "" {
 		c.Add("name", "missing")
 	}
+	if s.Hold != 0 && s.Hold < minHold {
+		c.Add("hold", "must be 0 (keys stay home) or at least %v", minHold)
+	}
 	c.services(s)
 	c.dataCentres(s)
 	c.presets(s)
