Dispatcher queue, id ledger, connections and stand-ins

The queue is the only way to a backend server; its fencing token goes with each order, and ids of non-idempotent requests reach a backup before the order is written.

--- /dev/null
+++ b/core/connection/queue/queue.go
@@ -0,0 +1,250 @@
+package queue
+
+import (
+	"time"
+
+	"catkinstep/core/connection/limit"
+	"catkinstep/core/connection/wire"
+	"catkinstep/core/request/ledger"
+	"catkinstep/core/version/route"
+	"catkinstep/core/version/shard"
+	"catkinstep/core/version/site"
+	"catkinstep/core/version/table"
+)
+
+const (
+	// probeEvery is how often the server is offered the token again.
+	probeEvery = 150 * time.Millisecond
+	// silentAfter is the silence after which the server gets nothing new.
+	silentAfter = 500 * time.Millisecond
+	// clockMargin covers the difference of two clocks' rates over an order.
+	clockMargin = 50 * time.Millisecond
+	// pullEvery and pullFor bound the tries to fetch earlier ids.
+	pullEvery = 200 * time.Millisecond
+	pullFor   = 2 * time.Second
+	// copyEvery is how often the whole book is offered to a new backup.
+	copyEvery = 300 * time.Millisecond
+	// maxIDs bounds the memory of one server's book.
+	maxIDs = 100000
+)
+
+// Suspect tells whether a request must not be run any more; core/request/crash
+// has one.
+type Suspect interface {
+	Refused(now time.Time, fingerprint uint64) bool
+}
+
+// Queue is the dispatcher of one backend server.
+type Queue struct {
+	address  string
+	service  site.Service
+	bound    int
+	route    *route.Route
+	suspects Suspect
+
+	token   uint64 // from the table
+	backup  table.Daemon
+	server  server
+	limit   limit.Limit
+	waiting []*item
+	running map[uint64]*item
+	// settling holds, by shard, when orders without an answer are surely over.
+	settling map[uint32]time.Time
+	idle     time.Time // when the last order without an answer is surely over
+	follow   map[string][]*item
+
+	book    *ledger.Book
+	copies  map[uint64]*item // id copies under way; nil for a whole book
+	copied  bool             // the backup was sent the whole book
+	copyAt  time.Time
+	pulls   map[uint64]pull
+	pullAt  time.Time
+	pullEnd map[uint32]time.Time
+	nextID  uint64
+
+	// tokens are those the book was kept under without a break; old are books
+	// of before a break, kept for the dispatchers that followed.
+	tokens map[uint64]bool
+	old    []archive
+	epochs map[uint32]uint64 // of the shards in the book
+
+	quiet  quietSent
+	counts map[uint32]uint32
+	cmds   []Cmd
+}
+
+// server is what is known of the backend server.
+type server struct {
+	state       wire.ServerState
+	granted     uint64 // the token that the server took last
+	incarnation uint64
+	clock       time.Duration
+	clockAt     time.Time
+	heard       time.Time
+	probed      time.Time
+	probing     bool
+	// fenced is when orders of earlier dispatchers are surely over; zero while
+	// the server has not taken our token.
+	fenced time.Time
+	dead   []uint64 // fingerprints that ran when contact was lost
+}
+
+// item is one order.
+type item struct {
+	seq      uint64
+	order    *wire.Order
+	deadline time.Time
+	arrived  time.Time
+	sent     time.Time
+	notAfter time.Time
+	copying  bool
+	logged   bool // its id is in the book
+	quit     bool // its caller has gone
+}
+
+type archive struct {
+	tokens map[uint64]bool
+	book   *ledger.Book
+	at     time.Time
+}
+
+type pull struct {
+	from   shard.Ledger
+	shards []uint32
+}
+
+type quietSent struct {
+	version uint64
+	all     bool
+	shards  int
+}
+
+// New returns the dispatcher of a server that has not been reached yet.
+func New(address string, suspects Suspect) *Queue {
+	return &Queue{
+		address:  address,
+		suspects: suspects,
+		running:  map[uint64]*item{},
+		settling: map[uint32]time.Time{},
+		follow:   map[string][]*item{},
+		copies:   map[uint64]*item{},
+		pulls:    map[uint64]pull{},
+		pullEnd:  map[uint32]time.Time{},
+		counts:   map[uint32]uint32{},
+		tokens:   map[uint64]bool{},
+		epochs:   map[uint32]uint64{},
+	}
+}
+
+// Update takes in a message and returns what is to be done.
+func (q *Queue) Update(now time.Time, msg Msg) []Cmd {
+	q.cmds = nil
+	switch msg := msg.(type) {
+	case TickMsg:
+		q.tick(now)
+	case RouteMsg:
+		q.adopt(now, msg.Route)
+	case SubmitMsg:
+		q.submit(now, &item{seq: msg.Seq, order: msg.Order, deadline: msg.Deadline, arrived: now})
+	case CancelMsg:
+		q.cancel(msg.Seq)
+	case AnsweredMsg:
+		q.answered(now, msg)
+	case NotRunMsg:
+		q.notRun(now, msg)
+	case UnsureMsg:
+		q.unsure(now, msg)
+	case GrantedMsg:
+		q.grantTaken(now, msg)
+	case GrantRefusedMsg:
+		q.grantRefused(now, msg)
+	case GrantFailedMsg:
+		q.grantFailed(now, msg)
+	case CopiedMsg:
+		q.copyDone(msg)
+	case PulledMsg:
+		q.pulled(now, msg)
+	}
+	if q.route != nil {
+		q.dispatch(now)
+		q.quieten(now)
+	}
+	return q.cmds
+}
+
+// Report is what the leader wants to know of the server. The loads counted so
+// far are handed over with it.
+func (q *Queue) Report() *wire.ServerReport {
+	r := &wire.ServerReport{Server: q.address, State: q.server.state, Limit: q.limit.Share()}
+	for s, n := range q.counts {
+		r.Loads = append(r.Loads, &wire.ShardLoad{Shard: s, Orders: n})
+	}
+	clear(q.counts)
+	return r
+}
+
+// Waiting returns how many orders wait, a hint of the load for entries.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
+// Running returns how many orders the server has.
+func (q *Queue) Running() int { return len(q.running) }
+
+// Allowed returns how many orders the server may have at once.
+func (q *Queue) Allowed() int { return q.limit.Allowed() }
+
+// Token returns the fencing token in use.
+func (q *Queue) Token() uint64 { return q.token }
+
+// Idle tells whether nothing waits, runs, or may still run.
+func (q *Queue) Idle(now time.Time) bool {
+	return len(q.waiting) == 0 && len(q.running) == 0 && !now.Before(q.idle)
+}
+
+// Ledger gives the ids of some shards under a token, for the next dispatcher,
+// with the shards whose ids are all there.
+func (q *Queue) Ledger(now time.Time, token uint64, shards []uint32) (entries []*wire.LedgerEntry, covered []uint32) {
+	book := q.book
+	if !q.tokens[token] {
+		book = nil
+		for _, a := range q.old {
+			if a.tokens[token] {
+				book = a.book
+			}
+		}
+	}
+	if book == nil {
+		return nil, nil
+	}
+	for _, s := range shards {
+		if book.Covered(s) {
+			covered = append(covered, s)
+		}
+	}
+	return book.Entries(now, shards), covered
+}
+
+func (q *Queue) do(c Cmd) { q.cmds = append(q.cmds, c) }
+
+func (q *Queue) id() uint64 {
+	q.nextID++
+	return q.nextID
+}
+
+func (q *Queue) tick(now time.Time) {
+	if q.route == nil {
+		return
+	}
+	if s := &q.server; s.state == wire.ServerState_SERVER_STATE_OK && now.Sub(s.heard) > silentAfter {
+		s.state = wire.ServerState_SERVER_STATE_SILENT
+		q.refuseWaiting(func(*item) bool { return true }, "serverDown", "the backend server is silent")
+	}
+	q.probe(now)
+	q.fetch(now)
+	q.copyWhole(now)
+	for s, until := range q.settling {
+		if !now.Before(until) {
+			delete(q.settling, s)
+		}
+	}
+	q.refuseWaiting(func(it *item) bool { return !now.Before(it.deadline) }, "deadlineExceeded", "the deadline passed while it waited")
+}
--- a/core/process/leader/plan.go
+++ b/core/process/leader/plan.go
@@ -316,4 +316,3 @@
 	want := p.homes[service]
 	return s >= len(want) || want[s] < 0 || p.Homes.DataCentres[want[s]] == p.dataCentre
 }
-
--- /dev/null
+++ b/core/request/ledger/ledger.go
@@ -0,0 +1,193 @@
+package ledger
+
+import (
+	"time"
+
+	"catkinstep/core/connection/wire"
+)
+
+// State is what a Book knows of an id.
+type State int
+
+// States of an id.
+const (
+	// Unseen ids were never begun, as far as can be known.
+	Unseen State = iota
+	// Begun ids were given to the server, or are about to be; whether they ran
+	// is not known.
+	Begun
+	// Answered ids have run, and their answer is kept.
+	Answered
+	// Lost means that the id is not here, but earlier ids of its shard are
+	// missing, so it may have run.
+	Lost
+	// Pending means that the earlier ids of the shard are still being fetched.
+	Pending
+)
+
+// Found is the result of looking for an id.
+type Found struct {
+	State  State
+	Answer *wire.Answer
+	// Until is when a Lost shard is trusted again.
+	Until time.Time
+}
+
+// Book holds the ids of one server's shards.
+type Book struct {
+	keep    time.Duration
+	entries map[key]*entry
+	oldest  []dated
+	covered map[uint32]bool
+	lost    map[uint32]time.Time
+}
+
+type key struct {
+	shard uint32
+	id    string
+}
+
+type entry struct {
+	answer *wire.Answer
+	at     time.Time
+}
+
+type dated struct {
+	key key
+	at  time.Time
+}
+
+// New returns an empty Book that keeps each id for a time.
+func New(keep time.Duration) *Book {
+	return &Book{keep: keep, entries: map[key]*entry{}, covered: map[uint32]bool{}, lost: map[uint32]time.Time{}}
+}
+
+// Len returns the number of ids held.
+func (b *Book) Len() int { return len(b.entries) }
+
+// Find looks for an id.
+func (b *Book) Find(now time.Time, shard uint32, id string) Found {
+	b.expire(now)
+	if e, ok := b.entries[key{shard, id}]; ok {
+		if e.answer != nil {
+			return Found{State: Answered, Answer: e.answer}
+		}
+		return Found{State: Begun}
+	}
+	if until, ok := b.lost[shard]; ok && now.Before(until) {
+		return Found{State: Lost, Until: until}
+	}
+	if !b.covered[shard] {
+		return Found{State: Pending}
+	}
+	return Found{State: Unseen}
+}
+
+// Begin notes an id before its order may be written.
+func (b *Book) Begin(now time.Time, shard uint32, id string) { b.set(now, shard, id, nil) }
+
+// Finish keeps the answer of an id.
+func (b *Book) Finish(now time.Time, shard uint32, id string, a *wire.Answer) {
+	b.set(now, shard, id, a)
+}
+
+// Forget removes an id whose order was provably not run, so that the caller's
+// next try may run.
+func (b *Book) Forget(shard uint32, id string) { delete(b.entries, key{shard, id}) }
+
+// Covered tells whether all earlier ids of a shard are here.
+func (b *Book) Covered(shard uint32) bool { return b.covered[shard] }
+
+// Known tells whether it is settled for a shard what the Book can know.
+func (b *Book) Known(shard uint32) bool {
+	_, lost := b.lost[shard]
+	return lost || b.covered[shard]
+}
+
+// Cover notes that all earlier ids of a shard are here.
+func (b *Book) Cover(shard uint32) {
+	b.covered[shard] = true
+	delete(b.lost, shard)
+}
+
+// Lose notes that earlier ids of a shard cannot be had. After the keeping time
+// none of them would be here any more in any case.
+func (b *Book) Lose(now time.Time, shard uint32) {
+	if !b.covered[shard] {
+		b.lost[shard] = now.Add(b.keep)
+	}
+}
+
+// Drop removes a shard that has gone to another server.
+func (b *Book) Drop(shard uint32) {
+	delete(b.covered, shard)
+	delete(b.lost, shard)
+	for k := range b.entries {
+		if k.shard == shard {
+			delete(b.entries, k)
+		}
+	}
+}
+
+// CoveredShards lists the shards whose ids are all here.
+func (b *Book) CoveredShards() []uint32 {
+	out := make([]uint32, 0, len(b.covered))
+	for s := range b.covered {
+		out = append(out, s)
+	}
+	return out
+}
+
+// Entries gives the ids of some shards, or of all when shards is nil, with
+// their ages instead of times, since clocks of two hosts never compare.
+func (b *Book) Entries(now time.Time, shards []uint32) []*wire.LedgerEntry {
+	b.expire(now)
+	var wanted map[uint32]bool
+	if shards != nil {
+		wanted = make(map[uint32]bool, len(shards))
+		for _, s := range shards {
+			wanted[s] = true
+		}
+	}
+	var out []*wire.LedgerEntry
+	for k, e := range b.entries {
+		if wanted == nil || wanted[k.shard] {
+			out = append(out, &wire.LedgerEntry{Shard: k.shard, Id: k.id, Answer: e.answer, AgeMillis: now.Sub(e.at).Milliseconds()})
+		}
+	}
+	return out
+}
+
+// Take adds ids from another Book. An answer is never replaced by less.
+func (b *Book) Take(now time.Time, entries []*wire.LedgerEntry) {
+	for _, e := range entries {
+		k := key{e.Shard, e.Id}
+		if have, ok := b.entries[k]; ok && have.answer != nil {
+			continue
+		}
+		b.set(now.Add(-time.Duration(e.AgeMillis)*time.Millisecond), e.Shard, e.Id, e.Answer)
+	}
+}
+
+func (b *Book) set(at time.Time, shard uint32, id string, a *wire.Answer) {
+	k := key{shard, id}
+	b.entries[k] = &entry{answer: a, at: at}
+	b.oldest = append(b.oldest, dated{k, at})
+}
+
+func (b *Book) expire(now time.Time) {
+	n := 0
+	for n < len(b.oldest) && now.Sub(b.oldest[n].at) > b.keep {
+		d := b.oldest[n]
+		if e, ok := b.entries[d.key]; ok && !e.at.After(d.at) {
+			delete(b.entries, d.key)
+		}
+		n++
+	}
+	b.oldest = b.oldest[n:]
+	for s, until := range b.lost {
+		if !now.Before(until) {
+			b.Cover(s)
+		}
+	}
+}
