The whole path in separate processes: daemon, entry, operator interface, command line

caller, entry host, owner's dispatcher, backend server and back, with the configuration kept by the platform stand-in.

--- /dev/null
+++ b/cmd/catkinstep/main.go
@@ -0,0 +1,76 @@
+// Command catkinstep routes callers' requests to backend servers that own keys
+// exclusively. Run "catkinstep --help" for its commands; README.md has a tour.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"catkinstep/core/version/check"
+)
+
+// version is what "catkinstep version" prints.
+const version = "0.1.0"
+
+type commands struct {
+	Operator string `help:"Operator interface of any daemon, as IP:PORT." default:"127.0.0.1:7200" env:"CATKINSTEP_OPERATOR"`
+	Token    string `help:"Bearer token of the operator interface." env:"CATKINSTEP_TOKEN"`
+	LogLevel string `help:"Lowest level that is logged." enum:"debug,info,warn,error" default:"info"`
+
+	Serve      serveCmd      `cmd:"" help:"Run a daemon on this host."`
+	Check      checkCmd      `cmd:"" help:"Check a site file and name every mistake."`
+	Apply      applyCmd      `cmd:"" help:"Put a site file in force."`
+	Preset     presetCmd     `cmd:"" help:"Switch presets."`
+	Datacentre dataCentreCmd `cmd:"" help:"Take a data centre out or in."`
+	Host       hostCmd       `cmd:"" help:"Take a host out or in."`
+	Status     statusCmd     `cmd:"" help:"Show what is in force where."`
+	Report     reportCmd     `cmd:"" help:"Show reports."`
+	Standin    standinCmd    `cmd:"" help:"Run stand-ins for the platform and for backend servers."`
+	Version    versionCmd    `cmd:"" help:"Print the version."`
+}
+
+type versionCmd struct{}
+
+// Run prints the version.
+func (versionCmd) Run() error {
+	fmt.Println("catkinstep", version)
+	return nil
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var c commands
+	k := kong.Parse(&c, kong.Name("catkinstep"), kong.Description("A router for backend servers that own keys exclusively."), kong.UsageOnError())
+	k.BindTo(ctx, (*context.Context)(nil))
+	if err := k.Run(&c); err != nil {
+		report(err)
+		stop()
+		os.Exit(1) //nolint:gocritic // stop has run
+	}
+}
+
+// report prints an error; mistakes in a file come one a line, as compilers do.
+func report(err error) {
+	var m check.Mistakes
+	if errors.As(err, &m) {
+		fmt.Fprintln(os.Stderr, m)
+		return
+	}
+	fmt.Fprintln(os.Stderr, "catkinstep:", err)
+}
+
+func (c *commands) logger() *slog.Logger {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
+		level = slog.LevelInfo
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+}
--- /dev/null
+++ b/cmd/catkinstep/standin.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"catkinstep/io/standin/oracle"
+	"catkinstep/io/standin/server"
+	"catkinstep/io/standin/store"
+)
+
+type standinCmd struct {
+	Platform platformCmd `cmd:"" help:"Stand in for the platform's object API."`
+	Server   serverCmd   `cmd:"" help:"Stand in for one backend server."`
+	Verdict  verdictCmd  `cmd:"" help:"Judge what server stand-ins ran: two owners, double runs, overload."`
+}
+
+type platformCmd struct {
+	Listen string `help:"Address as IP:PORT." default:"127.0.0.1:7000"`
+	Seed   uint64 `help:"Seed of the faults." default:"1"`
+}
+
+// Run serves the platform stand-in.
+func (p *platformCmd) Run(ctx context.Context) error {
+	s := &http.Server{Addr: p.Listen, Handler: store.New(store.WithSeed(p.Seed)), ReadHeaderTimeout: time.Minute}
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+	if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("platform stand-in: %w", err)
+	}
+	return nil
+}
+
+type serverCmd struct {
+	Listen       string        `help:"Address as IP:PORT." required:""`
+	Service      string        `help:"Service." required:""`
+	DataCentre   string        `help:"Data centre."`
+	Slots        int           `help:"Requests at once." default:"3"`
+	ChecksTokens bool          `help:"Refuse orders with an old fencing token." default:"true" negatable:""`
+	Work         time.Duration `help:"Mean time of a request." default:"5ms"`
+	Seed         uint64        `help:"Seed." default:"1"`
+}
+
+// Run serves a backend server stand-in.
+func (s *serverCmd) Run(ctx context.Context) error {
+	v := server.New(server.Config{
+		Address: s.Listen, Service: s.Service, DataCentre: s.DataCentre, Slots: s.Slots,
+		ChecksTokens: s.ChecksTokens, Work: s.Work, Seed: s.Seed,
+	}, nil)
+	if err := v.Start(); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	v.Stop()
+	return nil
+}
+
+type verdictCmd struct {
+	Servers []string `arg:"" help:"Addresses of server stand-ins."`
+}
+
+// Run gathers what ran and judges it.
+func (v *verdictCmd) Run(ctx context.Context) error {
+	o := oracle.New()
+	for _, address := range v.Servers {
+		runs, err := runsOf(ctx, address)
+		if err != nil {
+			return fmt.Errorf("verdict: %s: %w", address, err)
+		}
+		for _, r := range runs {
+			o.Ran(r)
+		}
+	}
+	verdict := o.Verdict()
+	fmt.Printf("%d runs\n", o.Runs())
+	if err := printJSON(verdict); err != nil {
+		return err
+	}
+	if verdict.Total() > 0 {
+		return errors.New("the oracle found violations")
+	}
+	return nil
+}
+
+func runsOf(ctx context.Context, address string) ([]oracle.Run, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/standin/runs", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close() //nolint:errcheck // all that counts has been read
+	var runs []oracle.Run
+	err = json.NewDecoder(resp.Body).Decode(&runs)
+	return runs, err
+}
--- a/core/process/daemon/messages.go
+++ b/core/process/daemon/messages.go
@@ -31,6 +31,12 @@
 	Asked time.Time
 }
 
+// WatchedMsg tells that one poll of the watch has ended, with news or without.
+type WatchedMsg struct {
+	Err   error
+	Asked time.Time
+}
+
 // WroteMsg answers a WriteCmd.
 type WroteMsg struct {
 	Name string
--- a/core/process/daemon/update.go
+++ b/core/process/daemon/update.go
@@ -26,6 +26,12 @@
 		u.tick()
 	case ReadMsg:
 		u.read(msg)
+	case WatchedMsg:
+		if msg.Err != nil {
+			u.platformFailed()
+		} else {
+			u.platformAnswered(msg.Asked)
+		}
 	case WroteMsg:
 		u.wrote(msg)
 	case BeatMsg:
--- a/core/process/leader/plan.go
+++ b/core/process/leader/plan.go
@@ -152,27 +152,34 @@
 	if next.Address == "" {
 		return
 	}
-	p.t.SetDispatch(address, next, table.Daemon{})
+	p.t.SetDispatch(address, next, p.pickBackup(next))
 	p.changed = true
 }
 
+// backup replaces a backup that is lost. The token changes with it: a copy that
+// the lost one still has is then of an older token, and nobody takes it for
+// complete.
 func (p *plan) backup(address string) {
 	d, ok := p.t.Dispatches[address]
-	if !ok || d.Backup != (table.Daemon{}) && d.Backup != d.Daemon && p.fit(p.now, d.Backup) {
+	if !ok || d.Token != p.Table.Dispatches[address].Token || d.Backup != (table.Daemon{}) && p.fit(p.now, d.Backup) {
 		return
 	}
-	next := p.pick(d.Daemon, table.Daemon{})
-	if next == d.Daemon {
-		next = table.Daemon{}
-	}
-	if next == d.Backup {
+	next := p.pickBackup(d.Daemon)
+	if next == d.Backup || !p.working(p.now, d.Daemon) {
 		return
 	}
-	d.Backup = next
-	p.t.Dispatches[address] = d
+	p.t.SetDispatch(address, d.Daemon, next)
 	p.changed = true
 }
 
+func (p *plan) pickBackup(d table.Daemon) table.Daemon {
+	next := p.pick(d, table.Daemon{})
+	if next == d {
+		return table.Daemon{}
+	}
+	return next
+}
+
 // pick chooses the preferred daemon if it is fit, else the fit one with the
 // fewest servers; not is taken only when there is no other.
 func (p *plan) pick(not, preferred table.Daemon) table.Daemon {
--- a/core/request/retry/retry.go
+++ b/core/request/retry/retry.go
@@ -97,12 +97,8 @@
 	return &Budget{share: share, tokens: float64(burst), most: float64(burst)}
 }
 
-// WithShare returns the Budget with another share.
-func (b *Budget) WithShare(share float64) *Budget {
-	next := *b
-	next.share = share
-	return &next
-}
+// SetShare follows a change of the configuration.
+func (b *Budget) SetShare(share float64) { b.share = share }
 
 // Request earns the share of one request.
 func (b *Budget) Request() { b.tokens = min(b.most, b.tokens+max(0, b.share)) }
--- a/core/version/site/check.go
+++ b/core/version/check/check.go
@@ -1,4 +1,4 @@
-package site
+package check
 
 import (
 	"errors"
@@ -42,22 +42,6 @@
 	return strings.Join(lines, "\n")
 }
 
-// Parse reads a file that a person wrote. The error lists all its mistakes at
-// once (a Mistakes value), and nothing of a wrong file is used.
-func Parse(file string, data []byte) (Site, error) {
-	var s Site
-	c, err := Decode(file, data, &s)
-	if err != nil {
-		return Site{}, err
-	}
-	s = s.withDefaults()
-	c.site(s)
-	if err := c.Err(); err != nil {
-		return Site{}, err
-	}
-	return s, nil
-}
-
 // Checker collects the mistakes of one file and knows the line of each field.
 type Checker struct {
 	file     string
--- a/core/version/site/rules.go
+++ b/core/version/site/rules.go
@@ -3,14 +3,19 @@
 import (
 	"fmt"
 	"time"
+
+	"catkinstep/core/version/check"
 )
 
 // minHold is several times the longest wait between two words of the leader
 // with the platform, so that a quiet platform ends nobody's lease.
 const minHold = 15 * time.Second
 
-// site applies the rules that no type can express.
-func (c *Checker) site(s Site) {
+// rules are the checks of a site file that no type can express.
+type rules struct{ *check.Checker }
+
+// site applies them all.
+func (c rules) site(s Site) {
 	if s.Name == "" {
 		c.Add("name", "missing")
 	}
@@ -27,7 +32,7 @@
 	}
 }
 
-func (c *Checker) services(s Site) {
+func (c rules) services(s Site) {
 	if len(s.Services) == 0 {
 		c.Add("services", "missing")
 	}
@@ -55,7 +60,7 @@
 	}
 }
 
-func (c *Checker) dataCentres(s Site) {
+func (c rules) dataCentres(s Site) {
 	if len(s.DataCentres) == 0 {
 		c.Add("dataCentres", "missing")
 	}
@@ -77,7 +82,7 @@
 	}
 }
 
-func (c *Checker) presets(s Site) {
+func (c rules) presets(s Site) {
 	names := map[string]bool{}
 	inForce := ""
 	for i, p := range s.Presets {
@@ -109,7 +114,7 @@
 	}
 }
 
-func (c *Checker) name(at, name string, seen map[string]bool) {
+func (c rules) name(at, name string, seen map[string]bool) {
 	if name == "" {
 		c.Add(at+".name", "missing")
 		return
@@ -126,7 +131,7 @@
 	}
 }
 
-func (c *Checker) share(field string, v float64) {
+func (c rules) share(field string, v float64) {
 	if v <= 0 || v > 1 {
 		c.Add(field, "must be above 0 and at most 1")
 	}
--- /dev/null
+++ b/io/process/admin/change.go
@@ -0,0 +1,127 @@
+package admin
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"time"
+
+	"catkinstep/core/connection/wire"
+	"catkinstep/core/process/daemon"
+	"catkinstep/core/version/site"
+	"catkinstep/io/connection/plat"
+)
+
+// Platform is what a change needs of the platform.
+type Platform interface {
+	Read(ctx context.Context, name string) (*wire.Object, error)
+	Write(ctx context.Context, name string, ifVersion uint64, value []byte) (*wire.Object, error)
+}
+
+// settlePatience bounds the tries to find out what became of a write whose
+// reply was lost.
+const settlePatience = 3 * time.Second
+
+// Accepted says which version a change became.
+type Accepted struct {
+	Version uint64 `json:"version"`
+	Change  string `json:"change"`
+	Preset  string `json:"preset"`
+}
+
+// Change reads the configuration, changes it, and writes it on the condition
+// that nobody else did in between. With ifVersion above 0 it must also be at
+// that version, as an operator saw it.
+func Change(ctx context.Context, p Platform, ifVersion uint64, change func(site.Site) (site.Site, error)) (Accepted, *wire.Object, error) {
+	have, err := p.Read(ctx, daemon.SiteObject)
+	if err != nil {
+		return Accepted{}, nil, &Error{Op: "change", Kind: Unreachable, Err: err}
+	}
+	var old site.Site
+	version := uint64(0)
+	if have != nil {
+		version = have.Version
+		if old, err = site.Unmarshal(have.Value); err != nil {
+			return Accepted{}, nil, &Error{Op: "change", Kind: Invalid, Err: err}
+		}
+	}
+	if ifVersion != 0 && ifVersion != version {
+		return Accepted{}, nil, conflict(old, version)
+	}
+	next, err := change(old)
+	if err != nil {
+		return Accepted{}, nil, &Error{Op: "change", Kind: Invalid, Err: err}
+	}
+	next = next.WithWriter(rand.Text())
+	value, err := next.Marshal()
+	if err != nil {
+		return Accepted{}, nil, &Error{Op: "change", Kind: Invalid, Err: err}
+	}
+	o, err := p.Write(ctx, daemon.SiteObject, version, value)
+	switch {
+	case err == nil:
+		return accepted(next, o.Version), o, nil
+	case plat.Is(err, plat.Conflict):
+		return lost(ctx, p, next)
+	}
+	return settle(ctx, p, next, version, err)
+}
+
+// lost tells a loser who won. The winner may be our own write, whose reply
+// never came and which a lower layer has not repeated.
+func lost(ctx context.Context, p Platform, next site.Site) (Accepted, *wire.Object, error) {
+	o, err := p.Read(ctx, daemon.SiteObject)
+	if err != nil || o == nil {
+		return Accepted{}, nil, &Error{Op: "change", Kind: Conflict, Err: fmt.Errorf("another change came first, and it cannot be read: %w", err)}
+	}
+	now, err := site.Unmarshal(o.Value)
+	if err != nil {
+		return Accepted{}, nil, &Error{Op: "change", Kind: Invalid, Err: err}
+	}
+	if now.Writer == next.Writer {
+		return accepted(next, o.Version), o, nil
+	}
+	return Accepted{}, nil, conflict(now, o.Version)
+}
+
+// settle finds out what became of a write without a reply: it reads again, and
+// knows its own write by the writer's token. Writing again blindly could undo
+// what somebody did in between.
+func settle(ctx context.Context, p Platform, next site.Site, version uint64, cause error) (Accepted, *wire.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, settlePatience)
+	defer cancel()
+	for ctx.Err() == nil {
+		o, err := p.Read(ctx, daemon.SiteObject)
+		if err != nil || o == nil || o.Version == version {
+			wait(ctx, 100*time.Millisecond)
+			continue
+		}
+		now, err := site.Unmarshal(o.Value)
+		if err != nil {
+			return Accepted{}, nil, &Error{Op: "change", Kind: Invalid, Err: err}
+		}
+		if now.Writer == next.Writer {
+			return accepted(next, o.Version), o, nil
+		}
+		return Accepted{}, nil, &Error{Op: "change", Kind: Unsure,
+			Err: fmt.Errorf("no reply, and then came %q (version %d), which may build on it: look at status", now.Change, o.Version)}
+	}
+	return Accepted{}, nil, &Error{Op: "change", Kind: Unsure, Err: fmt.Errorf("it may still take effect: look at status before trying again: %w", cause)}
+}
+
+func conflict(s site.Site, version uint64) error {
+	return &Error{Op: "change", Kind: Conflict, Err: fmt.Errorf("%q came first (version %d); nothing was changed", s.Change, version)}
+}
+
+func accepted(s site.Site, version uint64) Accepted {
+	return Accepted{Version: version, Change: s.Change, Preset: s.Preset().Name}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/process/admin/error.go
@@ -0,0 +1,37 @@
+package admin
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Kind sorts the errors of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	Conflict    Kind = "conflict"    // another change came first
+	Invalid     Kind = "invalid"     // the change is wrong
+	Unsure      Kind = "unsure"      // the platform did not say whether it took effect
+	Unreachable Kind = "unreachable" // the platform or the daemon does not answer
+	Denied      Kind = "denied"      // the token is wrong
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Is tells whether an error is of this package and of a kind.
+func Is(err error, k Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == k
+}
--- a/io/standin/server/serve.go
+++ b/io/standin/server/serve.go
@@ -31,6 +31,9 @@
 	Healthy bool `json:"healthy"`
 }
 
+// crashed is what begin returns when the request ends the process.
+const crashed = "crashed"
+
 // order is what the headers of a request say.
 type order struct {
 	id          string
@@ -106,6 +109,10 @@
 func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
 	o := parse(r)
 	run, began, refusal := s.begin(o)
+	if refusal == crashed {
+		s.Stop()
+		panic(http.ErrAbortHandler)
+	}
 	if refusal != "" {
 		w.Header().Set(back.HeaderID, o.id)
 		w.Header().Set(back.HeaderOutcome, back.OutcomeNotRun)
@@ -143,8 +150,7 @@
 	}
 	if f := s.faults.CrashOn; f != "" && strings.Contains(o.key, f) {
 		s.record(s.runOf(o, now, now))
-		go s.Stop()
-		return 0, now, retry.Shed // never seen: the connection breaks first
+		return 0, now, crashed
 	}
 	s.nextRun++
 	s.running[s.nextRun] = o.token
