Rig, callers' load, baseline, bench and demo with an oracle's verdict

The first demo found a leader that panicked when a data centre came back without any shard: a spread of nothing had no fullest owner. It now plans nothing.

--- /dev/null
+++ b/cmd/catkinstep/bench.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"catkinstep/io/standin/bench"
+	"catkinstep/io/standin/rig"
+)
+
+type demoCmd struct {
+	Site string        `help:"Whose site." enum:"lakeshore,graniteHearth" default:"lakeshore"`
+	For  time.Duration `help:"How long the load runs." default:"20s"`
+	Seed uint64        `help:"Seed." default:"1"`
+	Rate float64       `help:"Requests a second of each service." default:"250"`
+}
+
+// Run plays a short story over a whole site in one process.
+func (d *demoCmd) Run(ctx context.Context, c *commands) error {
+	plan := rig.Lakeshore()
+	if d.Site == "graniteHearth" {
+		plan = rig.GraniteHearth()
+	}
+	opts := []bench.Option{bench.WithPlan(plan), bench.WithFor(d.For), bench.WithSeed(d.Seed), bench.WithRate(d.Rate), bench.WithProgress(os.Stdout)}
+	if c.LogLevel == "debug" {
+		opts = append(opts, bench.WithLogger(c.logger()))
+	}
+	rows, err := bench.Run(ctx, "story", opts...)
+	if err != nil {
+		return err
+	}
+	return conclude(os.Stdout, rows)
+}
+
+type benchCmd struct {
+	Scenario string        `arg:"" help:"One of steady, slowed, departure, turnsCold, hotKey, serverLoss, hostLoss."`
+	Against  string        `help:"Measure a baseline too." enum:",direct" default:""`
+	For      time.Duration `help:"How long the load runs." default:"20s"`
+	Seed     uint64        `help:"Seed." default:"1"`
+	Rate     float64       `help:"Requests a second of each service." default:"600"`
+	Site     string        `help:"Whose site." enum:"lakeshore,graniteHearth" default:"lakeshore"`
+	JSON     string        `help:"Write the rows to a file."`
+}
+
+// Run measures a scenario.
+func (b *benchCmd) Run(ctx context.Context, c *commands) error {
+	opts := []bench.Option{bench.WithFor(b.For), bench.WithSeed(b.Seed), bench.WithRate(b.Rate), bench.WithProgress(os.Stderr)}
+	if b.Site == "graniteHearth" {
+		plan := rig.GraniteHearth()
+		plan.Work = 10 * time.Millisecond
+		opts = append(opts, bench.WithPlan(plan))
+	}
+	if b.Against != "" {
+		opts = append(opts, bench.Against(b.Against))
+	}
+	if c.LogLevel == "debug" {
+		opts = append(opts, bench.WithLogger(c.logger()))
+	}
+	rows, err := bench.Run(ctx, b.Scenario, opts...)
+	if err != nil {
+		return err
+	}
+	if b.JSON != "" {
+		data, err := json.MarshalIndent(rows, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(b.JSON, append(data, '\n'), 0o644); err != nil { //nolint:gosec // a report for everyone
+			return err
+		}
+	}
+	return conclude(os.Stdout, rows)
+}
+
+// conclude prints the measures and the oracle's verdict; a violation by
+// catkinstep is an error.
+func conclude(out io.Writer, rows []bench.Row) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "VARIANT\tSERVICE\tREQUESTS\tANSWERED\tNOT RUN\tUNKNOWN\tP50\tP99\tP99.9\tIMBALANCE\tCHURN (LEAST)\tUNAVAILABLE\tEXTRA WORK\t")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%.3f%%\t%d\t%d\t%v\t%v\t%v\t%.2f\t%d (%d)\t%v\t%.2f%%\t\n", r.Variant, r.Service, r.Requests,
+			100*float64(r.Answered)/float64(max(1, r.Requests)), r.RefusedNotRun, r.Unknown, r.P50, r.P99, r.P999,
+			r.Imbalance, r.Churn, r.LeastChurn, r.Unavailable, 100*r.ExtraWork)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	bad, seen := 0, map[string]bool{}
+	for _, r := range rows {
+		if seen[r.Variant] {
+			continue // the verdict is of the whole run, the same in all rows
+		}
+		seen[r.Variant] = true
+		v := r.Violations
+		fmt.Fprintf(out, "oracle on %s: twoOwners %d, doubleRun %d, wrongAnswer %d, falseNotRun %d, overload %d, newWorkAfterOut %d, cutRequest %d\n",
+			r.Variant, v.TwoOwners, v.DoubleRun, v.WrongAnswer, v.FalseNotRun, v.Overload, v.NewWorkAfterOut, v.CutRequest)
+		if r.Variant == bench.Catkinstep {
+			bad += v.Total()
+			for _, f := range v.Findings {
+				fmt.Fprintln(out, "  "+f)
+			}
+		}
+	}
+	for _, r := range rows {
+		if len(r.Codes) > 0 {
+			fmt.Fprintf(out, "%s %s refusals and unknowns: %v\n", r.Variant, r.Service, r.Codes)
+		}
+	}
+	if bad > 0 {
+		return errors.New("the oracle found violations")
+	}
+	return nil
+}
--- a/cmd/catkinstep/main.go
+++ b/cmd/catkinstep/main.go
@@ -32,6 +32,8 @@
 	Host       hostCmd       `cmd:"" help:"Take a host out or in."`
 	Status     statusCmd     `cmd:"" help:"Show what is in force where."`
 	Report     reportCmd     `cmd:"" help:"Show reports."`
+	Demo       demoCmd       `cmd:"" help:"Run a whole site in one process, with a short story."`
+	Bench      benchCmd      `cmd:"" help:"Measure a scenario."`
 	Standin    standinCmd    `cmd:"" help:"Run stand-ins for the platform and for backend servers."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 }
--- a/core/connection/queue/order.go
+++ b/core/connection/queue/order.go
@@ -94,27 +94,16 @@
 // log notes an id here and at the backup. The order waits for the backup: an
 // order written first would, if this daemon died, be run again by the next one.
 func (q *Queue) log(now time.Time, it *item) {
-	q.book.Begin(now, it.order.Shard, it.order.Id)
+	o := it.order
+	q.book.Begin(now, o.Shard, o.Id)
 	it.logged = true
-	if q.backup == (table.Daemon{}) {
-		return
-	}
-	if !q.copied && !q.copyUnderWay() {
-		return // the whole book, sent later, will hold it
+	if q.backup == (table.Daemon{}) || q.copied[o.Shard] == copyNone {
+		return // it goes with the rest of its shard
 	}
 	it.copying = true
 	id := q.id()
-	q.copies[id] = it
-	q.do(CopyCmd{ID: id, To: q.backup, Token: q.token, Entries: []*wire.LedgerEntry{{Shard: it.order.Shard, Id: it.order.Id}}})
-}
-
-func (q *Queue) copyUnderWay() bool {
-	for _, it := range q.copies {
-		if it == nil {
-			return true
-		}
-	}
-	return !q.copyAt.IsZero()
+	q.copies[id] = &copying{item: it}
+	q.do(CopyCmd{ID: id, To: q.backup, Token: q.token, Entries: []*wire.LedgerEntry{{Shard: o.Shard, Id: o.Id}}})
 }
 
 // full bounds the queue, and the part of it that one shard may take, so that a
@@ -216,7 +205,7 @@
 // copyAnswer lets the backup answer a try that comes after this daemon's loss.
 // Nothing waits for it: without it, the backup knows that the id was begun.
 func (q *Queue) copyAnswer(it *item, a *wire.Answer) {
-	if q.backup == (table.Daemon{}) || !q.copied {
+	if q.backup == (table.Daemon{}) || q.copied[it.order.Shard] == copyNone {
 		return
 	}
 	q.do(CopyCmd{ID: q.id(), To: q.backup, Token: q.token, Entries: []*wire.LedgerEntry{{Shard: it.order.Shard, Id: it.order.Id, Answer: a}}})
--- a/core/connection/queue/queue.go
+++ b/core/connection/queue/queue.go
@@ -22,8 +22,10 @@
 	// pullEvery and pullFor bound the tries to fetch earlier ids.
 	pullEvery = 200 * time.Millisecond
 	pullFor   = 2 * time.Second
-	// copyEvery is how often the whole book is offered to a new backup.
-	copyEvery = 300 * time.Millisecond
+	// copyEvery is how often shards are offered to the backup, with about
+	// copyAtOnce ids.
+	copyEvery  = 100 * time.Millisecond
+	copyAtOnce = 1000
 	// maxIDs bounds the memory of one server's book.
 	maxIDs = 100000
 )
@@ -54,8 +56,8 @@
 	follow   map[string][]*item
 
 	book    *ledger.Book
-	copies  map[uint64]*item // id copies under way; nil for a whole book
-	copied  bool             // the backup was sent the whole book
+	copies  map[uint64]*copying
+	copied  map[uint32]copyState // what the backup has, by shard
 	copyAt  time.Time
 	pulls   map[uint64]pull
 	pullAt  time.Time
@@ -108,6 +110,22 @@
 	at     time.Time
 }
 
+// copying is a copy to the backup under way: of one id, or of whole shards.
+type copying struct {
+	item   *item
+	shards []uint32
+}
+
+// copyState is what the backup has of a shard. From copySent on, it may take
+// itself to have all ids, so that every later one must reach it first.
+type copyState int
+
+const (
+	copyNone copyState = iota
+	copySent
+	copyDone
+)
+
 type pull struct {
 	from   shard.Ledger
 	shards []uint32
@@ -127,7 +145,8 @@
 		running:  map[uint64]*item{},
 		settling: map[uint32]time.Time{},
 		follow:   map[string][]*item{},
-		copies:   map[uint64]*item{},
+		copies:   map[uint64]*copying{},
+		copied:   map[uint32]copyState{},
 		pulls:    map[uint64]pull{},
 		pullEnd:  map[uint32]time.Time{},
 		counts:   map[uint32]uint32{},
@@ -161,7 +180,7 @@
 	case GrantFailedMsg:
 		q.grantFailed(now, msg)
 	case CopiedMsg:
-		q.copyDone(msg)
+		q.copyEnded(msg)
 	case PulledMsg:
 		q.pulled(now, msg)
 	}
@@ -240,7 +259,7 @@
 	}
 	q.probe(now)
 	q.fetch(now)
-	q.copyWhole(now)
+	q.copyShards(now)
 	for s, until := range q.settling {
 		if !now.Before(until) {
 			delete(q.settling, s)
--- a/core/connection/queue/server.go
+++ b/core/connection/queue/server.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"slices"
 	"time"
 
 	"catkinstep/core/connection/limit"
@@ -55,10 +56,11 @@
 	q.token, q.backup = d.Token, d.Backup
 	q.tokens[q.token] = true
 	q.server.probed = time.Time{}
-	q.copied, q.copyAt = false, time.Time{}
-	for _, it := range q.copies {
-		if it != nil {
-			it.copying = false // the new backup gets it with the whole book
+	q.copyAt = time.Time{}
+	clear(q.copied)
+	for _, c := range q.copies {
+		if c.item != nil {
+			c.item.copying = false // the new backup gets it with its shard
 		}
 	}
 	clear(q.copies)
@@ -202,14 +204,14 @@
 	if s.fenced.IsZero() || now.Before(s.fenced) {
 		return // an earlier dispatcher's orders may still run
 	}
-	if h.All {
-		if !q.Idle(now) {
-			return
-		}
+	if h.All && (!q.Idle(now) || !q.allKnown()) {
+		return
 	}
 	var shards []uint32
 	for n := range h.Shards {
-		if q.busy(now, n) {
+		// Ids that are still being fetched would be missing from what the next
+		// dispatcher gets from here, and it could not know.
+		if q.busy(now, n) || !q.book.Known(n) {
 			return
 		}
 		shards = append(shards, n)
@@ -231,16 +233,35 @@
 	return false
 }
 
-// copyWhole gives a new backup all ids. Ids begun from then on are copied one
-// by one, each before its order is written.
-func (q *Queue) copyWhole(now time.Time) {
-	if q.copied || q.backup == (table.Daemon{}) || now.Sub(q.copyAt) < copyEvery || !q.mine() || !q.allKnown() {
+// copyShards gives the backup all ids of the shards that it has not had yet.
+// Ids of those that it has had are copied one by one, each before its order is
+// written.
+func (q *Queue) copyShards(now time.Time) {
+	if q.backup == (table.Daemon{}) || now.Sub(q.copyAt) < copyEvery || !q.mine() {
+		return
+	}
+	for _, c := range q.copies {
+		if c.shards != nil {
+			return // one is under way
+		}
+	}
+	var entries []*wire.LedgerEntry
+	var shards []uint32
+	for _, s := range q.book.CoveredShards() {
+		if q.copied[s] == copyDone || len(entries) >= copyAtOnce {
+			continue
+		}
+		q.copied[s] = copySent
+		shards = append(shards, s)
+		entries = append(entries, q.book.Entries(now, []uint32{s})...)
+	}
+	if len(shards) == 0 {
 		return
 	}
 	q.copyAt = now
 	id := q.id()
-	q.copies[id] = nil
-	q.do(CopyCmd{ID: id, To: q.backup, Token: q.token, Whole: true, Entries: q.book.Entries(now, nil), Covered: q.book.CoveredShards()})
+	q.copies[id] = &copying{shards: shards}
+	q.do(CopyCmd{ID: id, To: q.backup, Token: q.token, Whole: true, Entries: entries, Covered: shards})
 }
 
 // allKnown tells whether the book is settled for all shards of the server.
@@ -254,20 +275,25 @@
 	return true
 }
 
-func (q *Queue) copyDone(msg CopiedMsg) {
-	it, ok := q.copies[msg.ID]
+func (q *Queue) copyEnded(msg CopiedMsg) {
+	c, ok := q.copies[msg.ID]
 	if !ok {
 		return
 	}
 	delete(q.copies, msg.ID)
-	switch {
-	case it == nil:
-		q.copied = q.copied || msg.OK
-	case msg.OK:
-		it.copying = false
-	default:
-		q.drop(it)
-		q.refuse(it, retry.BackupSilent, "the backup of the id ledger does not answer")
+	if msg.OK {
+		for _, s := range c.shards {
+			q.copied[s] = copyDone
+		}
+	}
+	if c.item == nil {
+		return
+	}
+	c.item.copying = false
+	if !msg.OK {
+		q.waiting = slices.DeleteFunc(q.waiting, func(it *item) bool { return it == c.item })
+		q.drop(c.item)
+		q.refuse(c.item, retry.BackupSilent, "the backup of the id ledger does not answer")
 	}
 }
 
--- a/core/process/leader/plan.go
+++ b/core/process/leader/plan.go
@@ -50,7 +50,9 @@
 		case r.State == wire.ServerState_SERVER_STATE_OK:
 			if s.okSince.IsZero() {
 				s.okSince = p.now
-				s.ramping = true
+				// One that kept its shards has only got another dispatcher, which
+				// begins carefully; taking shards away for that would be churn.
+				s.ramping = p.ownsNothing(v.Address)
 			}
 			s.lastOK = p.now
 			if r.Limit >= 1 {
--- a/core/version/shard/spread.go
+++ b/core/version/shard/spread.go
@@ -110,6 +110,9 @@
 	for s := range want {
 		all += p.size(s)
 	}
+	if all <= 0 {
+		return nil // nothing to spread: every owner has its share of nothing
+	}
 	f := &filling{quota: make([]float64, len(weights)), sum: make([]float64, len(weights))}
 	for o, w := range weights {
 		f.quota[o] = all * w / total
--- a/io/standin/oracle/oracle.go
+++ b/io/standin/oracle/oracle.go
@@ -205,3 +205,45 @@
 		v.Findings = append(v.Findings, fmt.Sprintf(format, args...))
 	}
 }
+
+// Imbalance returns the busiest server's runs over the mean of a service's
+// servers, for runs that began within a span.
+func (o *Oracle) Imbalance(service string, from, to time.Time, servers int) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	count, total, most := map[string]int{}, 0, 0
+	for _, r := range o.runs {
+		if r.Service != service || r.Overload || r.Start.Before(from) || r.Start.After(to) {
+			continue
+		}
+		count[r.Server]++
+		total++
+		most = max(most, count[r.Server])
+	}
+	if total == 0 || servers == 0 {
+		return 0
+	}
+	return float64(most) * float64(servers) / float64(total)
+}
+
+// ExtraWork returns the share of a service's runs since a time that were not
+// the first of their request.
+func (o *Oracle) ExtraWork(service string, from time.Time) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	seen, total, extra := map[string]bool{}, 0, 0
+	for _, r := range o.runs {
+		if r.Service != service || r.Overload || r.Start.Before(from) {
+			continue
+		}
+		total++
+		if seen[r.ID] {
+			extra++
+		}
+		seen[r.ID] = true
+	}
+	if total == 0 {
+		return 0
+	}
+	return float64(extra) / float64(total)
+}
--- /dev/null
+++ b/io/standin/rig/plan.go
@@ -0,0 +1,68 @@
+package rig
+
+import (
+	"time"
+
+	"catkinstep/core/version/site"
+)
+
+// Lakeshore is the sharpening service's site at its size of today.
+func Lakeshore() Plan {
+	return plan("lakeshore",
+		[]string{"duluth", "marquette", "toledo", "oswego"},
+		[]site.Service{
+			{Name: "intake", Slots: 3, Connections: 110, ChecksTokens: true},
+			{Name: "workshop", Keyed: true, KeySegment: 2, Slots: 3, Connections: 110, ChecksTokens: true},
+		},
+		map[string]int{"intake": 12, "workshop": 15})
+}
+
+// GraniteHearth is the firewood platform's site at its size of today.
+func GraniteHearth() Plan {
+	return plan("graniteHearth",
+		[]string{"barre", "keene", "camden", "rutland"},
+		[]site.Service{
+			{Name: "cord-orders", Slots: 4, Connections: 50, ChecksTokens: true},
+			{Name: "haul-board", Keyed: true, KeySegment: 2, Slots: 4, Connections: 50, ChecksTokens: true},
+		},
+		map[string]int{"cord-orders": 11, "haul-board": 13})
+}
+
+// plan spreads the servers over the data centres; nine entry hosts stand two a
+// data centre and one more in the first.
+func plan(name string, places []string, services []site.Service, servers map[string]int) Plan {
+	s := site.Site{Name: name, Presets: []site.Preset{
+		{Name: "ordinary", InForce: true, Queue: 32, RetryShare: 0.1, HedgeShare: 0.05},
+		{Name: "peak", Queue: 48, RetryShare: 0.05, HedgeShare: 0.02},
+		{Name: "maintenance", Queue: 32, RetryShare: 0.1, HedgeShare: 0.05},
+	}}
+	hosts := map[string]int{}
+	for i, p := range places {
+		s.DataCentres = append(s.DataCentres, site.DataCentre{Name: p})
+		hosts[p] = 2
+		if i == 0 {
+			hosts[p] = 3
+		}
+	}
+	next := 0
+	for _, v := range services {
+		v.Shards = 256
+		v.Deadline = 2 * time.Second
+		v.OrderDeadline = time.Second
+		v.RememberIDs = 2 * time.Minute
+		s.Services = append(s.Services, v)
+		for range servers[v.Name] {
+			d := &s.DataCentres[next%len(places)]
+			d.Servers = append(d.Servers, site.Server{Service: v.Name})
+			next++
+		}
+	}
+	data, err := s.Marshal()
+	if err == nil {
+		s, err = site.Unmarshal(data) // with the defaults filled in
+	}
+	if err != nil {
+		panic(err) // a plan of this package that cannot be stored
+	}
+	return Plan{Site: s, Hosts: hosts, Work: 5 * time.Millisecond}
+}
--- /dev/null
+++ b/io/standin/rig/rig.go
@@ -0,0 +1,375 @@
+// Package rig runs a whole site in one process on loopback: the platform's
+// stand-in, backend server stand-ins, and daemons on addresses of their own.
+// The demo and the bench stand on it.
+//
+// # Usage
+//
+//	r, err := rig.Start(rig.Lakeshore(), rig.WithSeed(1))
+//	defer r.Stop()
+//	err = r.Ready(ctx)
+//	r.KillDaemon(0)
+//
+// Errors say which part could not be started.
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"catkinstep/core/version/site"
+	"catkinstep/io/process/admin"
+	"catkinstep/io/process/node"
+	"catkinstep/io/process/prefs"
+	"catkinstep/io/standin/oracle"
+	"catkinstep/io/standin/server"
+	"catkinstep/io/standin/store"
+)
+
+// Plan is what a rig runs.
+type Plan struct {
+	Site site.Site
+	// Hosts is the number of entry hosts in each data centre.
+	Hosts map[string]int
+	// Work is the mean time of a request at a server.
+	Work time.Duration
+}
+
+// Option changes a Rig that Start makes.
+type Option func(*Rig)
+
+// WithSeed seeds all stand-ins and daemons.
+func WithSeed(seed uint64) Option { return func(r *Rig) { r.seed = seed } }
+
+// WithLogger sets where the daemons log.
+func WithLogger(l *slog.Logger) Option { return func(r *Rig) { r.log = l } }
+
+// WithoutDaemons runs the stand-ins alone, for the baseline.
+func WithoutDaemons() Option { return func(r *Rig) { r.bare = true } }
+
+// Rig is a running site.
+type Rig struct {
+	Oracle  *oracle.Oracle
+	Store   *store.Store
+	Servers map[string]*server.Server
+
+	plan     Plan
+	seed     uint64
+	log      *slog.Logger
+	bare     bool
+	octet    int
+	platform *http.Server
+
+	mu     sync.Mutex
+	hosts  []*host
+	killed map[string]bool
+}
+
+type host struct {
+	prefs prefs.Prefs
+	node  *node.Node // nil while it is down
+}
+
+const (
+	platformPort = 7000
+	callersPort  = 8080
+	meshPort     = 7100
+	operatorPort = 7200
+	serverPort   = 9000
+	stopPatience = 10 * time.Second
+)
+
+// Start runs the plan. Addresses are 127.N.x.y, with the first N that is free.
+func Start(p Plan, opts ...Option) (*Rig, error) {
+	r := &Rig{Oracle: oracle.New(), Servers: map[string]*server.Server{}, plan: p, seed: 1,
+		log: slog.New(slog.DiscardHandler), killed: map[string]bool{}}
+	for _, o := range opts {
+		o(r)
+	}
+	r.Store = store.New(store.WithSeed(r.seed))
+	l, err := r.claim()
+	if err != nil {
+		return nil, err
+	}
+	r.platform = &http.Server{Handler: r.Store, ReadHeaderTimeout: time.Minute}
+	go func() { _ = r.platform.Serve(l) }()
+	r.address()
+	if err := r.startServers(); err != nil {
+		r.Stop()
+		return nil, err
+	}
+	if r.bare {
+		return r, nil
+	}
+	if err := r.startHosts(); err != nil {
+		r.Stop()
+		return nil, err
+	}
+	return r, nil
+}
+
+// claim finds a free range of addresses by listening on its platform port.
+func (r *Rig) claim() (net.Listener, error) {
+	var last error
+	for n := 20; n < 120; n++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", n, platformPort))
+		if err == nil {
+			r.octet = n
+			return l, nil
+		}
+		last = err
+	}
+	return nil, fmt.Errorf("rig: no free addresses: %w", last)
+}
+
+// address gives each server of the plan its address.
+func (r *Rig) address() {
+	places := make([]site.DataCentre, len(r.plan.Site.DataCentres))
+	for i, d := range r.plan.Site.DataCentres {
+		places[i] = site.DataCentre{Name: d.Name}
+		for j, v := range d.Servers {
+			v.Address = fmt.Sprintf("127.%d.%d.%d:%d", r.octet, 100+i, j+1, serverPort)
+			places[i].Servers = append(places[i].Servers, v)
+		}
+	}
+	r.plan.Site.DataCentres = places
+}
+
+func (r *Rig) startServers() error {
+	n := r.seed * 1000
+	for _, d := range r.plan.Site.DataCentres {
+		for _, v := range d.Servers {
+			n++
+			s, _ := r.plan.Site.Service(v.Service)
+			sv := server.New(server.Config{
+				Address: v.Address, Service: v.Service, DataCentre: d.Name, Slots: s.Slots,
+				ChecksTokens: s.ChecksTokens && !r.bare, Work: r.plan.Work, Seed: n,
+			}, r.Oracle)
+			if err := sv.Start(); err != nil {
+				return err
+			}
+			r.Servers[v.Address] = sv
+		}
+	}
+	return nil
+}
+
+func (r *Rig) startHosts() error {
+	var peers []string
+	for i, d := range r.plan.Site.DataCentres {
+		for j := range r.plan.Hosts[d.Name] {
+			ip := fmt.Sprintf("127.%d.%d.%d", r.octet, i+1, j+1)
+			r.hosts = append(r.hosts, &host{prefs: prefs.Prefs{
+				DataCentre: d.Name,
+				Callers:    fmt.Sprintf("%s:%d", ip, callersPort),
+				Mesh:       fmt.Sprintf("%s:%d", ip, meshPort),
+				Operator:   fmt.Sprintf("%s:%d", ip, operatorPort),
+				Platform:   fmt.Sprintf("127.%d.0.1:%d", r.octet, platformPort),
+				MaxBody:    1 << 20,
+			}})
+			peers = append(peers, fmt.Sprintf("%s:%d", ip, meshPort))
+		}
+	}
+	for i, h := range r.hosts {
+		h.prefs.Peers = peers
+		if err := r.StartDaemon(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Ready applies the site and waits until every shard has an owner that can be
+// sent to, as an operator's first minute would go.
+func (r *Rig) Ready(ctx context.Context) error {
+	data, err := r.plan.Site.Marshal()
+	if err != nil {
+		return err
+	}
+	if _, err := r.Operator().Apply(ctx, "demo.yaml", data); err != nil {
+		return fmt.Errorf("rig: apply: %w", err)
+	}
+	for ctx.Err() == nil {
+		if r.settled() {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return errors.New("rig: the shards did not get owners in time")
+}
+
+func (r *Rig) settled() bool {
+	for _, h := range r.live() {
+		rt := h.node.Route()
+		if rt == nil || !rt.Ready {
+			return false
+		}
+		for _, s := range rt.Site.Services {
+			for n := range s.Shards {
+				if _, err := rt.Owner(s.Name, uint32(n)); err != nil {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+// Stop ends everything at once.
+func (r *Rig) Stop() {
+	var wg sync.WaitGroup
+	for _, h := range r.live() {
+		wg.Go(h.node.Kill)
+	}
+	wg.Wait()
+	for _, s := range r.Servers {
+		s.Stop()
+	}
+	_ = r.platform.Close()
+}
+
+// Site returns the configuration with its addresses.
+func (r *Rig) Site() site.Site { return r.plan.Site }
+
+// Operator returns a client of a live daemon.
+func (r *Rig) Operator() *admin.Client {
+	return admin.NewClient(r.live()[0].prefs.Operator, "")
+}
+
+// Hosts returns the number of entry hosts.
+func (r *Rig) Hosts() int { return len(r.hosts) }
+
+// HostAddress returns the address for callers of an entry host.
+func (r *Rig) HostAddress(i int) string { return r.hosts[i].prefs.Callers }
+
+// Daemon returns an entry host's daemon; nil while it is down.
+func (r *Rig) Daemon(i int) *node.Node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hosts[i].node
+}
+
+// HostsIn returns the numbers of a data centre's entry hosts.
+func (r *Rig) HostsIn(dataCentre string) []int {
+	var out []int
+	for i, h := range r.hosts {
+		if h.prefs.DataCentre == dataCentre {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// ServersIn returns the addresses of a data centre's servers of a service.
+func (r *Rig) ServersIn(dataCentre, service string) []string {
+	var out []string
+	d, _ := r.plan.Site.DataCentre(dataCentre)
+	for _, v := range d.Servers {
+		if v.Service == service || service == "" {
+			out = append(out, v.Address)
+		}
+	}
+	return out
+}
+
+// StartDaemon starts an entry host's daemon from nothing.
+func (r *Rig) StartDaemon(i int) error {
+	h := r.hosts[i]
+	n, err := node.Start(h.prefs, node.WithLogger(r.log.With("host", h.prefs.Mesh)), node.WithOperator(admin.Handler))
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h.node = n
+	delete(r.killed, h.prefs.Callers)
+	return nil
+}
+
+// KillDaemon ends a daemon at once, as SIGKILL does.
+func (r *Rig) KillDaemon(i int) {
+	r.mu.Lock()
+	h := r.hosts[i]
+	n := h.node
+	h.node = nil
+	r.killed[h.prefs.Callers] = true
+	r.mu.Unlock()
+	if n != nil {
+		n.Kill()
+	}
+}
+
+// StopDaemon ends a daemon as planned.
+func (r *Rig) StopDaemon(i int) error {
+	r.mu.Lock()
+	h := r.hosts[i]
+	n := h.node
+	r.mu.Unlock()
+	if n == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopPatience)
+	defer cancel()
+	err := n.Stop(ctx)
+	r.mu.Lock()
+	h.node = nil
+	r.mu.Unlock()
+	return err
+}
+
+// Pick implements load.Balancer: the hosts whose readiness check passes.
+func (r *Rig) Pick(n uint64) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ready []string
+	for _, h := range r.hosts {
+		if h.node == nil {
+			continue
+		}
+		if rt := h.node.Route(); rt != nil && rt.Ready && !rt.Stopping {
+			ready = append(ready, h.prefs.Callers)
+		}
+	}
+	if len(ready) == 0 {
+		return r.hosts[0].prefs.Callers
+	}
+	return ready[n%uint64(len(ready))]
+}
+
+// Killed implements load.Balancer.
+func (r *Rig) Killed(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.killed[address]
+}
+
+func (r *Rig) live() []*host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*host
+	for _, h := range r.hosts {
+		if h.node != nil {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// BareHosts returns how many entry hosts the plan has, running or not.
+func (r *Rig) BareHosts() int {
+	n := 0
+	for _, h := range r.plan.Hosts {
+		n += h
+	}
+	return n
+}
+
+// BareAddress returns an address for an entry host of the baseline.
+func (r *Rig) BareAddress(i int) string {
+	return fmt.Sprintf("127.%d.200.%d:%d", r.octet, i+1, callersPort)
+}
