--- a/cmd/catkinstep/main.go
+++ b/cmd/catkinstep/main.go
@@ -61,7 +61,7 @@
 
 // report prints an error; mistakes in a file come one a line, as compilers do.
 func report(err error) {
-	var m check.Mistakes
+	var m check.FileErrors
 	if errors.As(err, &m) {
 		fmt.Fprintln(os.Stderr, m)
 		return
--- a/core/connection/queue/messages.go
+++ b/core/connection/queue/messages.go
@@ -131,10 +131,11 @@
 
 // QuietCmd tells that a hold is fulfilled.
 type QuietCmd struct {
-	Server  string
-	All     bool
-	Shards  []uint32
-	Version uint64
+	Server string
+	All    bool
+	Shards []uint32
+	// Number is that of the hold.
+	Number uint64
 }
 
 // LostCmd tells that the server was lost while a request ran on it.
--- a/core/connection/queue/order.go
+++ b/core/connection/queue/order.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"errors"
 	"time"
 
 	"catkinstep/core/connection/wire"
@@ -20,6 +21,12 @@
 		q.refuseErr(it, err)
 		return
 	}
+	if o.Token != 0 && !q.tokens[o.Token] {
+		// It was sent to this daemon's earlier time as dispatcher, and lay in a
+		// buffer while another was: a later try may have run there meanwhile.
+		q.refuse(it, retry.NotMine, "it was sent under another token")
+		return
+	}
 	if !o.Idempotent && q.known(now, it) {
 		return
 	}
@@ -30,6 +37,7 @@
 	case wire.ServerState_SERVER_STATE_LEAVING:
 		q.refuse(it, retry.Out, "the backend server is leaving")
 		return
+	default:
 	}
 	if q.full(it) {
 		q.refuse(it, retry.QueueFull, "too many orders wait for the backend server")
@@ -72,6 +80,7 @@
 	case q.book.Len() >= maxIDs:
 		q.refuse(it, retry.LedgerFull, "too many ids are remembered")
 	default:
+		it.judged = found.State == ledger.Unseen
 		return false
 	}
 	return true
@@ -230,7 +239,7 @@
 
 // unsure keeps the shard settling until the order is surely over: by then the
 // server has refused it, or ended it at its deadline.
-func (q *Queue) unsure(now time.Time, msg UnsureMsg) {
+func (q *Queue) unsure(msg UnsureMsg) {
 	it, ok := q.running[msg.Seq]
 	if !ok {
 		return
@@ -299,7 +308,8 @@
 
 func (q *Queue) refuseErr(it *item, err error) {
 	code := retry.Moving
-	if e, ok := err.(*route.Error); ok {
+	var e *route.Error
+	if errors.As(err, &e) {
 		code = string(e.Kind)
 	}
 	q.refuse(it, code, err.Error())
@@ -308,6 +318,7 @@
 // refuse answers that the order did not run, with the time to come back.
 func (q *Queue) refuse(it *item, code, text string) {
 	a := q.answer(wire.Outcome_OUTCOME_NOT_RUN, code, text)
+	a.Judged = it.judged
 	a.RetryAfterMillis = max(50, q.expectedWait().Milliseconds())
 	q.resolve(it, a)
 }
--- a/core/connection/queue/queue.go
+++ b/core/connection/queue/queue.go
@@ -70,7 +70,7 @@
 	old    []archive
 	epochs map[uint32]uint64 // of the shards in the book
 
-	quiet  quietSent
+	quiet  uint64 // the number of the last hold that was fulfilled
 	counts map[uint32]uint32
 	cmds   []Cmd
 }
@@ -101,6 +101,7 @@
 	notAfter time.Time
 	copying  bool
 	logged   bool // its id is in the book
+	judged   bool // its id was surely never seen before
 	quit     bool // its caller has gone
 }
 
@@ -131,12 +132,6 @@
 	shards []uint32
 }
 
-type quietSent struct {
-	version uint64
-	all     bool
-	shards  int
-}
-
 // New returns the dispatcher of a server that has not been reached yet.
 func New(address string, suspects Suspect) *Queue {
 	return &Queue{
@@ -172,7 +167,7 @@
 	case NotRunMsg:
 		q.notRun(now, msg)
 	case UnsureMsg:
-		q.unsure(now, msg)
+		q.unsure(msg)
 	case GrantedMsg:
 		q.grantTaken(now, msg)
 	case GrantRefusedMsg:
--- a/core/connection/queue/server.go
+++ b/core/connection/queue/server.go
@@ -34,7 +34,7 @@
 	if d.Daemon == r.Self && d.Token != q.token {
 		q.adoptToken(now, d)
 	}
-	q.adoptShards(now)
+	q.adoptShards()
 	q.refuseHeld(now)
 	q.tick(now)
 }
@@ -72,7 +72,7 @@
 // adoptShards settles what the book can know of each shard that is new here.
 // Shards that have gone keep their ids until the dispatcher is dropped, since
 // their next one asks for them.
-func (q *Queue) adoptShards(now time.Time) {
+func (q *Queue) adoptShards() {
 	t := q.route.Tables[q.route.DataCentre]
 	row := t.Rows[q.service.Name]
 	for s := range row.Owner {
@@ -197,7 +197,7 @@
 	if !ok || !q.mine() {
 		return
 	}
-	if h.Version == q.quiet.version && h.All == q.quiet.all && len(h.Shards) == q.quiet.shards {
+	if h.Number == q.quiet {
 		return
 	}
 	s := &q.server
@@ -216,8 +216,8 @@
 		}
 		shards = append(shards, n)
 	}
-	q.quiet = quietSent{version: h.Version, all: h.All, shards: len(h.Shards)}
-	q.do(QuietCmd{Server: q.address, All: h.All, Shards: shards, Version: h.Version})
+	q.quiet = h.Number
+	q.do(QuietCmd{Server: q.address, All: h.All, Shards: shards, Number: h.Number})
 }
 
 // busy tells whether an order for a shard runs, or may still run.
--- a/core/process/daemon/follow.go
+++ b/core/process/daemon/follow.go
@@ -100,7 +100,7 @@
 	leads := t.Leader == u.self && u.version(u.tableObject()) > 0
 	switch {
 	case leads && u.lead == nil:
-		u.lead = leader.New(u.self, u.dataCentre, u.now, u.settings.leader...)
+		u.lead = leader.New(u.self, u.dataCentre, u.now, u.leader...)
 		u.lead.Heard(u.now, u.makeBeat())
 		u.beat = beating{}
 		u.do(WatchCmd{On: true})
@@ -175,27 +175,50 @@
 	}
 }
 
-// hold asks traffic to stop for what the leader wants released. A request made
+// hold asks traffic to stop for what the leader wants released, and lets it go
+// on where the leader has changed its mind. What the leader was told is
+// released stays so: a write that builds on it may be under way. A request made
 // for another version of the table is dropped; the leader asks again.
 func (u *update) hold(wanted []*wire.Release) {
+	version := u.version(u.tableObject())
+	next := map[string]route.Hold{}
+	for server, q := range u.quiet {
+		next[server] = addHold(route.Hold{}, q)
+	}
 	for _, r := range wanted {
-		if r.TableVersion != u.version(u.tableObject()) || u.table().Dispatches[r.Server].Daemon != u.self {
-			continue
-		}
-		have, ok := u.holds[r.Server]
-		next := route.Hold{All: have.All || r.All, Shards: map[uint32]bool{}, Version: r.TableVersion}
-		for s := range have.Shards {
-			next.Shards[s] = true
-		}
-		for _, s := range r.Shards {
-			next.Shards[s] = true
+		if r.TableVersion == version && u.table().Dispatches[r.Server].Daemon == u.self {
+			next[r.Server] = addHold(next[r.Server], r)
 		}
-		if ok && next.All == have.All && len(next.Shards) == len(have.Shards) {
-			continue
+	}
+	if maps.EqualFunc(next, u.holds, sameHold) {
+		return
+	}
+	u.stale = true
+	for server, h := range next {
+		if have, ok := u.holds[server]; ok && sameHold(have, h) {
+			h.Number = have.Number
+		} else {
+			u.holdNumber++
+			h.Number = u.holdNumber
 		}
-		u.holds[r.Server] = next
-		u.stale = true
+		next[server] = h
 	}
+	u.holds = next
+}
+
+func addHold(h route.Hold, r *wire.Release) route.Hold {
+	sum := route.Hold{All: h.All || r.All, Shards: maps.Clone(h.Shards), Version: r.TableVersion}
+	if sum.Shards == nil {
+		sum.Shards = map[uint32]bool{}
+	}
+	for _, s := range r.Shards {
+		sum.Shards[s] = true
+	}
+	return sum
+}
+
+func sameHold(a, b route.Hold) bool {
+	return a.All == b.All && a.Version == b.Version && maps.Equal(a.Shards, b.Shards)
 }
 
 // dropHolds lets traffic go on where a later table still names this daemon. A
@@ -214,10 +237,10 @@
 // at once: every millisecond until then the shards have no owner at work.
 func (u *update) quieted(msg QuietMsg) {
 	h, ok := u.holds[msg.Server]
-	if !ok || h.Version != msg.Version {
+	if !ok || h.Number != msg.Number {
 		return
 	}
-	u.quiet[msg.Server] = &wire.Release{Server: msg.Server, All: msg.All, Shards: msg.Shards, TableVersion: msg.Version}
+	u.quiet[msg.Server] = &wire.Release{Server: msg.Server, All: msg.All, Shards: msg.Shards, TableVersion: h.Version}
 	u.beat.next = u.now
 	if u.lead != nil {
 		u.lead.Heard(u.now, u.makeBeat())
--- a/core/process/daemon/messages.go
+++ b/core/process/daemon/messages.go
@@ -100,10 +100,11 @@
 // QuietMsg tells that a dispatcher has stopped as a hold of the route asked:
 // nothing it sent for what is held can run any more.
 type QuietMsg struct {
-	Server  string
-	All     bool
-	Shards  []uint32
-	Version uint64
+	Server string
+	All    bool
+	Shards []uint32
+	// Number is that of the hold.
+	Number uint64
 }
 
 // ReadCmd reads a platform object; a ReadMsg answers.
--- a/core/process/daemon/model.go
+++ b/core/process/daemon/model.go
@@ -38,15 +38,16 @@
 	decision leader.Decision
 	writing  map[string]uint64 // by object: the version a write under way builds on
 
-	platform contact
-	beat     beating
-	syncAt   time.Time
-	holds    map[string]route.Hold
-	quiet    map[string]*wire.Release
-	reports  []*wire.ServerReport
-	leaving  time.Time
-	probed   map[table.Daemon]time.Time
-	left     bool
+	platform   contact
+	beat       beating
+	syncAt     time.Time
+	holds      map[string]route.Hold
+	quiet      map[string]*wire.Release
+	holdNumber uint64
+	reports    []*wire.ServerReport
+	leaving    time.Time
+	probed     map[table.Daemon]time.Time
+	left       bool
 }
 
 // contact is what is known of the platform.
@@ -56,7 +57,6 @@
 	wait    time.Duration // between reads while it fails
 	next    time.Time     // the next read
 	reading map[string]bool
-	watch   bool
 }
 
 // beating is the state of the heartbeats to the leader.
--- a/core/process/leader/leader.go
+++ b/core/process/leader/leader.go
@@ -20,6 +20,7 @@
 	servers    map[string]*server
 	want       map[string]*wish
 	tried      uint64
+	freed      time.Time // when unused releases were last given back
 }
 
 // View is what is in force when a decision is made.
@@ -83,6 +84,7 @@
 		peers:      map[string]*peer{},
 		servers:    map[string]*server{},
 		want:       map[string]*wish{},
+		freed:      now,
 	}
 	for _, o := range opts {
 		o(&l.settings)
--- a/core/process/leader/options.go
+++ b/core/process/leader/options.go
@@ -12,6 +12,7 @@
 	returnAfter  time.Duration
 	balanceEvery time.Duration
 	balanceMoves int
+	freeEvery    time.Duration
 }
 
 func defaults() settings {
@@ -22,6 +23,7 @@
 		returnAfter:  2 * time.Second,
 		balanceEvery: 5 * time.Second,
 		balanceMoves: 4,
+		freeEvery:    300 * time.Millisecond,
 	}
 }
 
--- a/core/process/leader/plan.go
+++ b/core/process/leader/plan.go
@@ -29,6 +29,12 @@
 			d.Wanted[daemon] = append(d.Wanted[daemon], r)
 		}
 	}
+	if !p.changed && p.unusedRelease() {
+		// Nothing is to be done with what was released after all. A new version
+		// of the table, though the same, lets the dispatchers go on.
+		p.changed = true
+		p.freed = p.now
+	}
 	if p.changed {
 		p.t.Compact()
 		d.Table = &p.t
@@ -36,6 +42,22 @@
 	return d
 }
 
+// unusedRelease tells whether a dispatcher holds something back for a move
+// that is no longer wanted.
+func (p *plan) unusedRelease() bool {
+	if p.now.Sub(p.freed) < p.freeEvery {
+		return false
+	}
+	for _, peer := range p.peers {
+		for _, r := range peer.released {
+			if r.TableVersion == p.TableVersion && p.working(p.now, peer.daemon) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // observe follows the state of each server over time.
 func (p *plan) observe() {
 	for _, v := range p.myServers() {
--- a/core/request/retry/retry.go
+++ b/core/request/retry/retry.go
@@ -68,6 +68,7 @@
 			return Elsewhere
 		}
 		return Stop
+	default:
 	}
 	switch a.Code {
 	case Moving, NotMine, Held, Out, NotReady, LeaseOver, Fenced, LedgerPending, ServerDown, Unreachable, BackupSilent:
@@ -78,6 +79,21 @@
 	return Stop
 }
 
+// Final is what a caller is told in the end. An attempt that was refused says
+// nothing of the others: earlier ones of this entry that may have run, or
+// earlier tries of the caller with the same id. Only when there can have been
+// none, or the ledger of ids was asked, is "not run" true of the request.
+func Final(a *wire.Answer, fresh, maybeRan bool) *wire.Answer {
+	if a.Outcome != wire.Outcome_OUTCOME_NOT_RUN || !maybeRan && (fresh || a.Judged) {
+		return a
+	}
+	return &wire.Answer{
+		Outcome: wire.Outcome_OUTCOME_UNKNOWN, Code: a.Code, Server: a.Server, DataCentre: a.DataCentre,
+		Reason:           "this try was refused, an earlier one may have run: " + a.Reason,
+		RetryAfterMillis: a.RetryAfterMillis, Waiting: a.Waiting,
+	}
+}
+
 // Backoff is the wait before the nth try again; jitter in [0,1) spreads callers.
 func Backoff(n int, jitter float64) time.Duration {
 	d := 5 * time.Millisecond << min(n, 4)
--- a/core/version/check/check.go
+++ b/core/version/check/check.go
@@ -30,11 +30,11 @@
 	return fmt.Sprintf("%s:%d: %s: %s", m.File, m.Line, m.Field, m.Text)
 }
 
-// Mistakes is every mistake of a file, in the order of its lines.
-type Mistakes []Mistake
+// FileErrors are all mistakes of a file, in the order of its lines.
+type FileErrors []Mistake
 
 // Error implements the error interface, one mistake a line.
-func (m Mistakes) Error() string {
+func (m FileErrors) Error() string {
 	lines := make([]string, len(m))
 	for i, v := range m {
 		lines[i] = v.String()
@@ -46,7 +46,7 @@
 type Checker struct {
 	file     string
 	lines    map[string]int
-	mistakes Mistakes
+	mistakes FileErrors
 }
 
 // Decode reads YAML into out and checks unknown fields, doubled fields, types
--- a/core/version/check/doc.go
+++ b/core/version/check/doc.go
@@ -11,5 +11,5 @@
 //		err = c.Err()
 //	}
 //
-// Every error is of type Mistakes.
+// Every error is of type FileErrors.
 package check
--- a/core/version/route/route.go
+++ b/core/version/route/route.go
@@ -38,6 +38,9 @@
 	Shards map[uint32]bool
 	// Version is the table version that the release is bound to.
 	Version uint64
+	// Number is new with each change of the hold; the word that it is fulfilled
+	// must carry it, since an order may have gone out between two holds.
+	Number uint64
 }
 
 // Target is where an order goes.
@@ -46,6 +49,8 @@
 	Dispatcher table.Daemon
 	DataCentre string
 	Local      bool
+	// Token is the dispatcher's fencing token.
+	Token uint64
 }
 
 // Owner finds the owner of a shard and who dispatches to it.
@@ -125,8 +130,8 @@
 }
 
 func (r *Route) target(dataCentre, server string, t table.Table) Target {
-	d := t.Dispatches[server].Daemon
-	return Target{Server: server, Dispatcher: d, DataCentre: dataCentre, Local: d == r.Self}
+	d := t.Dispatches[server]
+	return Target{Server: server, Dispatcher: d.Daemon, DataCentre: dataCentre, Local: d.Daemon == r.Self, Token: d.Token}
 }
 
 func (r *Route) fail(op string, k Kind, format string, args ...any) error {
--- a/core/version/site/parse.go
+++ b/core/version/site/parse.go
@@ -3,7 +3,7 @@
 import "catkinstep/core/version/check"
 
 // Parse reads a file that a person wrote. The error lists all its mistakes at
-// once (a check.Mistakes), and nothing of a wrong file is used.
+// once (a check.FileErrors), and nothing of a wrong file is used.
 func Parse(file string, data []byte) (Site, error) {
 	var s Site
 	c, err := check.Decode(file, data, &s)
--- a/io/connection/plat/plat.go
+++ b/io/connection/plat/plat.go
@@ -84,7 +84,7 @@
 func (c *Client) Read(ctx context.Context, name string) (*wire.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	resp, body, err := c.call(ctx, http.MethodGet, "/objects/"+name, nil, nil)
+	resp, body, err := c.call(ctx, http.MethodGet, "/objects/"+name, nil, nil) //nolint:bodyclose // call has read and closed it
 	if err != nil {
 		return nil, &Error{Op: "read " + name, Kind: Unreachable, Err: err}
 	}
@@ -108,7 +108,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	header := http.Header{"If-Match": {strconv.FormatUint(ifVersion, 10)}}
-	resp, _, err := c.call(ctx, http.MethodPut, "/objects/"+name, value, header)
+	resp, _, err := c.call(ctx, http.MethodPut, "/objects/"+name, value, header) //nolint:bodyclose // call has read and closed it
 	if err != nil {
 		return nil, &Error{Op: op, Kind: Unsure, Err: err}
 	}
@@ -169,7 +169,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
 	q := url.Values{"after": {strconv.FormatUint(after, 10)}, "wait": {watchWait.String()}}
-	resp, body, err := c.call(ctx, http.MethodGet, "/watch?"+q.Encode(), nil, nil)
+	resp, body, err := c.call(ctx, http.MethodGet, "/watch?"+q.Encode(), nil, nil) //nolint:bodyclose // call has read and closed it
 	if err != nil {
 		return watched{}, err
 	}
--- a/io/process/admin/admin.go
+++ b/io/process/admin/admin.go
@@ -79,7 +79,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		given := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if token != "" && subtle.ConstantTimeCompare([]byte(given), []byte(token)) != 1 {
-			fail(w, &Error{Op: "operator", Kind: Denied, Err: errors.New("the bearer token is missing or wrong")})
+			_ = fail(w, &Error{Op: "operator", Kind: Denied, Err: errors.New("the bearer token is missing or wrong")})
 			return
 		}
 		next.ServeHTTP(w, r)
--- a/io/process/node/control.go
+++ b/io/process/node/control.go
@@ -184,7 +184,7 @@
 }
 
 // ask has the control goroutine answer a call of another daemon.
-func (n *Node) ask(ctx context.Context, make func(call uint64) daemon.Msg) any {
+func (n *Node) ask(ctx context.Context, message func(call uint64) daemon.Msg) any {
 	c := newReply()
 	n.mu.Lock()
 	n.nextID++
@@ -196,7 +196,7 @@
 		delete(n.replies, id)
 		n.mu.Unlock()
 	}()
-	n.tell(make(id))
+	n.tell(message(id))
 	t := time.NewTimer(replyPatience)
 	defer t.Stop()
 	select {
--- a/io/process/node/desk.go
+++ b/io/process/node/desk.go
@@ -95,7 +95,7 @@
 			})
 		case queue.QuietCmd:
 			d.node.do(func(context.Context) {
-				d.node.tell(daemon.QuietMsg{Server: c.Server, All: c.All, Shards: c.Shards, Version: c.Version})
+				d.node.tell(daemon.QuietMsg{Server: c.Server, All: c.All, Shards: c.Shards, Number: c.Number})
 			})
 		case queue.LostCmd:
 			d.node.do(func(ctx context.Context) { d.node.share(ctx, c) })
@@ -177,7 +177,7 @@
 	e, ok := back.As(err)
 	switch {
 	case ok && e.Kind == back.Fenced:
-		d.tell(queue.GrantRefusedMsg{Token: c.Token})
+		d.tell(queue.GrantRefusedMsg(c))
 	default:
 		d.tell(queue.GrantFailedMsg{Refused: ok && e.Kind == back.Gone})
 	}
--- a/io/process/node/handle.go
+++ b/io/process/node/handle.go
@@ -85,7 +85,7 @@
 	sent := &wire.Order{
 		Service: o.Service, Server: to.Server, Shard: o.Shard, Owned: o.Owned, Id: o.Id, FreshId: o.FreshId,
 		Idempotent: o.Idempotent, Method: o.Method, Path: o.Path, Headers: o.Headers, Body: o.Body,
-		Fingerprint: o.Fingerprint, Entry: n.self.Address,
+		Fingerprint: o.Fingerprint, Entry: n.self.Address, Token: to.Token,
 	}
 	if to.Local {
 		return n.submit(ctx, sent, deadline)
--- a/io/process/prefs/prefs.go
+++ b/io/process/prefs/prefs.go
@@ -5,7 +5,7 @@
 //
 //	p, err := prefs.Load("host.yaml") // err lists every mistake with its line
 //
-// Errors are of type check.Mistakes, or *Error when the file cannot be read.
+// Errors are of type check.FileErrors, or *Error when the file cannot be read.
 package prefs
 
 import (
--- a/io/request/entry/attempt.go
+++ b/io/request/entry/attempt.go
@@ -16,34 +16,39 @@
 // up on, and its caller told so at once.
 const ownerPatience = 3 * time.Second
 
-// answer makes attempts until one counts.
+// answer makes attempts until one counts, and says what became of them all.
 func (e *Entry) answer(ctx context.Context, q *request) *wire.Answer {
+	a, maybeRan := e.attempts(ctx, q)
+	return retry.Final(a, q.first, maybeRan)
+}
+
+func (e *Entry) attempts(ctx context.Context, q *request) (a *wire.Answer, maybeRan bool) {
 	if e.router.Refused(time.Now(), q.order.Fingerprint) {
-		return refusal(retry.CrashSuspect, "backend servers were lost each time it ran")
+		return refusal(retry.CrashSuspect, "backend servers were lost each time it ran"), false
 	}
 	e.earn(q)
 	var tried []string
 	for n := 0; ; n++ {
 		changed := e.router.Changed()
-		var a *wire.Answer
 		if q.free {
 			a = e.free(ctx, q, &tried)
 		} else {
 			a = e.owned(ctx, q)
 		}
+		maybeRan = maybeRan || a.Outcome == wire.Outcome_OUTCOME_UNKNOWN
 		switch retry.Next(a, q.order.Idempotent) {
 		case retry.Stop:
-			return a
+			return a, maybeRan
 		case retry.Elsewhere:
 			if !q.free && a.Outcome == wire.Outcome_OUTCOME_NOT_RUN {
-				return a // its one server is full: come back later
+				return a, maybeRan // its one server is full: come back later
 			}
 			if !e.take(q) || !e.timeLeft(ctx, q) {
-				return a
+				return a, maybeRan
 			}
 		case retry.Again:
 			if time.Since(q.began) > ownerPatience || !e.wait(ctx, n, changed) {
-				return withCode(a, retry.HeldTooLong)
+				return withCode(a, retry.HeldTooLong), maybeRan
 			}
 		}
 	}
@@ -117,7 +122,8 @@
 	if first.Outcome == wire.Outcome_OUTCOME_ANSWERED {
 		return first
 	}
-	if other := <-answers; other.Outcome == wire.Outcome_OUTCOME_ANSWERED {
+	other := <-answers
+	if other.Outcome == wire.Outcome_OUTCOME_ANSWERED || first.Outcome == wire.Outcome_OUTCOME_NOT_RUN {
 		return other
 	}
 	return first
--- a/io/request/entry/entry.go
+++ b/io/request/entry/entry.go
@@ -123,12 +123,16 @@
 	deadline time.Time
 	began    time.Time
 	free     bool // any server may answer it
+	first    bool // no earlier try can have run
 }
 
 func (e *Entry) serve(w http.ResponseWriter, r bunrouter.Request) error {
 	began := time.Now()
 	q, bad := e.understand(w, r, began)
 	if bad != nil {
+		if _, fresh := idOf(r.Request); bad.Code == retry.NotReady {
+			bad = retry.Final(bad, fresh, false)
+		}
 		writeAnswer(w, r.Header.Get(HeaderID), bad)
 		return nil
 	}
@@ -188,9 +192,10 @@
 		o.Path += "?" + r.URL.RawQuery
 	}
 	o.Id, o.FreshId = idOf(r.Request)
+	first := o.FreshId || r.Header.Get(HeaderFirst) == "true"
 	o.Headers = forwarded(r.Header, key)
 	o.Fingerprint = fingerprint(o, key)
-	q := &request{service: service, preset: rt.Site.Preset(), order: o, deadline: now.Add(timeout), began: now}
+	q := &request{service: service, preset: rt.Site.Preset(), order: o, deadline: now.Add(timeout), began: now, first: first}
 	switch {
 	case service.Keyed:
 		o.Owned, o.Shard = true, shard.Of(key, service.Shards)
@@ -216,13 +221,14 @@
 }
 
 // idOf takes the caller's id, or makes one that cannot have been used before.
+// An id of the caller's is never fresh, even on its first try: a second try,
+// sent while the first is held up, may have run before it.
 func idOf(r *http.Request) (id string, fresh bool) {
-	first := r.Header.Get(HeaderFirst) == "true"
 	if id = r.Header.Get(headerIdem); id != "" {
-		return id, first
+		return id, false
 	}
 	if id = r.Header.Get(HeaderID); id != "" {
-		return id, first
+		return id, false
 	}
 	return rand.Text(), true
 }
--- a/io/standin/load/load.go
+++ b/io/standin/load/load.go
@@ -176,7 +176,6 @@
 type outcome struct {
 	told  oracle.Told
 	code  string
-	ran   string
 	again bool
 }
 
