Ledger copies are complete only for one stay of a shard

Ruled out: the fence and the order of pulling and fencing. Coverage now carries the shard's epoch, and what is asked for is the epoch of the stay that is being taken over.

--- a/core/connection/queue/messages.go
+++ b/core/connection/queue/messages.go
@@ -119,14 +119,14 @@
 	Token   uint64
 	Whole   bool
 	Entries []*wire.LedgerEntry
-	Covered []uint32
+	Covered []*wire.Shard
 }
 
 // PullCmd fetches the ids of shards from where they were; a PulledMsg answers.
 type PullCmd struct {
 	ID     uint64
 	From   shard.Ledger
-	Shards []uint32
+	Shards []*wire.Shard
 }
 
 // QuietCmd tells that a hold is fulfilled.
--- a/core/connection/queue/queue.go
+++ b/core/connection/queue/queue.go
@@ -114,7 +114,7 @@
 // copying is a copy to the backup under way: of one id, or of whole shards.
 type copying struct {
 	item   *item
-	shards []uint32
+	shards []*wire.Shard
 }
 
 // copyState is what the backup has of a shard. From copySent on, it may take
@@ -129,7 +129,7 @@
 
 type pull struct {
 	from   shard.Ledger
-	shards []uint32
+	shards []*wire.Shard // with their epochs there
 }
 
 // New returns the dispatcher of a server that has not been reached yet.
@@ -216,7 +216,7 @@
 
 // Ledger gives the ids of some shards under a token, for the next dispatcher,
 // with the shards whose ids are all there.
-func (q *Queue) Ledger(now time.Time, token uint64, shards []uint32) (entries []*wire.LedgerEntry, covered []uint32) {
+func (q *Queue) Ledger(now time.Time, token uint64, shards []*wire.Shard) (entries []*wire.LedgerEntry, covered []uint32) {
 	book := q.book
 	if !q.tokens[token] {
 		book = nil
@@ -229,12 +229,7 @@
 	if book == nil {
 		return nil, nil
 	}
-	for _, s := range shards {
-		if book.Covered(s) {
-			covered = append(covered, s)
-		}
-	}
-	return book.Entries(now, shards), covered
+	return book.Ledger(now, shards)
 }
 
 func (q *Queue) do(c Cmd) { q.cmds = append(q.cmds, c) }
--- a/core/connection/queue/server.go
+++ b/core/connection/queue/server.go
@@ -9,6 +9,7 @@
 	"catkinstep/core/request/ledger"
 	"catkinstep/core/request/retry"
 	"catkinstep/core/version/route"
+	"catkinstep/core/version/shard"
 	"catkinstep/core/version/table"
 )
 
@@ -84,12 +85,14 @@
 			// It came, or went and came back: what was kept is of before.
 			q.book.Drop(n)
 			q.epochs[n] = row.Epoch[s]
+			delete(q.copied, n)
+			delete(q.pullEnd, n)
 		}
 		if q.book.Known(n) {
 			continue
 		}
-		if _, ok := t.LedgerSource(q.service.Name, n); !ok {
-			q.book.Cover(n)
+		if from, _ := t.LedgerSource(q.service.Name, n); from == (shard.Ledger{}) {
+			q.book.Cover(n, row.Epoch[s])
 		}
 	}
 }
@@ -246,14 +249,14 @@
 		}
 	}
 	var entries []*wire.LedgerEntry
-	var shards []uint32
+	var shards []*wire.Shard
 	for _, s := range q.book.CoveredShards() {
-		if q.copied[s] == copyDone || len(entries) >= copyAtOnce {
+		if q.copied[s.Shard] == copyDone || len(entries) >= copyAtOnce {
 			continue
 		}
-		q.copied[s] = copySent
+		q.copied[s.Shard] = copySent
 		shards = append(shards, s)
-		entries = append(entries, q.book.Entries(now, []uint32{s})...)
+		entries = append(entries, q.book.Entries(now, []uint32{s.Shard})...)
 	}
 	if len(shards) == 0 {
 		return
@@ -283,7 +286,9 @@
 	delete(q.copies, msg.ID)
 	if msg.OK {
 		for _, s := range c.shards {
-			q.copied[s] = copyDone
+			if q.epochs[s.Shard] == s.Epoch {
+				q.copied[s.Shard] = copyDone
+			}
 		}
 	}
 	if c.item == nil {
@@ -307,7 +312,7 @@
 	asked := map[uint32]bool{}
 	for _, p := range q.pulls {
 		for _, s := range p.shards {
-			asked[s] = true
+			asked[s.Shard] = true
 		}
 	}
 	t := q.route.Tables[q.route.DataCentre]
@@ -317,8 +322,8 @@
 		if owner, ok := t.Owner(q.service.Name, n); !ok || owner != q.address || q.book.Known(n) || asked[n] {
 			continue
 		}
-		from, ok := t.LedgerSource(q.service.Name, n)
-		if !ok {
+		from, was := t.LedgerSource(q.service.Name, n)
+		if from == (shard.Ledger{}) {
 			continue
 		}
 		if q.pullEnd[n].IsZero() {
@@ -334,7 +339,7 @@
 			order = append(order, pull{from: from})
 			at = len(order) - 1
 		}
-		order[at].shards = append(order[at].shards, n)
+		order[at].shards = append(order[at].shards, &wire.Shard{Shard: n, Epoch: was})
 	}
 	for _, p := range order {
 		id := q.id()
@@ -351,14 +356,20 @@
 	}
 	delete(q.pulls, msg.ID)
 	q.book.Take(now, msg.Entries)
-	for _, s := range msg.Covered {
-		q.book.Cover(s)
-		delete(q.pullEnd, s)
-	}
+	t := q.route.Tables[q.route.DataCentre]
 	for _, s := range p.shards {
-		if end, ok := q.pullEnd[s]; ok && !q.book.Known(s) && !now.Before(end) {
-			q.book.Lose(now, s)
-			delete(q.pullEnd, s)
+		// The shard may have gone and come back since it was asked for.
+		from, was := t.LedgerSource(q.service.Name, s.Shard)
+		if from != p.from || was != s.Epoch {
+			continue
+		}
+		if slices.Contains(msg.Covered, s.Shard) {
+			q.book.Cover(s.Shard, q.epochs[s.Shard])
+			delete(q.pullEnd, s.Shard)
+		}
+		if end, ok := q.pullEnd[s.Shard]; ok && !q.book.Known(s.Shard) && !now.Before(end) {
+			q.book.Lose(now, s.Shard, q.epochs[s.Shard])
+			delete(q.pullEnd, s.Shard)
 		}
 	}
 }
--- a/core/process/leader/home.go
+++ b/core/process/leader/home.go
@@ -102,25 +102,26 @@
 		return h, false
 	}
 	if from == "" {
-		return h.WithHome(service, uint32(s), want, shard.Ledger{}), true
+		return h.WithHome(service, uint32(s), want, shard.Ledger{}, 0), true
 	}
 	if from == p.dataCentre {
 		if r := p.Table.Rows[service]; s >= len(r.Leaving) || !r.Leaving[s] {
 			return h, false
 		}
-		return h.WithHome(service, uint32(s), want, p.Table.LastLedger(service, uint32(s))), true
+		ledger, was := p.Table.LastLedger(service, uint32(s))
+		return h.WithHome(service, uint32(s), want, ledger, was), true
 	}
 	if !p.Site.DataCentreLost(from) || !p.firstInService() {
 		return h, false
 	}
 	lost := p.Others[from]
-	ledger := lost.LastLedger(service, uint32(s))
+	ledger, was := lost.LastLedger(service, uint32(s))
 	if ledger == (shard.Ledger{}) {
 		// Nothing known of its ledger: name one that nobody has, so that the
 		// next dispatcher takes ids for unknown instead of new.
 		ledger = shard.Ledger{DataCentre: from, Server: "lost", Token: 1}
 	}
-	return h.WithHome(service, uint32(s), want, ledger).WithFloor(from, lost.Epoch+1), true
+	return h.WithHome(service, uint32(s), want, ledger, was).WithFloor(from, lost.Epoch+1), true
 }
 
 // firstInService picks one data centre to write for a lost one, to spare the
--- a/core/process/leader/owner.go
+++ b/core/process/leader/owner.go
@@ -65,7 +65,8 @@
 		if owned && !p.mayMove(v, r.Servers[r.Owner[s]], uint32(s)) {
 			return
 		}
-		p.t.Leave(v.Name, uint32(s), p.Table.LastLedger(v.Name, uint32(s)))
+		from, was := p.Table.LastLedger(v.Name, uint32(s))
+		p.t.Leave(v.Name, uint32(s), from, was)
 		p.changed = true
 	case r.Leaving[s] && p.HomesVersion > p.tried:
 		r.Leaving[s] = false
@@ -86,11 +87,11 @@
 		if r.Owner[s] != shard.None && !p.mayMove(v, r.Servers[r.Owner[s]], uint32(s)) {
 			continue
 		}
-		from := p.Table.LastLedger(v.Name, uint32(s))
+		from, was := p.Table.LastLedger(v.Name, uint32(s))
 		if from == (shard.Ledger{}) {
-			from, _ = p.Homes.Source(v.Name, uint32(s))
+			from, was = p.Homes.Source(v.Name, uint32(s))
 		}
-		p.t.Assign(v.Name, uint32(s), to, from, p.HomesVersion)
+		p.t.Assign(v.Name, uint32(s), to, from, was, p.HomesVersion)
 		p.changed = true
 	}
 }
--- a/core/proof/host_test.go
+++ b/core/proof/host_test.go
@@ -355,7 +355,7 @@
 		queue.UnsureMsg{Seq: c.Seq, Code: retry.OutcomeLost}, queue.NotRunMsg{Seq: c.Seq, Code: retry.ServerDown})
 }
 
-func (h *host) ledger(now time.Time, server string, token uint64, shards []uint32) (e []*wire.LedgerEntry, covered []uint32) {
+func (h *host) ledger(now time.Time, server string, token uint64, shards []*wire.Shard) (e []*wire.LedgerEntry, covered []uint32) {
 	if q := h.queues[server]; q != nil {
 		e, covered = q.Ledger(now, token, shards)
 	}
--- a/core/request/ledger/doc.go
+++ b/core/request/ledger/doc.go
@@ -11,7 +11,7 @@
 // # Usage
 //
 //	b := ledger.New(2*time.Minute)
-//	b.Cover(shard)
+//	b.Cover(shard, epoch)
 //	switch found := b.Find(now, shard, id); found.State {
 //	case ledger.Unseen:
 //		b.Begin(now, shard, id)
--- a/core/request/ledger/ledger.go
+++ b/core/request/ledger/ledger.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"catkinstep/core/connection/wire"
@@ -38,8 +40,8 @@
 	keep    time.Duration
 	entries map[key]*entry
 	oldest  []dated
-	covered map[uint32]bool
-	lost    map[uint32]time.Time
+	covered map[uint32]uint64 // the epoch of each covered shard
+	lost    map[uint32]lostShard
 }
 
 type key struct {
@@ -52,6 +54,13 @@
 	at     time.Time
 }
 
+// lostShard is a shard whose earlier ids are gone, until they would be too old
+// to be kept in any case.
+type lostShard struct {
+	until time.Time
+	epoch uint64
+}
+
 type dated struct {
 	key key
 	at  time.Time
@@ -59,7 +68,7 @@
 
 // New returns an empty Book that keeps each id for a time.
 func New(keep time.Duration) *Book {
-	return &Book{keep: keep, entries: map[key]*entry{}, covered: map[uint32]bool{}, lost: map[uint32]time.Time{}}
+	return &Book{keep: keep, entries: map[key]*entry{}, covered: map[uint32]uint64{}, lost: map[uint32]lostShard{}}
 }
 
 // Len returns the number of ids held.
@@ -74,10 +83,10 @@
 		}
 		return Found{State: Begun}
 	}
-	if until, ok := b.lost[shard]; ok && now.Before(until) {
-		return Found{State: Lost, Until: until}
+	if l, ok := b.lost[shard]; ok && now.Before(l.until) {
+		return Found{State: Lost, Until: l.until}
 	}
-	if !b.covered[shard] {
+	if !b.Covered(shard) {
 		return Found{State: Pending}
 	}
 	return Found{State: Unseen}
@@ -96,25 +105,36 @@
 func (b *Book) Forget(shard uint32, id string) { delete(b.entries, key{shard, id}) }
 
 // Covered tells whether all earlier ids of a shard are here.
-func (b *Book) Covered(shard uint32) bool { return b.covered[shard] }
+func (b *Book) Covered(shard uint32) bool {
+	_, ok := b.covered[shard]
+	return ok
+}
+
+// CoveredAt tells whether all ids of a shard up to an epoch of it are here. A
+// book that covered the shard at another time does not count: the shard was
+// elsewhere in between.
+func (b *Book) CoveredAt(shard uint32, epoch uint64) bool {
+	have, ok := b.covered[shard]
+	return ok && have == epoch
+}
 
 // Known tells whether it is settled for a shard what the Book can know.
 func (b *Book) Known(shard uint32) bool {
 	_, lost := b.lost[shard]
-	return lost || b.covered[shard]
+	return lost || b.Covered(shard)
 }
 
-// Cover notes that all earlier ids of a shard are here.
-func (b *Book) Cover(shard uint32) {
-	b.covered[shard] = true
+// Cover notes that all ids of a shard from before its epoch are here.
+func (b *Book) Cover(shard uint32, epoch uint64) {
+	b.covered[shard] = epoch
 	delete(b.lost, shard)
 }
 
 // Lose notes that earlier ids of a shard cannot be had. After the keeping time
 // none of them would be here any more in any case.
-func (b *Book) Lose(now time.Time, shard uint32) {
-	if !b.covered[shard] {
-		b.lost[shard] = now.Add(b.keep)
+func (b *Book) Lose(now time.Time, shard uint32, epoch uint64) {
+	if !b.Covered(shard) {
+		b.lost[shard] = lostShard{until: now.Add(b.keep), epoch: epoch}
 	}
 }
 
@@ -129,15 +149,28 @@
 	}
 }
 
-// CoveredShards lists the shards whose ids are all here.
-func (b *Book) CoveredShards() []uint32 {
-	out := make([]uint32, 0, len(b.covered))
-	for s := range b.covered {
-		out = append(out, s)
+// CoveredShards lists the shards whose ids are all here, with their epochs.
+func (b *Book) CoveredShards() []*wire.Shard {
+	out := make([]*wire.Shard, 0, len(b.covered))
+	for _, s := range slices.Sorted(maps.Keys(b.covered)) {
+		out = append(out, &wire.Shard{Shard: s, Epoch: b.covered[s]})
 	}
 	return out
 }
 
+// Ledger gives the ids of some shards, with those of them that are covered at
+// the epoch named.
+func (b *Book) Ledger(now time.Time, shards []*wire.Shard) (entries []*wire.LedgerEntry, covered []uint32) {
+	numbers := make([]uint32, len(shards))
+	for i, s := range shards {
+		numbers[i] = s.Shard
+		if b.CoveredAt(s.Shard, s.Epoch) {
+			covered = append(covered, s.Shard)
+		}
+	}
+	return b.Entries(now, numbers), covered
+}
+
 // Entries gives the ids of some shards, or of all when shards is nil, with
 // their ages instead of times, since clocks of two hosts never compare.
 func (b *Book) Entries(now time.Time, shards []uint32) []*wire.LedgerEntry {
@@ -185,9 +218,9 @@
 		n++
 	}
 	b.oldest = b.oldest[n:]
-	for s, until := range b.lost {
-		if !now.Before(until) {
-			b.Cover(s)
+	for s, l := range b.lost {
+		if !now.Before(l.until) {
+			b.Cover(s, l.epoch)
 		}
 	}
 }
--- a/core/request/ledger/shelf.go
+++ b/core/request/ledger/shelf.go
@@ -46,22 +46,17 @@
 	v.book.Take(now, c.Entries)
 	if c.Whole {
 		for _, n := range c.Covered {
-			v.book.Cover(n)
+			v.book.Cover(n.Shard, n.Epoch)
 		}
 	}
 }
 
 // Ledger gives the ids of some shards of a server under a token, with the
 // shards whose ids are all there.
-func (s *Shelf) Ledger(now time.Time, server string, token uint64, shards []uint32) (entries []*wire.LedgerEntry, covered []uint32) {
+func (s *Shelf) Ledger(now time.Time, server string, token uint64, shards []*wire.Shard) (entries []*wire.LedgerEntry, covered []uint32) {
 	v := s.books[shelfKey{server, token}]
 	if v == nil {
 		return nil, nil
 	}
-	for _, n := range shards {
-		if v.book.Covered(n) {
-			covered = append(covered, n)
-		}
-	}
-	return v.book.Entries(now, shards), covered
+	return v.book.Ledger(now, shards)
 }
--- a/core/version/shard/homes.go
+++ b/core/version/shard/homes.go
@@ -16,6 +16,8 @@
 	// Sources hold, for each service, where the ledger of a shard was kept
 	// before it came to its home; an index into Ledgers, or None.
 	Sources map[string][]int `json:"sources"`
+	// Was holds, for each service, the epoch that a shard had there.
+	Was map[string][]uint64 `json:"was"`
 	// Ledgers are the places that Sources index.
 	Ledgers []Ledger `json:"ledgers"`
 	// Floors hold, for each data centre, the leader's epoch that last wrote. A
@@ -65,13 +67,14 @@
 	return h.DataCentres[row[s]]
 }
 
-// Source returns where the ledger of a shard was kept before it came home.
-func (h Homes) Source(service string, s uint32) (Ledger, bool) {
+// Source returns where the ledger of a shard was kept before it came home, and
+// its epoch there; the zero Ledger when there was none.
+func (h Homes) Source(service string, s uint32) (l Ledger, was uint64) {
 	row := h.Sources[service]
 	if int(s) >= len(row) || row[s] < 0 {
-		return Ledger{}, false
+		return Ledger{}, 0
 	}
-	return h.Ledgers[row[s]], true
+	return h.Ledgers[row[s]], h.Was[service][s]
 }
 
 // Index returns a data centre's place in DataCentres, or None.
@@ -82,6 +85,7 @@
 	h.DataCentres = slices.Clone(h.DataCentres)
 	h.Rows = cloneRows(h.Rows)
 	h.Sources = cloneRows(h.Sources)
+	h.Was = cloneRows(h.Was)
 	h.Ledgers = slices.Clone(h.Ledgers)
 	if h.Floors = maps.Clone(h.Floors); h.Floors == nil {
 		h.Floors = map[string]uint64{}
@@ -105,13 +109,16 @@
 	h = h.Clone()
 	h.Rows[service] = row
 	h.Sources[service] = slices.Repeat([]int{None}, len(row))
+	h.Was[service] = make([]uint64, len(row))
 	return h
 }
 
-// WithHome moves one shard; from names where its ledger was kept.
-func (h Homes) WithHome(service string, s uint32, dataCentre int, from Ledger) Homes {
+// WithHome moves one shard; from names where its ledger was kept, and was the
+// epoch that it had there.
+func (h Homes) WithHome(service string, s uint32, dataCentre int, from Ledger, was uint64) Homes {
 	h = h.Clone()
 	h.Rows[service][s] = dataCentre
+	h.Was[service][s] = was
 	at := slices.Index(h.Ledgers, from)
 	if at < 0 {
 		at = len(h.Ledgers)
@@ -151,8 +158,8 @@
 	return h
 }
 
-func cloneRows(rows map[string][]int) map[string][]int {
-	out := make(map[string][]int, len(rows))
+func cloneRows[T any](rows map[string][]T) map[string][]T {
+	out := make(map[string][]T, len(rows))
 	for k, v := range rows {
 		out[k] = slices.Clone(v)
 	}
--- a/core/version/table/table.go
+++ b/core/version/table/table.go
@@ -64,6 +64,8 @@
 	Epoch []uint64 `json:"epoch"`
 	// Source holds where each shard's ledger was before; index or None.
 	Source []int `json:"source"`
+	// Was holds the epoch that each shard had at its source.
+	Was []uint64 `json:"was"`
 	// Leaving marks shards that are being given to another home. Nobody here
 	// may own them again until a write of the homes has settled it.
 	Leaving []bool `json:"leaving"`
@@ -104,6 +106,7 @@
 		r.Owner = slices.Clone(r.Owner)
 		r.Epoch = slices.Clone(r.Epoch)
 		r.Source = slices.Clone(r.Source)
+		r.Was = slices.Clone(r.Was)
 		r.Leaving = slices.Clone(r.Leaving)
 		r.Ledgers = slices.Clone(r.Ledgers)
 		rows[k] = r
@@ -123,24 +126,26 @@
 
 // LedgerSource says where the ledger of a shard must be taken from, by the
 // numbers of the shard's assignment and of its server's dispatcher: whichever
-// happened last names the place. No source means there never was a ledger.
-func (t Table) LedgerSource(service string, s uint32) (shard.Ledger, bool) {
+// happened last names the place. was is the epoch that the shard had there: a
+// copy of an earlier time, before the shard went away and came back, must not
+// be taken for complete. The zero Ledger means there never was one.
+func (t Table) LedgerSource(service string, s uint32) (l shard.Ledger, was uint64) {
 	r := t.Rows[service]
 	server, ok := t.Owner(service, s)
 	if !ok {
-		return shard.Ledger{}, false
+		return shard.Ledger{}, 0
 	}
 	d := t.Dispatches[server]
 	if r.Epoch[s]&(1<<counterBits-1) < d.Token {
 		if d.Before == 0 {
-			return shard.Ledger{}, false
+			return shard.Ledger{}, 0
 		}
-		return shard.Ledger{DataCentre: t.DataCentre, Server: server, Token: d.Before}, true
+		return shard.Ledger{DataCentre: t.DataCentre, Server: server, Token: d.Before}, r.Epoch[s]
 	}
 	if r.Source[s] < 0 {
-		return shard.Ledger{}, false
+		return shard.Ledger{}, 0
 	}
-	return r.Ledgers[r.Source[s]], true
+	return r.Ledgers[r.Source[s]], r.Was[s]
 }
 
 // Knows tells whether the table lists a daemon.
@@ -160,6 +165,7 @@
 			Owner:   slices.Repeat([]int{shard.None}, shards),
 			Epoch:   make([]uint64, shards),
 			Source:  slices.Repeat([]int{shard.None}, shards),
+			Was:     make([]uint64, shards),
 			Leaving: make([]bool, shards),
 		}
 	}
@@ -173,37 +179,38 @@
 
 // Assign makes a server the owner of a shard under a new epoch. The caller
 // must know that the owner before has stopped.
-func (t *Table) Assign(service string, s uint32, server int, from shard.Ledger, homes uint64) {
+func (t *Table) Assign(service string, s uint32, server int, from shard.Ledger, was, homes uint64) {
 	r := t.Rows[service]
 	t.Counter++
 	t.HomesSeen = max(t.HomesSeen, homes)
 	r.Owner[s] = server
 	r.Epoch[s] = t.HomesSeen<<counterBits | t.Counter
-	r.setSource(s, from)
+	r.setSource(s, from, was)
 	t.Rows[service] = r
 }
 
 // Leave takes a shard from its owner, to be given to another home; from names
-// the ledger that holds its ids.
-func (t *Table) Leave(service string, s uint32, from shard.Ledger) {
+// the ledger that holds its ids, and was its epoch there.
+func (t *Table) Leave(service string, s uint32, from shard.Ledger, was uint64) {
 	r := t.Rows[service]
 	r.Owner[s] = shard.None
 	r.Leaving[s] = true
-	r.setSource(s, from)
+	r.setSource(s, from, was)
 	t.Rows[service] = r
 }
 
-// LastLedger names the ledger that holds a shard's ids now: that of its
-// owner's dispatcher or, without an owner, the one it was left with.
-func (t Table) LastLedger(service string, s uint32) shard.Ledger {
+// LastLedger names the ledger that holds a shard's ids now, and the epoch that
+// the shard has there: that of its owner's dispatcher or, without an owner, the
+// one it was left with.
+func (t Table) LastLedger(service string, s uint32) (l shard.Ledger, was uint64) {
+	r := t.Rows[service]
 	if server, ok := t.Owner(service, s); ok {
-		return shard.Ledger{DataCentre: t.DataCentre, Server: server, Token: t.Dispatches[server].Token}
+		return shard.Ledger{DataCentre: t.DataCentre, Server: server, Token: t.Dispatches[server].Token}, r.Epoch[s]
 	}
-	r := t.Rows[service]
 	if int(s) < len(r.Source) && r.Source[s] >= 0 {
-		return r.Ledgers[r.Source[s]]
+		return r.Ledgers[r.Source[s]], r.Was[s]
 	}
-	return shard.Ledger{}
+	return shard.Ledger{}, 0
 }
 
 // Compact drops ledgers that no shard names, which else would grow by one with
@@ -229,8 +236,9 @@
 	}
 }
 
-func (r *Row) setSource(s uint32, from shard.Ledger) {
+func (r *Row) setSource(s uint32, from shard.Ledger, was uint64) {
 	r.Source[s] = shard.None
+	r.Was[s] = was
 	if from == (shard.Ledger{}) {
 		return
 	}
--- a/io/process/node/desk.go
+++ b/io/process/node/desk.go
@@ -232,7 +232,7 @@
 	return d.queue.Idle(now)
 }
 
-func (d *desk) ledger(token uint64, shards []uint32) ([]*wire.LedgerEntry, []uint32) {
+func (d *desk) ledger(token uint64, shards []*wire.Shard) ([]*wire.LedgerEntry, []uint32) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.queue.Ledger(time.Now(), token, shards)
--- a/io/process/node/handle.go
+++ b/io/process/node/handle.go
@@ -139,7 +139,7 @@
 }
 
 // pull asks all daemons of a data centre for ids, this one first.
-func (n *Node) pull(ctx context.Context, from shard.Ledger, shards []uint32) (entries []*wire.LedgerEntry, covered []uint32) {
+func (n *Node) pull(ctx context.Context, from shard.Ledger, shards []*wire.Shard) (entries []*wire.LedgerEntry, covered []uint32) {
 	p := &wire.Pull{Server: from.Server, Token: from.Token, Shards: shards}
 	entries, covered = n.ledger(p)
 	r := n.route.Load()
@@ -160,9 +160,9 @@
 	return entries, covered
 }
 
-func coversAll(covered, shards []uint32) bool {
+func coversAll(covered []uint32, shards []*wire.Shard) bool {
 	for _, s := range shards {
-		if !slices.Contains(covered, s) {
+		if !slices.Contains(covered, s.Shard) {
 			return false
 		}
 	}
