--- a/core/connection/limit/limit.go
+++ b/core/connection/limit/limit.go
@@ -7,8 +7,14 @@
 	climbAfter = 16
 	// climbTime is the least time at one step.
 	climbTime = 200 * time.Millisecond
-	// smoothing is the weight of a new latency in the mean.
-	smoothing = 0.1
+	// slower and faster move the estimate of an answer's time by each answer, so
+	// that it follows the median. A mean would do badly: one answer of a second,
+	// at a server that has just started, makes all that wait look too late, and
+	// what is refused brings no answer to learn better from.
+	slower = 1.15
+	faster = 0.87
+	// firstGuess bounds what the first answer alone is taken for.
+	firstGuess = 50 * time.Millisecond
 )
 
 // Limit is how much one server bears now.
@@ -29,7 +35,7 @@
 // Share returns the allowed part of the slots, from above 0 to 1.
 func (l Limit) Share() float64 { return float64(l.allowed) / float64(l.slots) }
 
-// Latency returns the mean time of an answer; zero before the first.
+// Latency returns the usual time of an answer; zero before the first.
 func (l Limit) Latency() time.Duration { return l.latency }
 
 // WithSlots follows a change of the configuration.
@@ -41,10 +47,14 @@
 
 // WithAnswer climbs a step after enough answers.
 func (l Limit) WithAnswer(now time.Time, latency time.Duration) Limit {
-	if l.latency == 0 {
-		l.latency = latency
+	switch {
+	case l.latency == 0:
+		l.latency = max(time.Microsecond, min(latency, firstGuess))
+	case latency > l.latency:
+		l.latency = time.Duration(slower * float64(l.latency))
+	default:
+		l.latency = max(time.Microsecond, time.Duration(faster*float64(l.latency)))
 	}
-	l.latency += time.Duration(smoothing * float64(latency-l.latency))
 	if l.since.IsZero() {
 		l.since = now
 	}
--- a/core/process/leader/owner.go
+++ b/core/process/leader/owner.go
@@ -65,7 +65,7 @@
 		if owned && !p.mayMove(v, r.Servers[r.Owner[s]], uint32(s)) {
 			return
 		}
-		from, was := p.Table.LastLedger(v.Name, uint32(s))
+		from, was := p.lastLedger(v.Name, uint32(s))
 		p.t.Leave(v.Name, uint32(s), from, was)
 		p.changed = true
 	case r.Leaving[s] && p.HomesVersion > p.tried:
@@ -87,15 +87,22 @@
 		if r.Owner[s] != shard.None && !p.mayMove(v, r.Servers[r.Owner[s]], uint32(s)) {
 			continue
 		}
-		from, was := p.Table.LastLedger(v.Name, uint32(s))
-		if from == (shard.Ledger{}) {
-			from, was = p.Homes.Source(v.Name, uint32(s))
-		}
+		from, was := p.lastLedger(v.Name, uint32(s))
 		p.t.Assign(v.Name, uint32(s), to, from, was, p.HomesVersion)
 		p.changed = true
 	}
 }
 
+// lastLedger names where a shard's ids are: here or, for a shard that came home
+// and was never assigned since, where it came from. Forgetting the latter when
+// such a shard goes on to yet another home would let its ids run again there.
+func (p *plan) lastLedger(service string, s uint32) (from shard.Ledger, was uint64) {
+	if from, was = p.Table.LastLedger(service, s); from != (shard.Ledger{}) {
+		return from, was
+	}
+	return p.Homes.Source(service, s)
+}
+
 // wantedOwners plans anew only when the servers' weights or the shards at home
 // change, or when it is time to even out the loads: a plan that followed every
 // wobble of the loads would ask for releases and take them back.
--- a/core/proof/caller_test.go
+++ b/core/proof/caller_test.go
@@ -20,6 +20,7 @@
 	made     bool // the entry made its id, so there can be no other try
 	resends  int  // sent again, whatever came, through other hosts
 	pending  int
+	code     string
 	told     []string
 	answered func(outcome string)
 }
@@ -79,6 +80,7 @@
 		ended = true
 		a = retry.Final(a, first, false)
 		w.follow(r.id, "try of %v is told %v %s by %s", began, a.Outcome, a.Code, h.self.Address)
+		r.code = a.Code
 		w.tell(r, map[wire.Outcome]string{wire.Outcome_OUTCOME_ANSWERED: "answered", wire.Outcome_OUTCOME_NOT_RUN: "notRun", wire.Outcome_OUTCOME_UNKNOWN: "unknown"}[a.Outcome])
 	}
 	w.after(8*time.Second, func() { tell(&wire.Answer{Outcome: wire.Outcome_OUTCOME_UNKNOWN}) })
--- a/core/proof/fuzz_test.go
+++ b/core/proof/fuzz_test.go
@@ -175,7 +175,7 @@
 		r.made = true
 		r.answered = func(outcome string) {
 			if outcome != "answered" {
-				w.find("%s for %s was told %s long after all was healed", r.id, r.key, outcome)
+				w.find("%s for %s was told %s (%s) long after all was healed", r.id, r.key, outcome, r.code)
 			}
 		}
 		w.run(20 * time.Millisecond)
