Smoke run of separate processes; lost ledgers are asked for again

The smoke run killed one daemon and paused another at once, which were dispatcher and backup of the same servers: bookings were told 'unknown' for two minutes, though the paused backup was back after four seconds. Given-up ids are now asked for every second until they are too old to matter.

--- a/core/connection/queue/queue.go
+++ b/core/connection/queue/queue.go
@@ -19,9 +19,11 @@
 	silentAfter = 500 * time.Millisecond
 	// clockMargin covers the difference of two clocks' rates over an order.
 	clockMargin = 50 * time.Millisecond
-	// pullEvery and pullFor bound the tries to fetch earlier ids.
+	// pullEvery and pullFor bound the tries to fetch earlier ids, after which
+	// they are given up, but for a try every lostEvery.
 	pullEvery = 200 * time.Millisecond
 	pullFor   = 2 * time.Second
+	lostEvery = time.Second
 	// copyEvery is how often shards are offered to the backup, with about
 	// copyAtOnce ids.
 	copyEvery  = 100 * time.Millisecond
@@ -61,6 +63,7 @@
 	copyAt  time.Time
 	pulls   map[uint64]pull
 	pullAt  time.Time
+	lostAt  time.Time // when ids that were given up were last asked for
 	pullEnd map[uint32]time.Time
 	nextID  uint64
 
--- a/core/connection/queue/server.go
+++ b/core/connection/queue/server.go
@@ -319,9 +319,12 @@
 	var order []pull
 	for s := range t.Rows[q.service.Name].Owner {
 		n := uint32(s)
-		if owner, ok := t.Owner(q.service.Name, n); !ok || owner != q.address || q.book.Known(n) || asked[n] {
+		if owner, ok := t.Owner(q.service.Name, n); !ok || owner != q.address || q.book.Covered(n) || asked[n] {
 			continue
 		}
+		if q.book.Known(n) && now.Sub(q.lostAt) < lostEvery {
+			continue // given up for now; who has the ids may only be paused
+		}
 		from, was := t.LedgerSource(q.service.Name, n)
 		if from == (shard.Ledger{}) {
 			continue
@@ -341,6 +344,9 @@
 		}
 		order[at].shards = append(order[at].shards, &wire.Shard{Shard: n, Epoch: was})
 	}
+	if len(order) > 0 {
+		q.lostAt = now
+	}
 	for _, p := range order {
 		id := q.id()
 		q.pulls[id] = p
