--- a/core/process/daemon/follow.go
+++ b/core/process/daemon/follow.go
@@ -62,7 +62,13 @@
 	if at < 0 {
 		at = len(others) + int(u.self.Incarnation%4)
 	}
-	return time.Duration(at) * u.rankDelay
+	delay := time.Duration(at) * u.rankDelay
+	if u.alone() {
+		// More likely it is this daemon that is cut off. It would take the lead
+		// back each time the others have taken it, and neither could lead.
+		delay += u.aloneDelay
+	}
+	return delay
 }
 
 // tryLead writes this daemon into the table as its leader, if that is still
--- a/core/process/daemon/lead.go
+++ b/core/process/daemon/lead.go
@@ -73,13 +73,18 @@
 	}
 }
 
-func (u *update) neighbours() []string {
+func (u *update) near() []string {
 	var out []string
 	for _, d := range u.table().Daemons {
-		if d != u.self {
+		if d.Address != u.self.Address {
 			out = append(out, d.Address)
 		}
 	}
+	return out
+}
+
+func (u *update) neighbours() []string {
+	out := u.near()
 	for _, name := range slices.Sorted(maps.Keys(u.tables)) {
 		t := u.tables[name]
 		if name != u.dataCentre && t.Leader.Address != "" {
@@ -97,10 +102,13 @@
 		return
 	}
 	u.syncAt = u.now.Add(u.syncEvery + time.Duration(u.random.Int64N(int64(u.syncEvery)/4+1)))
-	peers := u.neighbours()
-	for _, s := range u.seeds {
-		if s != u.self.Address {
-			peers = append(peers, s)
+	peers := u.near()
+	if u.syncNear = !u.syncNear; u.syncNear || len(peers) == 0 {
+		peers = u.neighbours()
+		for _, s := range u.seeds {
+			if s != u.self.Address {
+				peers = append(peers, s)
+			}
 		}
 	}
 	if len(peers) == 0 {
@@ -110,8 +118,23 @@
 	u.do(SyncCmd{To: to, Sync: &wire.Sync{From: u.self.Address, Versions: u.Versions()}})
 }
 
+// met notes a contact with another daemon.
+func (u *update) met(address string) {
+	if address != u.table().Leader.Address && slices.Contains(u.near(), address) {
+		u.nearAt = u.now
+	}
+}
+
+// alone tells whether this daemon has lost all others of its data centre, the
+// leader apart, though there are some.
+func (u *update) alone() bool {
+	others := slices.DeleteFunc(u.near(), func(a string) bool { return a == u.table().Leader.Address })
+	return len(others) > 0 && u.now.Sub(u.nearAt) > u.aloneAfter
+}
+
 // synced takes in what a peer had, and gives it what it lacks.
 func (u *update) synced(msg SyncReplyMsg) {
+	u.met(msg.From)
 	u.absorb(msg.Sync.Objects)
 	if newer := u.newerThan(msg.Sync.Versions); len(newer) > 0 && msg.From != "" {
 		u.do(SyncCmd{To: msg.From, Sync: &wire.Sync{From: u.self.Address, Versions: u.Versions(), Objects: newer}})
--- a/core/process/daemon/model.go
+++ b/core/process/daemon/model.go
@@ -41,6 +41,8 @@
 	platform   contact
 	beat       beating
 	syncAt     time.Time
+	syncNear   bool      // the next exchange is with the own data centre
+	nearAt     time.Time // the last contact with a daemon of it other than the leader
 	holds      map[string]route.Hold
 	quiet      map[string]*wire.Release
 	holdNumber uint64
--- a/core/process/daemon/options.go
+++ b/core/process/daemon/options.go
@@ -16,6 +16,8 @@
 	readEvery    time.Duration
 	readAtMost   time.Duration
 	rankDelay    time.Duration
+	aloneAfter   time.Duration
+	aloneDelay   time.Duration
 	seed         uint64
 	leader       []leader.Option
 }
@@ -28,6 +30,8 @@
 		readEvery:    200 * time.Millisecond,
 		readAtMost:   5 * time.Second,
 		rankDelay:    200 * time.Millisecond,
+		aloneAfter:   3 * time.Second,
+		aloneDelay:   5 * time.Second,
 		seed:         1,
 	}
 }
--- a/core/process/daemon/update.go
+++ b/core/process/daemon/update.go
@@ -45,6 +45,7 @@
 			m.lead.Gone(now, msg.Daemon)
 		}
 	case SyncMsg:
+		u.met(msg.Sync.From)
 		u.absorb(msg.Sync.Objects)
 		u.do(SyncReplyCmd{Call: msg.Call, Sync: &wire.Sync{
 			From: m.self.Address, Versions: m.Versions(), Objects: u.newerThan(msg.Sync.Versions),
--- a/core/proof/host_test.go
+++ b/core/proof/host_test.go
@@ -34,6 +34,7 @@
 	on      bool
 	replies map[uint64]func(any)
 	nextID  uint64
+	left    bool   // nothing depends on it any more
 	highest uint64 // version of the configuration in force
 }
 
@@ -151,6 +152,8 @@
 		h.answer(c.Call, c.Sync)
 	case daemon.RouteCmd:
 		h.adopt(c.Route)
+	case daemon.LeftCmd:
+		h.left = true
 	}
 }
 
