Releases are bound to a term of the table, and asked for at once

Cause of slow departures: releases were bound to one version of the table, so that each write voided all others and they were asked for again, one heartbeat (250 ms) a round, as many rounds as the data centre has servers. Ruled out: the platform's writes (few ms each) and the fan-out (two hops).

--- a/core/connection/queue/messages.go
+++ b/core/connection/queue/messages.go
@@ -132,8 +132,6 @@
 // QuietCmd tells that a hold is fulfilled.
 type QuietCmd struct {
 	Server string
-	All    bool
-	Shards []uint32
 	// Number is that of the hold.
 	Number uint64
 }
--- a/core/connection/queue/order.go
+++ b/core/connection/queue/order.go
@@ -134,7 +134,7 @@
 }
 
 func (q *Queue) expectedWait() time.Duration {
-	return time.Duration(len(q.waiting)+len(q.running)) * q.limit.Latency() / time.Duration(q.limit.Allowed())
+	return time.Duration(len(q.waiting)+len(q.running)) * q.limit.Latency() / time.Duration(max(1, q.limit.Allowed()))
 }
 
 // dispatch sends what the server bears, the oldest first.
--- a/core/connection/queue/server.go
+++ b/core/connection/queue/server.go
@@ -210,17 +210,15 @@
 	if h.All && (!q.Idle(now) || !q.allKnown()) {
 		return
 	}
-	var shards []uint32
 	for n := range h.Shards {
 		// Ids that are still being fetched would be missing from what the next
 		// dispatcher gets from here, and it could not know.
 		if q.busy(now, n) || !q.book.Known(n) {
 			return
 		}
-		shards = append(shards, n)
 	}
 	q.quiet = h.Number
-	q.do(QuietCmd{Server: q.address, All: h.All, Shards: shards, Number: h.Number})
+	q.do(QuietCmd{Server: q.address, Number: h.Number})
 }
 
 // busy tells whether an order for a shard runs, or may still run.
--- a/core/process/daemon/follow.go
+++ b/core/process/daemon/follow.go
@@ -133,10 +133,7 @@
 		Leaving: !u.leaving.IsZero(), Versions: u.Versions(), Servers: u.reports,
 	}
 	for _, server := range slices.Sorted(maps.Keys(u.quiet)) {
-		r := u.quiet[server]
-		if r.TableVersion == u.version(u.tableObject()) {
-			b.Released = append(b.Released, r)
-		}
+		b.Released = append(b.Released, u.quiet[server])
 	}
 	return b
 }
@@ -183,18 +180,45 @@
 
 // hold asks traffic to stop for what the leader wants released, and lets it go
 // on where the leader has changed its mind. What the leader was told is
-// released stays so: a write that builds on it may be under way. A request made
-// for another version of the table is dropped; the leader asks again.
+// released stays so: a write that builds on it may be under way.
 func (u *update) hold(wanted []*wire.Release) {
-	version := u.version(u.tableObject())
 	next := map[string]route.Hold{}
 	for server, q := range u.quiet {
 		next[server] = addHold(route.Hold{}, q)
 	}
 	for _, r := range wanted {
-		if r.TableVersion == version && u.table().Dispatches[r.Server].Daemon == u.self {
-			next[r.Server] = addHold(next[r.Server], r)
+		next[r.Server] = addHold(next[r.Server], r)
+	}
+	u.setHolds(next)
+}
+
+// dropHolds lets traffic go on where the table has moved on: the term is
+// another, so that no write can build on the release any more, or what was
+// released has gone, or come back.
+func (u *update) dropHolds() {
+	for server, r := range u.quiet {
+		if r = u.standing(r); r == nil {
+			delete(u.quiet, server)
+			continue
+		}
+		u.quiet[server] = r
+	}
+	next := map[string]route.Hold{}
+	for server, h := range u.holds {
+		next[server] = h
+	}
+	u.setHolds(next)
+}
+
+// setHolds numbers what has changed, and drops what does not stand.
+func (u *update) setHolds(next map[string]route.Hold) {
+	for server, h := range next {
+		r := u.standing(releaseOf(server, h))
+		if r == nil {
+			delete(next, server)
+			continue
 		}
+		next[server] = addHold(route.Hold{}, r)
 	}
 	if maps.EqualFunc(next, u.holds, sameHold) {
 		return
@@ -212,31 +236,48 @@
 	u.holds = next
 }
 
+// standing returns the part of a release that the table in force still has a
+// use for; nil when there is none.
+func (u *update) standing(r *wire.Release) *wire.Release {
+	t := u.table()
+	d := t.Dispatches[r.Server]
+	if d.Daemon != u.self || t.Term() != (table.Term{Epoch: r.Epoch, Freed: r.Freed}) {
+		return nil
+	}
+	out := &wire.Release{Server: r.Server, All: r.All && r.Token == d.Token, Token: d.Token, Epoch: r.Epoch, Freed: r.Freed}
+	service := t.ServiceOf(r.Server)
+	for _, s := range r.Shards {
+		if epoch, ok := t.OwnerEpoch(service, s.Shard, r.Server); ok && epoch == s.Epoch {
+			out.Shards = append(out.Shards, s)
+		}
+	}
+	if !out.All && len(out.Shards) == 0 {
+		return nil
+	}
+	return out
+}
+
 func addHold(h route.Hold, r *wire.Release) route.Hold {
-	sum := route.Hold{All: h.All || r.All, Shards: maps.Clone(h.Shards), Version: r.TableVersion}
+	sum := route.Hold{All: h.All || r.All, Token: r.Token, Shards: maps.Clone(h.Shards), Term: table.Term{Epoch: r.Epoch, Freed: r.Freed}}
 	if sum.Shards == nil {
-		sum.Shards = map[uint32]bool{}
+		sum.Shards = map[uint32]uint64{}
 	}
 	for _, s := range r.Shards {
-		sum.Shards[s] = true
+		sum.Shards[s.Shard] = s.Epoch
 	}
 	return sum
 }
 
-func sameHold(a, b route.Hold) bool {
-	return a.All == b.All && a.Version == b.Version && maps.Equal(a.Shards, b.Shards)
+func releaseOf(server string, h route.Hold) *wire.Release {
+	r := &wire.Release{Server: server, All: h.All, Token: h.Token, Epoch: h.Term.Epoch, Freed: h.Term.Freed}
+	for _, s := range slices.Sorted(maps.Keys(h.Shards)) {
+		r.Shards = append(r.Shards, &wire.Shard{Shard: s, Epoch: h.Shards[s]})
+	}
+	return r
 }
 
-// dropHolds lets traffic go on where a later table still names this daemon. A
-// release is bound to one version of the table: once a later one is in force,
-// no write that builds on the release can succeed.
-func (u *update) dropHolds() {
-	for server, h := range u.holds {
-		if h.Version < u.version(u.tableObject()) {
-			delete(u.holds, server)
-			delete(u.quiet, server)
-		}
-	}
+func sameHold(a, b route.Hold) bool {
+	return a.All == b.All && a.Token == b.Token && a.Term == b.Term && maps.Equal(a.Shards, b.Shards)
 }
 
 // quieted notes that what a hold asked for has stopped, and tells the leader
@@ -246,14 +287,19 @@
 	if !ok || h.Number != msg.Number {
 		return
 	}
-	u.quiet[msg.Server] = &wire.Release{Server: msg.Server, All: msg.All, Shards: msg.Shards, TableVersion: h.Version}
-	u.beat.next = u.now
+	u.quiet[msg.Server] = releaseOf(msg.Server, h)
 	if u.lead != nil {
 		u.lead.Heard(u.now, u.makeBeat())
 		u.decide()
 		return
 	}
-	if l := u.table().Leader; l.Address != "" {
+	u.beatNow()
+}
+
+// beatNow sends a heartbeat without waiting for its turn.
+func (u *update) beatNow() {
+	u.beat.next = u.now
+	if l := u.table().Leader; u.lead == nil && l.Address != "" && l.Address != u.self.Address {
 		u.sendBeat(l)
 	}
 }
--- a/core/process/daemon/lead.go
+++ b/core/process/daemon/lead.go
@@ -26,6 +26,7 @@
 	})
 	u.decision = d
 	u.hold(d.Wanted[u.self.Address])
+	u.nudge(d.Wanted)
 	if u.platform.failing && u.now.Before(u.platform.next) {
 		return
 	}
@@ -46,6 +47,25 @@
 	}
 }
 
+// nudge asks the daemons of which something new is wanted for a heartbeat now.
+// At the next regular one, each step of a move would cost a quarter second.
+func (u *update) nudge(wanted map[string][]*wire.Release) {
+	for _, to := range slices.Sorted(maps.Keys(wanted)) {
+		n := 0
+		for _, r := range wanted[to] {
+			n += len(r.Shards)
+			if r.All {
+				n++
+			}
+		}
+		if to != u.self.Address && n > u.nudged[to] {
+			u.do(SyncCmd{To: to, Sync: &wire.Sync{From: u.self.Address, Versions: u.Versions(), Nudge: true}})
+		}
+		u.nudged[to] = n
+	}
+	maps.DeleteFunc(u.nudged, func(to string, _ int) bool { return wanted[to] == nil })
+}
+
 // free tells whether nothing is under way for an object.
 func (u *update) free(name string) bool {
 	_, writing := u.writing[name]
--- a/core/process/daemon/messages.go
+++ b/core/process/daemon/messages.go
@@ -101,8 +101,6 @@
 // nothing it sent for what is held can run any more.
 type QuietMsg struct {
 	Server string
-	All    bool
-	Shards []uint32
 	// Number is that of the hold.
 	Number uint64
 }
--- a/core/process/daemon/model.go
+++ b/core/process/daemon/model.go
@@ -49,6 +49,7 @@
 	reports    []*wire.ServerReport
 	leaving    time.Time
 	probed     map[table.Daemon]time.Time
+	nudged     map[string]int // how much was wanted of a daemon when it was last asked
 	left       bool
 }
 
@@ -83,6 +84,7 @@
 		holds:      map[string]route.Hold{},
 		quiet:      map[string]*wire.Release{},
 		probed:     map[table.Daemon]time.Time{},
+		nudged:     map[string]int{},
 		platform:   contact{reading: map[string]bool{}},
 	}
 	for _, o := range opts {
--- a/core/process/daemon/update.go
+++ b/core/process/daemon/update.go
@@ -47,6 +47,9 @@
 	case SyncMsg:
 		u.met(msg.Sync.From)
 		u.absorb(msg.Sync.Objects)
+		if msg.Sync.Nudge {
+			u.beatNow()
+		}
 		u.do(SyncReplyCmd{Call: msg.Call, Sync: &wire.Sync{
 			From: m.self.Address, Versions: m.Versions(), Objects: u.newerThan(msg.Sync.Versions),
 		}})
--- a/core/process/leader/plan.go
+++ b/core/process/leader/plan.go
@@ -25,13 +25,14 @@
 	d := Decision{Homes: p.newHomes(), Wanted: map[string][]*wire.Release{}, Probe: p.probe}
 	for daemon, byServer := range p.wanted {
 		for _, r := range byServer {
-			r.TableVersion = p.TableVersion
+			r.Epoch, r.Freed = p.Table.Epoch, p.Table.Freed
 			d.Wanted[daemon] = append(d.Wanted[daemon], r)
 		}
 	}
 	if !p.changed && p.unusedRelease() {
-		// Nothing is to be done with what was released after all. A new version
-		// of the table, though the same, lets the dispatchers go on.
+		// Nothing is to be done with what was released after all. A new term of
+		// the table lets the dispatchers go on.
+		p.t.Freed++
 		p.changed = true
 		p.freed = p.now
 	}
@@ -50,7 +51,7 @@
 	}
 	for _, peer := range p.peers {
 		for _, r := range peer.released {
-			if r.TableVersion == p.TableVersion && p.working(p.now, peer.daemon) {
+			if p.stands(peer.daemon, r) && p.working(p.now, peer.daemon) {
 				return true
 			}
 		}
@@ -285,10 +286,24 @@
 	return true
 }
 
+// stands tells whether a release is of the table's term and of something that
+// is still as it was released.
+func (p *plan) stands(d table.Daemon, r *wire.Release) bool {
+	have := p.Table.Dispatches[r.Server]
+	if have.Daemon != d || p.Table.Term() != (table.Term{Epoch: r.Epoch, Freed: r.Freed}) {
+		return false
+	}
+	service := p.Table.ServiceOf(r.Server)
+	return r.All && r.Token == have.Token || slices.ContainsFunc(r.Shards, func(s *wire.Shard) bool {
+		epoch, ok := p.Table.OwnerEpoch(service, s.Shard, r.Server)
+		return ok && epoch == s.Epoch
+	})
+}
+
 // released tells whether the dispatcher of a server has stopped: altogether
-// when s is nil, else for that shard. Only a release at the very version that
-// the coming write is conditional on counts; a dispatcher that has seen a
-// later version may have begun to send again.
+// when s is nil, else for that shard. Only a release of the term that the
+// coming write is conditional on counts; a dispatcher that has seen another
+// term may have begun to send again.
 func (p *plan) released(address string, s *uint32) bool {
 	d := p.Table.Dispatches[address]
 	peer, ok := p.peers[d.Daemon.Address]
@@ -296,16 +311,24 @@
 		return false
 	}
 	for _, r := range peer.released {
-		if r.Server != address || r.TableVersion != p.TableVersion {
+		if r.Server != address || p.Table.Term() != (table.Term{Epoch: r.Epoch, Freed: r.Freed}) {
 			continue
 		}
-		if r.All || s != nil && slices.Contains(r.Shards, *s) {
+		if r.All && r.Token == d.Token {
+			return true
+		}
+		if s != nil && p.holdsBack(r, *s) {
 			return true
 		}
 	}
 	return false
 }
 
+func (p *plan) holdsBack(r *wire.Release, s uint32) bool {
+	epoch, ok := p.Table.OwnerEpoch(p.Table.ServiceOf(r.Server), s, r.Server)
+	return ok && slices.ContainsFunc(r.Shards, func(v *wire.Shard) bool { return v.Shard == s && v.Epoch == epoch })
+}
+
 func (p *plan) release(address string, d table.Daemon) *wire.Release {
 	byServer := p.wanted[d.Address]
 	if byServer == nil {
@@ -318,11 +341,18 @@
 	return byServer[address]
 }
 
-func (p *plan) wantAll(address string, d table.Daemon) { p.release(address, d).All = true }
+func (p *plan) wantAll(address string, d table.Daemon) {
+	r := p.release(address, d)
+	r.All, r.Token = true, p.Table.Dispatches[address].Token
+}
 
 func (p *plan) wantShard(address string, s uint32) {
-	r := p.release(address, p.Table.Dispatches[address].Daemon)
-	r.Shards = append(r.Shards, s)
+	d := p.Table.Dispatches[address]
+	r := p.release(address, d.Daemon)
+	r.Token = d.Token
+	if epoch, ok := p.Table.OwnerEpoch(p.Table.ServiceOf(address), s, address); ok {
+		r.Shards = append(r.Shards, &wire.Shard{Shard: s, Epoch: epoch})
+	}
 }
 
 // mayMove tells whether a shard may leave its owner now, and asks for the
--- a/core/version/route/route.go
+++ b/core/version/route/route.go
@@ -33,11 +33,13 @@
 
 // Hold is a release that a dispatcher was asked for.
 type Hold struct {
-	// All stops the server altogether, else only Shards.
+	// All stops the server altogether under Token, else only Shards, which
+	// are held at their epochs.
 	All    bool
-	Shards map[uint32]bool
-	// Version is the table version that the release is bound to.
-	Version uint64
+	Token  uint64
+	Shards map[uint32]uint64
+	// Term is the table's term that the release is bound to.
+	Term table.Term
 	// Number is new with each change of the hold; the word that it is fulfilled
 	// must carry it, since an order may have gone out between two holds.
 	Number uint64
@@ -120,7 +122,7 @@
 		return r.fail("send", Held, "%s is being handed over", server)
 	case !owned:
 		return nil
-	case hold.Shards[s]:
+	case hold.holds(s):
 		return r.fail("send", Held, "shard %d of %s is being moved", s, service)
 	}
 	if owner, ok := t.Owner(service, s); !ok || owner != server || r.Homes.Home(service, s) != r.DataCentre {
@@ -129,6 +131,11 @@
 	return nil
 }
 
+func (h Hold) holds(s uint32) bool {
+	_, ok := h.Shards[s]
+	return ok
+}
+
 func (r *Route) target(dataCentre, server string, t table.Table) Target {
 	d := t.Dispatches[server]
 	return Target{Server: server, Dispatcher: d.Daemon, DataCentre: dataCentre, Local: d.Daemon == r.Self, Token: d.Token}
--- a/core/version/table/table.go
+++ b/core/version/table/table.go
@@ -18,6 +18,9 @@
 	DataCentre string `json:"dataCentre"`
 	// Epoch counts the leaders of the data centre.
 	Epoch uint64 `json:"epoch"`
+	// Freed counts how often releases that were not needed were given back.
+	// Epoch and Freed are the term that releases are bound to.
+	Freed uint64 `json:"freed"`
 	// Leader is the daemon that may write this table.
 	Leader Daemon `json:"leader"`
 	// Daemons are the known daemons of the data centre.
@@ -148,6 +151,33 @@
 	return r.Ledgers[r.Source[s]], r.Was[s]
 }
 
+// Term is what a release is bound to. It never comes back once it has changed,
+// and every write is conditional on a version, so that a dispatcher which has
+// seen another term knows that no write can build on what it released.
+type Term struct{ Epoch, Freed uint64 }
+
+// Term returns the table's term.
+func (t Table) Term() Term { return Term{t.Epoch, t.Freed} }
+
+// ServiceOf returns the service of a server that has or had shards here, also
+// when the site no longer names it.
+func (t Table) ServiceOf(server string) string {
+	for _, name := range slices.Sorted(maps.Keys(t.Rows)) {
+		if slices.Contains(t.Rows[name].Servers, server) {
+			return name
+		}
+	}
+	return ""
+}
+
+// OwnerEpoch returns the epoch of a shard if a server owns it.
+func (t Table) OwnerEpoch(service string, s uint32, server string) (epoch uint64, ok bool) {
+	if owner, have := t.Owner(service, s); !have || owner != server {
+		return 0, false
+	}
+	return t.Rows[service].Epoch[s], true
+}
+
 // Knows tells whether the table lists a daemon.
 func (t Table) Knows(d Daemon) bool { return slices.Contains(t.Daemons, d) }
 
--- a/io/process/node/desk.go
+++ b/io/process/node/desk.go
@@ -95,7 +95,7 @@
 			})
 		case queue.QuietCmd:
 			d.node.do(func(context.Context) {
-				d.node.tell(daemon.QuietMsg{Server: c.Server, All: c.All, Shards: c.Shards, Number: c.Number})
+				d.node.tell(daemon.QuietMsg(c))
 			})
 		case queue.LostCmd:
 			d.node.do(func(ctx context.Context) { d.node.share(ctx, c) })
