Slowed servers give up most of their shards; balance ignores noise; ids are taken back

Cause of the keyed tail under slowed servers: a tenth of the shards' orders kept waiting for a server ten times slower (three slots, 30/s, 40/s asked). Changes of a book are numbered, so that a late forgetting cannot remove a later try.

--- a/core/connection/queue/messages.go
+++ b/core/connection/queue/messages.go
@@ -60,7 +60,9 @@
 	// Clock is the server's own monotonic clock when it answered.
 	Clock time.Duration
 	// Others is how many orders of older tokens still run there.
-	Others  int
+	Others int
+	// Running is how many orders run there in all.
+	Running int
 	Leaving bool
 }
 
@@ -129,11 +131,13 @@
 	Shards []*wire.Shard
 }
 
-// QuietCmd tells that a hold is fulfilled.
+// QuietCmd tells what part of a hold is fulfilled.
 type QuietCmd struct {
 	Server string
 	// Number is that of the hold.
 	Number uint64
+	All    bool
+	Shards []uint32
 }
 
 // LostCmd tells that the server was lost while a request ran on it.
--- a/core/connection/queue/order.go
+++ b/core/connection/queue/order.go
@@ -104,7 +104,7 @@
 // order written first would, if this daemon died, be run again by the next one.
 func (q *Queue) log(now time.Time, it *item) {
 	o := it.order
-	q.book.Begin(now, o.Shard, o.Id)
+	begun := q.book.Begin(now, o.Shard, o.Id)
 	it.logged = true
 	if q.backup == (table.Daemon{}) || q.copied[o.Shard] == copyNone {
 		return // it goes with the rest of its shard
@@ -112,7 +112,7 @@
 	it.copying = true
 	id := q.id()
 	q.copies[id] = &copying{item: it}
-	q.do(CopyCmd{ID: id, To: q.backup, Token: q.token, Entries: []*wire.LedgerEntry{{Shard: o.Shard, Id: o.Id}}})
+	q.do(CopyCmd{ID: id, To: q.backup, Token: q.token, Entries: []*wire.LedgerEntry{begun}})
 }
 
 // full bounds the queue, and the part of it that one shard may take, so that a
@@ -144,7 +144,7 @@
 	}
 	kept := q.waiting[:0]
 	for i, it := range q.waiting {
-		if len(q.running) >= q.limit.Allowed() {
+		if len(q.running)+q.server.ghosts >= q.limit.Allowed() {
 			kept = append(kept, q.waiting[i:]...)
 			break
 		}
@@ -205,19 +205,18 @@
 	msg.Answer.DataCentre = q.route.DataCentre
 	msg.Answer.Waiting = uint32(len(q.waiting) + len(q.running))
 	if it.logged {
-		q.book.Finish(now, it.order.Shard, it.order.Id, msg.Answer)
-		q.copyAnswer(it, msg.Answer)
+		q.copyAnswer(it, q.book.Finish(now, it.order.Shard, it.order.Id, msg.Answer))
 	}
 	q.resolve(it, msg.Answer)
 }
 
 // copyAnswer lets the backup answer a try that comes after this daemon's loss.
 // Nothing waits for it: without it, the backup knows that the id was begun.
-func (q *Queue) copyAnswer(it *item, a *wire.Answer) {
+func (q *Queue) copyAnswer(it *item, finished *wire.LedgerEntry) {
 	if q.backup == (table.Daemon{}) || q.copied[it.order.Shard] == copyNone {
 		return
 	}
-	q.do(CopyCmd{ID: q.id(), To: q.backup, Token: q.token, Entries: []*wire.LedgerEntry{{Shard: it.order.Shard, Id: it.order.Id, Answer: a}}})
+	q.do(CopyCmd{ID: q.id(), To: q.backup, Token: q.token, Entries: []*wire.LedgerEntry{finished}})
 }
 
 func (q *Queue) notRun(now time.Time, msg NotRunMsg) {
@@ -239,7 +238,7 @@
 
 // unsure keeps the shard settling until the order is surely over: by then the
 // server has refused it, or ended it at its deadline.
-func (q *Queue) unsure(msg UnsureMsg) {
+func (q *Queue) unsure(now time.Time, msg UnsureMsg) {
 	it, ok := q.running[msg.Seq]
 	if !ok {
 		return
@@ -250,6 +249,7 @@
 		q.server.dead = q.server.dead[n-64:]
 	}
 	if q.server.state != wire.ServerState_SERVER_STATE_GONE {
+		q.server.ghosts++
 		if it.notAfter.After(q.idle) {
 			q.idle = it.notAfter
 		}
@@ -258,6 +258,7 @@
 		}
 	}
 	q.server.probed = time.Time{} // find out at once whether it still lives
+	q.probe(now)
 	q.resolve(it, q.answer(wire.Outcome_OUTCOME_UNKNOWN, msg.Code, msg.Text))
 }
 
@@ -279,11 +280,18 @@
 	}
 }
 
-// drop forgets an id whose order was not written.
+// drop forgets an id whose order was not run, here and at the backup: else the
+// next dispatcher would find it begun, and tell the caller's next try that
+// nobody knows.
 func (q *Queue) drop(it *item) {
-	if it.logged {
-		q.book.Forget(it.order.Shard, it.order.Id)
-		it.logged = false
+	if !it.logged {
+		return
+	}
+	it.logged = false
+	o := it.order
+	forgotten := q.book.Forget(o.Shard, o.Id)
+	if q.backup != (table.Daemon{}) && q.copied[o.Shard] != copyNone {
+		q.do(CopyCmd{ID: q.id(), To: q.backup, Token: q.token, Entries: []*wire.LedgerEntry{forgotten}})
 	}
 }
 
--- a/core/connection/queue/queue.go
+++ b/core/connection/queue/queue.go
@@ -15,6 +15,8 @@
 const (
 	// probeEvery is how often the server is offered the token again.
 	probeEvery = 150 * time.Millisecond
+	// ghostEvery is how often it is asked for orders that may have ended.
+	ghostEvery = 10 * time.Millisecond
 	// silentAfter is the silence after which the server gets nothing new.
 	silentAfter = 500 * time.Millisecond
 	// clockMargin covers the difference of two clocks' rates over an order.
@@ -73,7 +75,7 @@
 	old    []archive
 	epochs map[uint32]uint64 // of the shards in the book
 
-	quiet  uint64 // the number of the last hold that was fulfilled
+	quiet  quieted
 	counts map[uint32]uint32
 	cmds   []Cmd
 }
@@ -91,6 +93,9 @@
 	// fenced is when orders of earlier dispatchers are surely over; zero while
 	// the server has not taken our token.
 	fenced time.Time
+	// ghosts are orders whose wait has ended without an answer, and which may
+	// still take up slots.
+	ghosts int
 	dead   []uint64 // fingerprints that ran when contact was lost
 }
 
@@ -130,6 +135,13 @@
 	copyDone
 )
 
+// quieted is the part of a hold that is told to be fulfilled.
+type quieted struct {
+	number uint64
+	all    bool
+	shards int
+}
+
 type pull struct {
 	from   shard.Ledger
 	shards []*wire.Shard // with their epochs there
@@ -170,7 +182,7 @@
 	case NotRunMsg:
 		q.notRun(now, msg)
 	case UnsureMsg:
-		q.unsure(msg)
+		q.unsure(now, msg)
 	case GrantedMsg:
 		q.grantTaken(now, msg)
 	case GrantRefusedMsg:
@@ -191,8 +203,8 @@
 
 // Report is what the leader wants to know of the server. The loads counted so
 // far are handed over with it.
-func (q *Queue) Report() *wire.ServerReport {
-	r := &wire.ServerReport{Server: q.address, State: q.server.state, Limit: q.limit.Share()}
+func (q *Queue) Report(now time.Time) *wire.ServerReport {
+	r := &wire.ServerReport{Server: q.address, State: q.server.state, Limit: q.limit.Share(), LatencyMicros: q.latency(now).Microseconds()}
 	for s, n := range q.counts {
 		r.Loads = append(r.Loads, &wire.ShardLoad{Shard: s, Orders: n})
 	}
@@ -200,6 +212,22 @@
 	return r
 }
 
+// latency is the usual time of an answer. When all that the server bears has
+// been running for longer, that counts: a server that has just become slow
+// answers nothing from which its estimate could learn.
+func (q *Queue) latency(now time.Time) time.Duration {
+	if len(q.running) < q.limit.Allowed() {
+		return q.limit.Latency()
+	}
+	youngest := time.Duration(0)
+	for _, it := range q.running {
+		if age := now.Sub(it.sent); youngest == 0 || age < youngest {
+			youngest = age
+		}
+	}
+	return max(q.limit.Latency(), youngest)
+}
+
 // Waiting returns how many orders wait, a hint of the load for entries.
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
--- a/core/connection/queue/server.go
+++ b/core/connection/queue/server.go
@@ -99,7 +99,11 @@
 
 func (q *Queue) probe(now time.Time) {
 	s := &q.server
-	if s.probing || now.Sub(s.probed) < probeEvery || !q.mine() {
+	every := probeEvery
+	if s.ghosts > 0 {
+		every = ghostEvery
+	}
+	if s.probing || now.Sub(s.probed) < every || !q.mine() {
 		return
 	}
 	s.probing, s.probed = true, now
@@ -119,6 +123,7 @@
 	}
 	s.incarnation = msg.Incarnation
 	s.clock, s.clockAt = msg.Clock, now
+	s.ghosts = min(s.ghosts, max(0, msg.Running-len(q.running)))
 	if msg.Token >= s.granted {
 		s.granted = msg.Token
 	}
@@ -145,6 +150,7 @@
 	q.blame()
 	s.granted = 0
 	s.fenced = now
+	s.ghosts = 0
 	clear(q.settling)
 	q.idle = time.Time{}
 	q.limit = q.limit.WithRestart(now)
@@ -189,36 +195,41 @@
 	s.state = wire.ServerState_SERVER_STATE_GONE
 	s.granted = 0
 	s.fenced = now
+	s.ghosts = 0
 	clear(q.settling)
 	q.idle = time.Time{}
 	q.refuseWaiting(func(*item) bool { return true }, retry.ServerDown, "the backend server refuses connections")
 }
 
-// quieten tells when what a hold asks for has stopped.
+// quieten tells what part of a hold has stopped, as soon as there is more of it:
+// a shard need not wait for the long order of another.
 func (q *Queue) quieten(now time.Time) {
 	h, ok := q.route.Holds[q.address]
 	if !ok || !q.mine() {
 		return
 	}
-	if h.Number == q.quiet {
-		return
-	}
 	s := &q.server
 	if s.fenced.IsZero() || now.Before(s.fenced) {
 		return // an earlier dispatcher's orders may still run
 	}
-	if h.All && (!q.Idle(now) || !q.allKnown()) {
-		return
+	if h.Number != q.quiet.number {
+		q.quiet = quieted{number: h.Number}
 	}
+	all := h.All && q.Idle(now) && q.allKnown()
+	var shards []uint32
 	for n := range h.Shards {
 		// Ids that are still being fetched would be missing from what the next
 		// dispatcher gets from here, and it could not know.
-		if q.busy(now, n) || !q.book.Known(n) {
-			return
+		if !q.busy(now, n) && q.book.Known(n) {
+			shards = append(shards, n)
 		}
 	}
-	q.quiet = h.Number
-	q.do(QuietCmd{Server: q.address, Number: h.Number})
+	if all == q.quiet.all && len(shards) == q.quiet.shards {
+		return
+	}
+	q.quiet.all, q.quiet.shards = all, len(shards)
+	slices.Sort(shards)
+	q.do(QuietCmd{Server: q.address, Number: h.Number, All: all, Shards: shards})
 }
 
 // busy tells whether an order for a shard runs, or may still run.
@@ -304,9 +315,10 @@
 // server has taken our token: an earlier dispatcher can send nothing more
 // then, so that no id begins after we have asked.
 func (q *Queue) fetch(now time.Time) {
-	if q.server.granted != q.token || !q.mine() || now.Sub(q.pullAt) < pullEvery {
+	if q.server.granted != q.token || !q.mine() {
 		return
 	}
+	again := now.Sub(q.pullAt) >= pullEvery
 	asked := map[uint32]bool{}
 	for _, p := range q.pulls {
 		for _, s := range p.shards {
@@ -329,6 +341,8 @@
 		}
 		if q.pullEnd[n].IsZero() {
 			q.pullEnd[n] = now.Add(pullFor)
+		} else if !again {
+			continue
 		}
 		at := -1
 		for i := range order {
--- a/core/process/daemon/follow.go
+++ b/core/process/daemon/follow.go
@@ -287,7 +287,13 @@
 	if !ok || h.Number != msg.Number {
 		return
 	}
-	u.quiet[msg.Server] = releaseOf(msg.Server, h)
+	part := route.Hold{All: h.All && msg.All, Token: h.Token, Shards: map[uint32]uint64{}, Term: h.Term}
+	for _, s := range msg.Shards {
+		if epoch, ok := h.Shards[s]; ok {
+			part.Shards[s] = epoch
+		}
+	}
+	u.quiet[msg.Server] = releaseOf(msg.Server, part)
 	if u.lead != nil {
 		u.lead.Heard(u.now, u.makeBeat())
 		u.decide()
@@ -307,11 +313,27 @@
 func (u *update) clearLoads() {
 	reports := make([]*wire.ServerReport, len(u.reports))
 	for i, r := range u.reports {
-		reports[i] = &wire.ServerReport{Server: r.Server, State: r.State, Limit: r.Limit}
+		reports[i] = &wire.ServerReport{Server: r.Server, State: r.State, Limit: r.Limit, LatencyMicros: r.LatencyMicros}
 	}
 	u.reports = reports
 }
 
+// changedState tells whether a server's state has changed, or its answers take
+// twice the time: news that the leader should not wait for.
+func changedState(have, next []*wire.ServerReport) bool {
+	was := map[string]*wire.ServerReport{}
+	for _, r := range have {
+		was[r.Server] = r
+	}
+	for _, r := range next {
+		old := was[r.Server]
+		if old != nil && (old.State != r.State || r.LatencyMicros > 2*old.LatencyMicros && old.LatencyMicros > 0) {
+			return true
+		}
+	}
+	return false
+}
+
 // mergeReports keeps loads that no heartbeat has carried yet.
 func mergeReports(have, next []*wire.ServerReport) []*wire.ServerReport {
 	waiting := map[string][]*wire.ShardLoad{}
@@ -320,7 +342,7 @@
 	}
 	out := make([]*wire.ServerReport, len(next))
 	for i, r := range next {
-		out[i] = &wire.ServerReport{Server: r.Server, State: r.State, Limit: r.Limit, Loads: append(waiting[r.Server], r.Loads...)}
+		out[i] = &wire.ServerReport{Server: r.Server, State: r.State, Limit: r.Limit, LatencyMicros: r.LatencyMicros, Loads: append(waiting[r.Server], r.Loads...)}
 	}
 	return out
 }
--- a/core/process/daemon/messages.go
+++ b/core/process/daemon/messages.go
@@ -97,12 +97,15 @@
 // Send it about every 100 ms, and at each change of state.
 type ServersMsg struct{ Reports []*wire.ServerReport }
 
-// QuietMsg tells that a dispatcher has stopped as a hold of the route asked:
-// nothing it sent for what is held can run any more.
+// QuietMsg tells what part of a hold a dispatcher has fulfilled by now: nothing
+// that it sent for that part can run any more.
 type QuietMsg struct {
 	Server string
 	// Number is that of the hold.
 	Number uint64
+	// All is the whole server, if the hold asks for it.
+	All    bool
+	Shards []uint32
 }
 
 // ReadCmd reads a platform object; a ReadMsg answers.
--- a/core/process/daemon/update.go
+++ b/core/process/daemon/update.go
@@ -56,7 +56,11 @@
 	case SyncReplyMsg:
 		u.synced(msg)
 	case ServersMsg:
+		urgent := changedState(m.reports, msg.Reports)
 		m.reports = mergeReports(m.reports, msg.Reports)
+		if urgent {
+			u.beatNow()
+		}
 		if m.lead != nil {
 			m.lead.Count(m.site, u.makeBeat())
 			u.clearLoads()
@@ -193,6 +197,7 @@
 	if led || u.lead != nil {
 		u.spread(news)
 	}
+	u.decide()
 }
 
 // parse reads an object's value; one that cannot be read is not taken in.
--- a/core/process/leader/leader.go
+++ b/core/process/leader/leader.go
@@ -61,6 +61,10 @@
 	okSince time.Time // zero while not ok
 	lastOK  time.Time
 	ramping bool
+	// slow is the part of its share that a slowed server keeps; 0 means all.
+	slow      float64
+	slowSince time.Time // since when it answers slowly
+	fastSince time.Time // since when a slowed one answers as before
 }
 
 // wish is the plan for one service's shards, kept until its inputs change.
@@ -149,6 +153,7 @@
 	p := &plan{Leader: l, View: v, now: now, t: v.Table.Clone(), wanted: map[string]map[string]*wire.Release{}}
 	p.homesWanted()
 	p.observe()
+	p.slowed()
 	p.daemons()
 	p.dispatches()
 	p.shards()
--- a/core/process/leader/owner.go
+++ b/core/process/leader/owner.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -9,6 +10,13 @@
 	"catkinstep/core/version/site"
 )
 
+const (
+	// leastSlack is the share above the mean that is not worth a move.
+	leastSlack = 0.05
+	// loadMemory is about how long the smoothed loads reach back.
+	loadMemory = 10 * time.Second
+)
+
 // shards moves the ownership of shards towards what is wanted.
 func (p *plan) shards() {
 	if p.HomesVersion < p.t.HomesSeen {
@@ -126,12 +134,12 @@
 	if !due && slices.Equal(weights, w.weights) && slices.Equal(mine, w.mine) {
 		return w.owner
 	}
-	moves := 0
+	moves, slack := 0, 0.0
 	if slices.Equal(weights, w.weights) && slices.Equal(mine, w.mine) {
-		moves = p.balanceMoves
+		moves, slack = p.balanceMoves, w.noise(weights)
 	}
 	w.weights, w.mine = weights, mine
-	w.owner = w.spread(r.Owner, weights, mine, moves)
+	w.owner = w.spread(r.Owner, weights, mine, moves, slack)
 	return w.owner
 }
 
@@ -166,6 +174,9 @@
 		if h.ramping {
 			out[i] = max(0.25, min(1, float64(int(r.Limit*4))/4))
 		}
+		if h.slow > 0 {
+			out[i] = min(out[i], h.slow)
+		}
 	}
 	return out
 }
@@ -194,9 +205,27 @@
 	}
 }
 
+// noise is how far a server's load may be off by chance alone, as a share of it.
+// Evening that out would move shards to and fro for nothing.
+func (w *wish) noise(weights []float64) float64 {
+	servers, orders := 0, 0.0
+	for _, v := range weights {
+		if v > 0 {
+			servers++
+		}
+	}
+	for _, n := range w.loads {
+		orders += n * loadMemory.Seconds()
+	}
+	if servers == 0 || orders == 0 {
+		return 1
+	}
+	return 2 / math.Sqrt(orders/float64(servers))
+}
+
 // spread plans the shards at home only. Sizes blend the counted load with an
 // even part, so that idle shards are spread too and noise moves nothing.
-func (w *wish) spread(owner []int, weights []float64, mine []bool, moves int) []int {
+func (w *wish) spread(owner []int, weights []float64, mine []bool, moves int, slack float64) []int {
 	total := 0.0
 	var at []int
 	for s := range owner {
@@ -213,7 +242,7 @@
 			sizes[i] = 0.1 + 0.9*w.loads[s]*float64(len(at))/total
 		}
 	}
-	spread := shard.Spreader{Sizes: sizes, Slack: 0.05, MaxMoves: moves}.Spread(have, weights)
+	spread := shard.Spreader{Sizes: sizes, Slack: max(leastSlack, slack), MaxMoves: moves}.Spread(have, weights)
 	want := slices.Clone(owner)
 	for i, s := range at {
 		want[s] = spread[i]
--- a/core/proof/host_test.go
+++ b/core/proof/host_test.go
@@ -88,7 +88,7 @@
 		var reports []*wire.ServerReport
 		for _, name := range h.names {
 			if _, ok := mine[name]; ok {
-				reports = append(reports, h.queues[name].Report())
+				reports = append(reports, h.queues[name].Report(h.w.now))
 			}
 		}
 		h.tell(daemon.ServersMsg{Reports: reports})
--- a/core/proof/server_test.go
+++ b/core/proof/server_test.go
@@ -72,7 +72,7 @@
 			others++
 		}
 	}
-	return queue.GrantedMsg{Token: token, Incarnation: s.incarnation, Clock: s.clock(), Others: others}
+	return queue.GrantedMsg{Token: token, Incarnation: s.incarnation, Clock: s.clock(), Others: others, Running: len(s.running)}
 }
 
 // order runs an order and answers in the end.
--- a/core/proof/world_test.go
+++ b/core/proof/world_test.go
@@ -222,7 +222,7 @@
 		h := w.daemons[a]
 		w.note("%s/%d leads %v, versions %v", a, h.self.Incarnation, h.model.Leading(), h.model.Versions())
 		for _, name := range h.names {
-			w.note("  %s: %v token %d holds %v", name, h.queues[name].Report(), h.queues[name].Token(), h.route.Holds[name])
+			w.note("  %s: %v token %d holds %v", name, h.queues[name].Report(w.now), h.queues[name].Token(), h.route.Holds[name])
 		}
 	}
 }
--- a/core/request/ledger/ledger.go
+++ b/core/request/ledger/ledger.go
@@ -40,6 +40,7 @@
 	keep    time.Duration
 	entries map[key]*entry
 	oldest  []dated
+	number  uint64            // of the last change
 	covered map[uint32]uint64 // the epoch of each covered shard
 	lost    map[uint32]lostShard
 }
@@ -52,6 +53,7 @@
 type entry struct {
 	answer *wire.Answer
 	at     time.Time
+	number uint64
 }
 
 // lostShard is a shard whose earlier ids are gone, until they would be too old
@@ -92,17 +94,26 @@
 	return Found{State: Unseen}
 }
 
-// Begin notes an id before its order may be written.
-func (b *Book) Begin(now time.Time, shard uint32, id string) { b.set(now, shard, id, nil) }
+// Begin notes an id before its order may be written. Like Finish and Forget, it
+// returns what the backup must be told.
+func (b *Book) Begin(now time.Time, shard uint32, id string) *wire.LedgerEntry {
+	return b.Finish(now, shard, id, nil)
+}
 
 // Finish keeps the answer of an id.
-func (b *Book) Finish(now time.Time, shard uint32, id string, a *wire.Answer) {
-	b.set(now, shard, id, a)
+func (b *Book) Finish(now time.Time, shard uint32, id string, a *wire.Answer) *wire.LedgerEntry {
+	b.number++
+	b.set(now, shard, id, a, b.number)
+	return &wire.LedgerEntry{Shard: shard, Id: id, Answer: a, Number: b.number}
 }
 
 // Forget removes an id whose order was provably not run, so that the caller's
 // next try may run.
-func (b *Book) Forget(shard uint32, id string) { delete(b.entries, key{shard, id}) }
+func (b *Book) Forget(shard uint32, id string) *wire.LedgerEntry {
+	b.number++
+	delete(b.entries, key{shard, id})
+	return &wire.LedgerEntry{Shard: shard, Id: id, Forget: true, Number: b.number}
+}
 
 // Covered tells whether all earlier ids of a shard are here.
 func (b *Book) Covered(shard uint32) bool {
@@ -185,26 +196,33 @@
 	var out []*wire.LedgerEntry
 	for k, e := range b.entries {
 		if wanted == nil || wanted[k.shard] {
-			out = append(out, &wire.LedgerEntry{Shard: k.shard, Id: k.id, Answer: e.answer, AgeMillis: now.Sub(e.at).Milliseconds()})
+			out = append(out, &wire.LedgerEntry{Shard: k.shard, Id: k.id, Answer: e.answer, AgeMillis: now.Sub(e.at).Milliseconds(), Number: e.number})
 		}
 	}
 	return out
 }
 
-// Take adds ids from another Book. An answer is never replaced by less.
+// Take adds ids from another Book. An answer is never replaced by less, and a
+// change that comes after a later one of the same id is void: a forgetting, held
+// up in the network, must not remove the id's next try.
 func (b *Book) Take(now time.Time, entries []*wire.LedgerEntry) {
 	for _, e := range entries {
+		b.number = max(b.number, e.Number)
 		k := key{e.Shard, e.Id}
-		if have, ok := b.entries[k]; ok && have.answer != nil {
+		if have, ok := b.entries[k]; ok && (have.answer != nil || have.number > e.Number) {
+			continue
+		}
+		if e.Forget {
+			delete(b.entries, k)
 			continue
 		}
-		b.set(now.Add(-time.Duration(e.AgeMillis)*time.Millisecond), e.Shard, e.Id, e.Answer)
+		b.set(now.Add(-time.Duration(e.AgeMillis)*time.Millisecond), e.Shard, e.Id, e.Answer, e.Number)
 	}
 }
 
-func (b *Book) set(at time.Time, shard uint32, id string, a *wire.Answer) {
+func (b *Book) set(at time.Time, shard uint32, id string, a *wire.Answer, number uint64) {
 	k := key{shard, id}
-	b.entries[k] = &entry{answer: a, at: at}
+	b.entries[k] = &entry{answer: a, at: at, number: number}
 	b.oldest = append(b.oldest, dated{k, at})
 }
 
--- a/io/connection/back/back.go
+++ b/io/connection/back/back.go
@@ -48,7 +48,9 @@
 	// ClockMicros is the server's monotonic clock.
 	ClockMicros int64 `json:"clockMicros"`
 	// Others counts orders under older tokens that still run.
-	Others  int  `json:"others"`
+	Others int `json:"others"`
+	// Running counts all orders that still run.
+	Running int  `json:"running"`
 	Leaving bool `json:"leaving"`
 }
 
--- a/io/process/node/desk.go
+++ b/io/process/node/desk.go
@@ -161,6 +161,7 @@
 			code = e.Code
 		}
 		d.node.metrics.Add("orders.unknown", 1)
+		d.node.log.Debug("order: outcome unknown.", "server", d.address, "id", c.Order.Id, "error", err)
 		d.tell(queue.UnsureMsg{Seq: c.Seq, Code: code, Text: err.Error()})
 	}
 }
@@ -170,7 +171,7 @@
 	if err == nil {
 		d.tell(queue.GrantedMsg{
 			Token: c.Token, Incarnation: g.Incarnation, Clock: time.Duration(g.ClockMicros) * time.Microsecond,
-			Others: g.Others, Leaving: g.Leaving,
+			Others: g.Others, Running: g.Running, Leaving: g.Leaving,
 		})
 		return
 	}
@@ -223,7 +224,7 @@
 func (d *desk) report() *wire.ServerReport {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.queue.Report()
+	return d.queue.Report(time.Now())
 }
 
 func (d *desk) idle(now time.Time) bool {
--- a/io/standin/server/serve.go
+++ b/io/standin/server/serve.go
@@ -91,7 +91,7 @@
 		}
 	}
 	writeJSON(w, status, back.GrantReply{
-		Token: s.token, Incarnation: s.incarnation, ClockMicros: s.clock().Microseconds(), Others: others, Leaving: s.leaving,
+		Token: s.token, Incarnation: s.incarnation, ClockMicros: s.clock().Microseconds(), Others: others, Running: len(s.running), Leaving: s.leaving,
 	})
 }
 
