--- a/core/process/daemon/follow.go
+++ b/core/process/daemon/follow.go
@@ -44,6 +44,7 @@
 	u.beat.sent = u.now
 	u.beat.next = u.now.Add(u.beatEvery)
 	u.do(BeatCmd{To: l, Beat: u.makeBeat()})
+	u.urgent = false
 	u.clearLoads()
 }
 
@@ -130,7 +131,7 @@
 func (u *update) makeBeat() *wire.Beat {
 	b := &wire.Beat{
 		From: u.self.Address, Incarnation: u.self.Incarnation, DataCentre: u.dataCentre,
-		Leaving: !u.leaving.IsZero(), Versions: u.Versions(), Servers: u.reports,
+		Leaving: !u.leaving.IsZero(), Urgent: u.urgent, Versions: u.Versions(), Servers: u.reports,
 	}
 	for _, server := range slices.Sorted(maps.Keys(u.quiet)) {
 		b.Released = append(b.Released, u.quiet[server])
@@ -145,7 +146,7 @@
 	if u.lead != nil {
 		u.lead.Heard(u.now, msg.Beat)
 		u.lead.Count(u.site, msg.Beat)
-		if len(msg.Beat.Released) > 0 {
+		if len(msg.Beat.Released) > 0 || msg.Beat.Urgent {
 			u.decide()
 		}
 		reply.Wanted = u.decision.Wanted[msg.Beat.From]
--- a/core/process/daemon/messages.go
+++ b/core/process/daemon/messages.go
@@ -94,7 +94,7 @@
 }
 
 // ServersMsg brings what the dispatchers of this daemon saw of their servers.
-// Send it about every 100 ms, and at each change of state.
+// Send it with each tick.
 type ServersMsg struct{ Reports []*wire.ServerReport }
 
 // QuietMsg tells what part of a hold a dispatcher has fulfilled by now: nothing
--- a/core/process/daemon/model.go
+++ b/core/process/daemon/model.go
@@ -47,6 +47,7 @@
 	quiet      map[string]*wire.Release
 	holdNumber uint64
 	reports    []*wire.ServerReport
+	urgent     bool // the reports hold news that should not wait
 	leaving    time.Time
 	probed     map[table.Daemon]time.Time
 	nudged     map[string]int // how much was wanted of a daemon when it was last asked
--- a/core/process/daemon/update.go
+++ b/core/process/daemon/update.go
@@ -59,6 +59,7 @@
 		urgent := changedState(m.reports, msg.Reports)
 		m.reports = mergeReports(m.reports, msg.Reports)
 		if urgent {
+			m.urgent = true
 			u.beatNow()
 		}
 		if m.lead != nil {
--- a/core/process/leader/leader.go
+++ b/core/process/leader/leader.go
@@ -61,8 +61,8 @@
 	okSince time.Time // zero while not ok
 	lastOK  time.Time
 	ramping bool
-	// slow is the part of its share that a slowed server keeps; 0 means all.
-	slow      float64
+	// slow is set while it answers much more slowly than its fellows.
+	slow      bool
 	slowSince time.Time // since when it answers slowly
 	fastSince time.Time // since when a slowed one answers as before
 }
--- a/core/process/leader/owner.go
+++ b/core/process/leader/owner.go
@@ -174,13 +174,25 @@
 		if h.ramping {
 			out[i] = max(0.25, min(1, float64(int(r.Limit*4))/4))
 		}
-		if h.slow > 0 {
-			out[i] = min(out[i], h.slow)
+		if h.slow {
+			out[i] = min(out[i], p.slowWeight(v.Name))
 		}
 	}
 	return out
 }
 
+// slowWeight is the weight that leaves a server about a shard.
+func (p *plan) slowWeight(service string) float64 {
+	r := p.t.Rows[service]
+	owned := 0
+	for _, o := range r.Owner {
+		if o != shard.None {
+			owned++
+		}
+	}
+	return min(1, leastShards*float64(len(r.Servers))/float64(max(1, owned)))
+}
+
 func (p *plan) lastWeight(service string, i int) float64 {
 	if w := p.want[service]; w != nil && i < len(w.weights) {
 		return w.weights[i]
--- a/core/process/leader/slow.go
+++ b/core/process/leader/slow.go
@@ -17,15 +17,23 @@
 	// fastAfter keeps a server whose neighbours come and go from taking its
 	// shards back for each quiet moment.
 	fastAfter = 4 * time.Second
-	// leastPart is what a slowed server keeps, however slow: without any work
-	// nothing would show that it has recovered.
-	leastPart = 0.1
+	// surelySlow is a ratio that no stumble explains.
+	surelySlow = 6.0
+	// leastShards is about what a slowed server keeps, however slow: without any
+	// work nothing would show that it has recovered.
+	leastShards = 1.2
 )
 
 // slowed notes which servers answer much more slowly than their fellows of the
 // same service. The dispatchers' own measurements say so within a fraction of a
 // second; the servers' reports come late and may say that they are idle.
 func (p *plan) slowed() {
+	if p.Site.Preset().KeepShards {
+		for _, s := range p.servers {
+			s.slow = false
+		}
+		return
+	}
 	byService := map[string][]*wire.ServerReport{}
 	for _, v := range p.myServers() {
 		r := p.report(p.t.Dispatches[v.Address].Daemon, v.Address)
@@ -59,9 +67,9 @@
 		s.fastSince = now
 	}
 	switch {
-	case !s.slowSince.IsZero() && now.Sub(s.slowSince) >= slowAfter && s.slow == 0:
-		s.slow = leastPart
+	case ratio >= surelySlow, !s.slowSince.IsZero() && now.Sub(s.slowSince) >= slowAfter:
+		s.slow = true
 	case !s.fastSince.IsZero() && now.Sub(s.fastSince) >= fastAfter:
-		s.slow = 0
+		s.slow = false
 	}
 }
--- a/core/proof/host_test.go
+++ b/core/proof/host_test.go
@@ -94,7 +94,7 @@
 		h.tell(daemon.ServersMsg{Reports: reports})
 	})
 	if h.alive {
-		h.w.after(100*time.Millisecond, h.report)
+		h.w.after(50*time.Millisecond, h.report)
 	}
 }
 
--- a/core/version/site/site.go
+++ b/core/version/site/site.go
@@ -91,6 +91,8 @@
 	// HedgeShare bounds hedges as a share of lookups; default 0.05, and a
 	// negative share turns hedging off.
 	HedgeShare float64 `yaml:"hedgeShare,omitempty"`
+	// KeepShards leaves slowed servers their shards: fewer moves, longer tails.
+	KeepShards bool `yaml:"keepShards,omitempty"`
 	// Out lists data centres that this preset takes out.
 	Out []string `yaml:"out,omitempty"`
 }
--- a/io/process/node/control.go
+++ b/io/process/node/control.go
@@ -260,7 +260,6 @@
 func (n *Node) tick() error {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
-	reported := time.Now()
 	for {
 		select {
 		case <-n.tomb.Dying():
@@ -271,10 +270,6 @@
 		for _, d := range desks {
 			d.tick()
 		}
-		if time.Since(reported) < reportEvery {
-			continue
-		}
-		reported = time.Now()
 		n.tell(daemon.ServersMsg{Reports: n.reports(desks)})
 	}
 }
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -28,8 +28,7 @@
 )
 
 const (
-	tickEvery   = 50 * time.Millisecond
-	reportEvery = 100 * time.Millisecond
+	tickEvery = 50 * time.Millisecond
 	// crashBound is how many servers a request may bring down before it is
 	// refused, and crashKeep how long that is remembered.
 	crashBound = 2
