Example that drives the core from outside; a lost leader's servers move at once

The example showed 450 ms from a new leader to a new dispatcher: the old leader's process was known to have ended, and yet suspected anew.

--- a/cmd/catkinstep/bench.go
+++ b/cmd/catkinstep/bench.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"catkinstep/io/standin/bench"
-	"catkinstep/io/standin/rig"
+	"catkinstep/io/standin/stage"
 )
 
 type demoCmd struct {
@@ -23,9 +23,9 @@
 
 // Run plays a short story over a whole site in one process.
 func (d *demoCmd) Run(ctx context.Context, c *commands) error {
-	plan := rig.Lakeshore()
+	plan := stage.Lakeshore()
 	if d.Site == "graniteHearth" {
-		plan = rig.GraniteHearth()
+		plan = stage.GraniteHearth()
 	}
 	opts := []bench.Option{bench.WithPlan(plan), bench.WithFor(d.For), bench.WithSeed(d.Seed), bench.WithRate(d.Rate), bench.WithProgress(os.Stdout)}
 	if c.LogLevel == "debug" {
@@ -52,7 +52,7 @@
 func (b *benchCmd) Run(ctx context.Context, c *commands) error {
 	opts := []bench.Option{bench.WithFor(b.For), bench.WithSeed(b.Seed), bench.WithRate(b.Rate), bench.WithProgress(os.Stderr)}
 	if b.Site == "graniteHearth" {
-		plan := rig.GraniteHearth()
+		plan := stage.GraniteHearth()
 		plan.Work = 10 * time.Millisecond
 		opts = append(opts, bench.WithPlan(plan))
 	}
--- a/core/process/daemon/follow.go
+++ b/core/process/daemon/follow.go
@@ -92,6 +92,10 @@
 	if t.Leader.Address != "" && !u.leaderLost() {
 		return
 	}
+	u.lostLeader = table.Daemon{}
+	if u.beat.refused {
+		u.lostLeader = t.Leader // its process has ended: no need to wait for it
+	}
 	next := t.Clone()
 	next.DataCentre = u.dataCentre
 	next.Leader = u.self
@@ -109,6 +113,9 @@
 	case leads && u.lead == nil:
 		u.lead = leader.New(u.self, u.dataCentre, u.now, u.leader...)
 		u.lead.Heard(u.now, u.makeBeat())
+		if u.lostLeader.Address != "" {
+			u.lead.Gone(u.now, u.lostLeader)
+		}
 		u.beat = beating{}
 		u.do(WatchCmd{On: true})
 		u.do(LeadCmd{Leading: true, Epoch: t.Epoch})
--- a/core/process/daemon/model.go
+++ b/core/process/daemon/model.go
@@ -50,6 +50,7 @@
 	urgent     bool // the reports hold news that should not wait
 	leaving    time.Time
 	probed     map[table.Daemon]time.Time
+	lostLeader table.Daemon   // whose place this daemon wants to take, its process having ended
 	nudged     map[string]int // how much was wanted of a daemon when it was last asked
 	left       bool
 }
--- a/core/proof/host_test.go
+++ b/core/proof/host_test.go
@@ -143,7 +143,7 @@
 	case daemon.ProbeCmd:
 		h.call(c.Daemon.Address, func(to *host, reply func(any)) { reply(to.self) }, func(v any, refused bool) {
 			if other, ok := v.(table.Daemon); refused || ok && other != c.Daemon {
-				h.tell(daemon.GoneMsg{Daemon: c.Daemon})
+				h.tell(daemon.GoneMsg(c))
 			}
 		})
 	case daemon.BeatReplyCmd:
--- a/io/standin/bench/bench.go
+++ b/io/standin/bench/bench.go
@@ -21,7 +21,7 @@
 	"catkinstep/io/standin/direct"
 	"catkinstep/io/standin/load"
 	"catkinstep/io/standin/oracle"
-	"catkinstep/io/standin/rig"
+	"catkinstep/io/standin/stage"
 )
 
 // Row is what one service's callers got from one variant.
@@ -71,7 +71,7 @@
 func WithSeed(seed uint64) Option { return func(r *run) { r.seed = seed } }
 
 // WithPlan sets the site; Lakeshore by default.
-func WithPlan(p rig.Plan) Option { return func(r *run) { r.plan = p } }
+func WithPlan(p stage.Plan) Option { return func(r *run) { r.plan = p } }
 
 // WithFor sets how long the load runs.
 func WithFor(d time.Duration) Option { return func(r *run) { r.length = d } }
@@ -90,7 +90,7 @@
 
 // run is one variant's run in the making.
 type run struct {
-	plan     rig.Plan
+	plan     stage.Plan
 	seed     uint64
 	length   time.Duration
 	rate     float64
@@ -99,9 +99,9 @@
 	variants []string
 	scenario scenario
 
-	rig    *rig.Rig
+	stage  *stage.Stage
 	direct *direct.Direct
-	churn  *rig.Churn
+	churn  *stage.Churn
 	gens   []*load.Generator
 	began  time.Time
 }
@@ -111,7 +111,7 @@
 
 // Run measures a scenario, catkinstep first.
 func Run(ctx context.Context, name string, opts ...Option) ([]Row, error) {
-	base := run{plan: rig.Lakeshore(), seed: 1, length: 20 * time.Second, rate: 600, progress: io.Discard,
+	base := run{plan: stage.Lakeshore(), seed: 1, length: 20 * time.Second, rate: 600, progress: io.Discard,
 		log: slog.New(slog.DiscardHandler), variants: []string{Catkinstep}}
 	base.plan.Work = 10 * time.Millisecond
 	for _, o := range opts {
@@ -143,9 +143,9 @@
 	defer r.stop()
 	r.say("%s: %s is up: curl http://%s/%s", name, variant, r.Pick(0), r.example())
 	r.warm(ctx)
-	r.churn = rig.NewChurn(ctx, r.rig)
+	r.churn = stage.NewChurn(ctx, r.stage)
 	r.load(ctx)
-	verdict := r.rig.Oracle.Verdict()
+	verdict := r.stage.Oracle.Verdict()
 	var rows []Row
 	for _, g := range r.gens {
 		rows = append(rows, r.row(name, variant, g.Result(), verdict))
@@ -154,21 +154,21 @@
 }
 
 func (r *run) start(ctx context.Context, variant string) error {
-	opts := []rig.Option{rig.WithSeed(r.seed), rig.WithLogger(r.log)}
+	opts := []stage.Option{stage.WithSeed(r.seed), stage.WithLogger(r.log)}
 	if variant == Baseline {
-		opts = append(opts, rig.WithoutDaemons())
+		opts = append(opts, stage.WithoutDaemons())
 	}
 	var err error
-	if r.rig, err = rig.Start(r.plan, opts...); err != nil {
+	if r.stage, err = stage.Start(r.plan, opts...); err != nil {
 		return err
 	}
-	for _, s := range r.rig.Servers {
+	for _, s := range r.stage.Servers {
 		s.Warm()
 	}
 	if variant == Baseline {
-		r.direct = direct.New(r.rig.Site())
-		for i := range r.rig.BareHosts() {
-			if err := r.direct.Start(r.rig.BareAddress(i)); err != nil {
+		r.direct = direct.New(r.stage.Site())
+		for i := range r.stage.BareHosts() {
+			if err := r.direct.Start(r.stage.BareAddress(i)); err != nil {
 				r.stop()
 				return err
 			}
@@ -177,7 +177,7 @@
 	}
 	ready, cancel := context.WithTimeout(ctx, 20*time.Second)
 	defer cancel()
-	if err := r.rig.Ready(ready); err != nil {
+	if err := r.stage.Ready(ready); err != nil {
 		r.stop()
 		return err
 	}
@@ -188,19 +188,19 @@
 	if r.direct != nil {
 		r.direct.Stop()
 	}
-	r.rig.Stop()
+	r.stage.Stop()
 }
 
 // Pick implements load.Balancer for both variants.
 func (r *run) Pick(n uint64) string {
 	if r.direct != nil {
-		return r.rig.BareAddress(int(n % uint64(r.rig.BareHosts())))
+		return r.stage.BareAddress(int(n % uint64(r.stage.BareHosts())))
 	}
-	return r.rig.Pick(n)
+	return r.stage.Pick(n)
 }
 
 // Killed implements load.Balancer.
-func (r *run) Killed(address string) bool { return r.rig.Killed(address) }
+func (r *run) Killed(address string) bool { return r.stage.Killed(address) }
 
 func (r *run) say(format string, args ...any) {
 	at := ""
@@ -211,21 +211,21 @@
 }
 
 func (r *run) example() string {
-	for _, s := range r.rig.Site().Services {
+	for _, s := range r.stage.Site().Services {
 		if s.Keyed {
 			return s.Name + "/items/any-key"
 		}
 	}
-	return r.rig.Site().Services[0].Name + "/items"
+	return r.stage.Site().Services[0].Name + "/items"
 }
 
 // warm lets the limits climb before anything is measured.
 func (r *run) warm(ctx context.Context) {
-	for i, s := range r.rig.Site().Services {
+	for i, s := range r.stage.Site().Services {
 		r.gens = append(r.gens, load.New(load.Config{
 			Service: s.Name, Path: "/items/KEY", Rate: r.rate, Bookings: r.scenario.bookings,
 			Keys: 20000, Skew: r.scenario.skew, Timeout: s.Deadline, Seed: r.seed*100 + uint64(i),
-		}, r, r.rig.Oracle))
+		}, r, r.stage.Oracle))
 	}
 	warm, cancel := context.WithTimeout(ctx, warmFor)
 	defer cancel()
@@ -263,16 +263,16 @@
 		Requests: res.Requests, Answered: res.Answered, RefusedNotRun: res.NotRun, Unknown: res.Unknown,
 		P50: at(50), P99: at(99), P999: at(99.9),
 		P99All:    Duration(time.Duration(res.All.ValueAtQuantile(99)) * time.Microsecond),
-		Imbalance: r.rig.Oracle.Imbalance(res.Service, r.began, time.Now(), len(r.servers(res.Service))),
+		Imbalance: r.stage.Oracle.Imbalance(res.Service, r.began, time.Now(), len(r.servers(res.Service))),
 		Churn:     moves, LeastChurn: least, Unavailable: Duration(res.LongestOutage),
-		ExtraWork: r.rig.Oracle.ExtraWork(res.Service, r.began), Violations: v, Codes: res.Codes,
+		ExtraWork: r.stage.Oracle.ExtraWork(res.Service, r.began), Violations: v, Codes: res.Codes,
 	}
 }
 
 func (r *run) servers(service string) []string {
 	var out []string
-	for _, d := range r.rig.Site().DataCentres {
-		out = append(out, r.rig.ServersIn(d.Name, service)...)
+	for _, d := range r.stage.Site().DataCentres {
+		out = append(out, r.stage.ServersIn(d.Name, service)...)
 	}
 	return out
 }
--- a/io/standin/bench/scenario.go
+++ b/io/standin/bench/scenario.go
@@ -52,10 +52,10 @@
 			return
 		}
 		var slow []*server.Server
-		for _, s := range r.rig.Site().Services {
+		for _, s := range r.stage.Site().Services {
 			all := r.servers(s.Name)
 			for i := range max(1, len(all)/5) {
-				v := r.rig.Servers[all[(i*5+spell*2)%len(all)]]
+				v := r.stage.Servers[all[(i*5+spell*2)%len(all)]]
 				v.SetFaults(server.Faults{Slow: 10})
 				slow = append(slow, v)
 			}
@@ -77,7 +77,7 @@
 	if !r.at(ctx, 0.2) {
 		return
 	}
-	name := r.rig.Site().DataCentres[1].Name
+	name := r.stage.Site().DataCentres[1].Name
 	r.takeOut(ctx, name)
 	if !r.at(ctx, 0.6) {
 		return
@@ -86,24 +86,24 @@
 }
 
 func (r *run) takeOut(ctx context.Context, name string) {
-	for _, s := range r.rig.Site().Services {
-		r.churn.Expect(s.Name, r.rig.ServersIn(name, s.Name), 2)
+	for _, s := range r.stage.Site().Services {
+		r.churn.Expect(s.Name, r.stage.ServersIn(name, s.Name), 2)
 	}
 	if r.direct != nil {
 		r.direct.SetOut(name, true)
-	} else if _, err := r.rig.Operator().Out(ctx, site.Out{DataCentre: name}); err != nil {
+	} else if _, err := r.stage.Operator().Out(ctx, site.Out{DataCentre: name}); err != nil {
 		r.say("data centre out %s: %v", name, err)
 		return
 	}
-	r.rig.Oracle.Out(name, "", time.Now())
+	r.stage.Oracle.Out(name, "", time.Now())
 	r.say("data centre %s is out", name)
 }
 
 func (r *run) takeIn(ctx context.Context, name string) {
-	r.rig.Oracle.In(name, "", time.Now())
+	r.stage.Oracle.In(name, "", time.Now())
 	if r.direct != nil {
 		r.direct.SetOut(name, false)
-	} else if _, err := r.rig.Operator().In(ctx, site.Out{DataCentre: name}); err != nil {
+	} else if _, err := r.stage.Operator().In(ctx, site.Out{DataCentre: name}); err != nil {
 		r.say("data centre in %s: %v", name, err)
 		return
 	}
@@ -116,15 +116,15 @@
 	if !r.at(ctx, 0.25) {
 		return
 	}
-	for _, s := range r.rig.Site().Services {
-		r.rig.Servers[r.servers(s.Name)[0]].TurnCold()
+	for _, s := range r.stage.Site().Services {
+		r.stage.Servers[r.servers(s.Name)[0]].TurnCold()
 	}
 	r.say("a server of each service has turned cold")
 	if !r.at(ctx, 0.5) {
 		return
 	}
-	for _, s := range r.rig.Site().Services {
-		v := r.rig.Servers[r.servers(s.Name)[1]]
+	for _, s := range r.stage.Site().Services {
+		v := r.stage.Servers[r.servers(s.Name)[1]]
 		v.Stop()
 		if err := v.Start(); err != nil {
 			r.say("restart: %v", err)
@@ -146,17 +146,17 @@
 }
 
 func (r *run) loseServers() {
-	for _, s := range r.rig.Site().Services {
+	for _, s := range r.stage.Site().Services {
 		lost := r.servers(s.Name)[2]
 		r.churn.Expect(s.Name, []string{lost}, 2)
-		r.rig.Servers[lost].Stop()
+		r.stage.Servers[lost].Stop()
 	}
 	r.say("a server of each service is lost")
 }
 
 func (r *run) returnServers() {
-	for _, s := range r.rig.Site().Services {
-		if err := r.rig.Servers[r.servers(s.Name)[2]].Start(); err != nil {
+	for _, s := range r.stage.Site().Services {
+		if err := r.stage.Servers[r.servers(s.Name)[2]].Start(); err != nil {
 			r.say("return: %v", err)
 		}
 	}
@@ -168,18 +168,18 @@
 	if r.direct != nil {
 		return
 	}
-	first := r.rig.HostsIn(r.rig.Site().DataCentres[0].Name)
+	first := r.stage.HostsIn(r.stage.Site().DataCentres[0].Name)
 	for i, part := range []float64{0.2, 0.5} {
 		if !r.at(ctx, part) {
 			return
 		}
 		n := first[i]
-		r.rig.KillDaemon(n)
+		r.stage.KillDaemon(n)
 		r.say("daemon %d is killed", n)
 		if !r.at(ctx, part+0.2) {
 			return
 		}
-		if err := r.rig.StartDaemon(n); err != nil {
+		if err := r.stage.StartDaemon(n); err != nil {
 			r.say("daemon %d: %v", n, err)
 		}
 		r.say("daemon %d is started again from nothing", n)
@@ -188,9 +188,9 @@
 
 // story is the demo's: some of everything an operator meets.
 func story(ctx context.Context, r *run) {
-	last := r.rig.Hosts() - 1
-	name := r.rig.Site().DataCentres[2].Name
-	slow := r.servers(r.rig.Site().Services[0].Name)[4]
+	last := r.stage.Hosts() - 1
+	name := r.stage.Site().DataCentres[2].Name
+	slow := r.servers(r.stage.Site().Services[0].Name)[4]
 	for _, step := range []struct {
 		part float64
 		do   func()
@@ -198,12 +198,12 @@
 		{0.05, func() { r.use(ctx, "peak") }},
 		{0.10, func() { r.loseServers() }},
 		{0.25, func() { r.returnServers() }},
-		{0.32, func() { r.rig.KillDaemon(last); r.say("the daemon on %s is killed", r.rig.HostAddress(last)) }},
+		{0.32, func() { r.stage.KillDaemon(last); r.say("the daemon on %s is killed", r.stage.HostAddress(last)) }},
 		{0.42, func() { r.startAgain(last) }},
 		{0.45, func() { r.takeOut(ctx, name) }},
 		{0.65, func() { r.takeIn(ctx, name) }},
 		{0.72, func() {
-			r.rig.Servers[slow].SetFaults(server.Faults{Slow: 10})
+			r.stage.Servers[slow].SetFaults(server.Faults{Slow: 10})
 			r.say("the server %s is ten times slower", slow)
 		}},
 		{0.82, func() { r.stopPlanned(last) }},
@@ -217,7 +217,7 @@
 }
 
 func (r *run) use(ctx context.Context, preset string) {
-	a, err := r.rig.Operator().Preset(ctx, preset)
+	a, err := r.stage.Operator().Preset(ctx, preset)
 	if err != nil {
 		r.say("preset use %s: %v", preset, err)
 		return
@@ -226,17 +226,17 @@
 }
 
 func (r *run) startAgain(n int) {
-	if err := r.rig.StartDaemon(n); err != nil {
+	if err := r.stage.StartDaemon(n); err != nil {
 		r.say("daemon: %v", err)
 		return
 	}
-	r.say("the daemon on %s is started again from nothing", r.rig.HostAddress(n))
+	r.say("the daemon on %s is started again from nothing", r.stage.HostAddress(n))
 }
 
 func (r *run) stopPlanned(n int) {
-	if err := r.rig.StopDaemon(n); err != nil {
+	if err := r.stage.StopDaemon(n); err != nil {
 		r.say("planned stop: %v", err)
 		return
 	}
-	r.say("the daemon on %s has stopped as planned", r.rig.HostAddress(n))
+	r.say("the daemon on %s has stopped as planned", r.stage.HostAddress(n))
 }
--- a/io/standin/rig/churn.go
+++ b/io/standin/stage/churn.go
@@ -1,4 +1,4 @@
-package rig
+package stage
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 // Churn follows the owners of all shards in the platform's objects and counts
 // how often one server took over from another.
 type Churn struct {
-	rig *Rig
+	stage *Stage
 
 	mu    sync.Mutex
 	owner map[string][]string // by service
@@ -22,8 +22,8 @@
 }
 
 // NewChurn begins to follow until the context ends.
-func NewChurn(ctx context.Context, r *Rig) *Churn {
-	c := &Churn{rig: r, owner: map[string][]string{}, moves: map[string]int{}, least: map[string]int{}}
+func NewChurn(ctx context.Context, r *Stage) *Churn {
+	c := &Churn{stage: r, owner: map[string][]string{}, moves: map[string]int{}, least: map[string]int{}}
 	c.look()
 	go func() {
 		t := time.NewTicker(20 * time.Millisecond)
@@ -62,14 +62,14 @@
 }
 
 func (c *Churn) look() {
-	data, _ := c.rig.Store.Value(daemon.HomesObject)
+	data, _ := c.stage.Store.Value(daemon.HomesObject)
 	homes, err := shard.UnmarshalHomes(data)
 	if err != nil {
 		return
 	}
 	tables := map[string]table.Table{}
-	for _, d := range c.rig.plan.Site.DataCentres {
-		data, _ := c.rig.Store.Value(daemon.TablePrefix + d.Name)
+	for _, d := range c.stage.plan.Site.DataCentres {
+		data, _ := c.stage.Store.Value(daemon.TablePrefix + d.Name)
 		if t, err := table.Unmarshal(data); err == nil {
 			tables[d.Name] = t
 		}
--- a/io/standin/rig/plan.go
+++ b/io/standin/stage/plan.go
@@ -1,4 +1,4 @@
-package rig
+package stage
 
 import (
 	"time"
--- a/io/standin/rig/rig.go
+++ b/io/standin/stage/rig.go
@@ -1,16 +1,16 @@
-// Package rig runs a whole site in one process on loopback: the platform's
+// Package stage runs a whole site in one process on loopback: the platform's
 // stand-in, backend server stand-ins, and daemons on addresses of their own.
-// The demo and the bench stand on it.
+// The demo and the bench use it.
 //
 // # Usage
 //
-//	r, err := rig.Start(rig.Lakeshore(), rig.WithSeed(1))
+//	r, err := stage.Start(stage.Lakeshore(), stage.WithSeed(1))
 //	defer r.Stop()
 //	err = r.Ready(ctx)
 //	r.KillDaemon(0)
 //
 // Errors say which part could not be started.
-package rig
+package stage
 
 import (
 	"context"
@@ -31,7 +31,7 @@
 	"catkinstep/io/standin/store"
 )
 
-// Plan is what a rig runs.
+// Plan is what a stage runs.
 type Plan struct {
 	Site site.Site
 	// Hosts is the number of entry hosts in each data centre.
@@ -40,20 +40,20 @@
 	Work time.Duration
 }
 
-// Option changes a Rig that Start makes.
-type Option func(*Rig)
+// Option changes a Stage that Start makes.
+type Option func(*Stage)
 
 // WithSeed seeds all stand-ins and daemons.
-func WithSeed(seed uint64) Option { return func(r *Rig) { r.seed = seed } }
+func WithSeed(seed uint64) Option { return func(r *Stage) { r.seed = seed } }
 
 // WithLogger sets where the daemons log.
-func WithLogger(l *slog.Logger) Option { return func(r *Rig) { r.log = l } }
+func WithLogger(l *slog.Logger) Option { return func(r *Stage) { r.log = l } }
 
 // WithoutDaemons runs the stand-ins alone, for the baseline.
-func WithoutDaemons() Option { return func(r *Rig) { r.bare = true } }
+func WithoutDaemons() Option { return func(r *Stage) { r.bare = true } }
 
-// Rig is a running site.
-type Rig struct {
+// Stage is a running site.
+type Stage struct {
 	Oracle  *oracle.Oracle
 	Store   *store.Store
 	Servers map[string]*server.Server
@@ -85,8 +85,8 @@
 )
 
 // Start runs the plan. Addresses are 127.N.x.y, with the first N that is free.
-func Start(p Plan, opts ...Option) (*Rig, error) {
-	r := &Rig{Oracle: oracle.New(), Servers: map[string]*server.Server{}, plan: p, seed: 1,
+func Start(p Plan, opts ...Option) (*Stage, error) {
+	r := &Stage{Oracle: oracle.New(), Servers: map[string]*server.Server{}, plan: p, seed: 1,
 		log: slog.New(slog.DiscardHandler), killed: map[string]bool{}}
 	for _, o := range opts {
 		o(r)
@@ -114,7 +114,7 @@
 }
 
 // claim finds a free range of addresses by listening on its platform port.
-func (r *Rig) claim() (net.Listener, error) {
+func (r *Stage) claim() (net.Listener, error) {
 	var last error
 	for n := 20; n < 120; n++ {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", n, platformPort))
@@ -124,11 +124,11 @@
 		}
 		last = err
 	}
-	return nil, fmt.Errorf("rig: no free addresses: %w", last)
+	return nil, fmt.Errorf("stage: no free addresses: %w", last)
 }
 
 // address gives each server of the plan its address.
-func (r *Rig) address() {
+func (r *Stage) address() {
 	places := make([]site.DataCentre, len(r.plan.Site.DataCentres))
 	for i, d := range r.plan.Site.DataCentres {
 		places[i] = site.DataCentre{Name: d.Name}
@@ -140,7 +140,7 @@
 	r.plan.Site.DataCentres = places
 }
 
-func (r *Rig) startServers() error {
+func (r *Stage) startServers() error {
 	n := r.seed * 1000
 	for _, d := range r.plan.Site.DataCentres {
 		for _, v := range d.Servers {
@@ -159,7 +159,7 @@
 	return nil
 }
 
-func (r *Rig) startHosts() error {
+func (r *Stage) startHosts() error {
 	var peers []string
 	for i, d := range r.plan.Site.DataCentres {
 		for j := range r.plan.Hosts[d.Name] {
@@ -186,13 +186,13 @@
 
 // Ready applies the site and waits until every shard has an owner that can be
 // sent to, as an operator's first minute would go.
-func (r *Rig) Ready(ctx context.Context) error {
+func (r *Stage) Ready(ctx context.Context) error {
 	data, err := r.plan.Site.Marshal()
 	if err != nil {
 		return err
 	}
 	if _, err := r.Operator().Apply(ctx, "demo.yaml", data); err != nil {
-		return fmt.Errorf("rig: apply: %w", err)
+		return fmt.Errorf("stage: apply: %w", err)
 	}
 	for ctx.Err() == nil {
 		if r.settled() {
@@ -200,10 +200,10 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	return errors.New("rig: the shards did not get owners in time")
+	return errors.New("stage: the shards did not get owners in time")
 }
 
-func (r *Rig) settled() bool {
+func (r *Stage) settled() bool {
 	for _, h := range r.live() {
 		rt := h.node.Route()
 		if rt == nil || !rt.Ready {
@@ -221,7 +221,7 @@
 }
 
 // Stop ends everything at once.
-func (r *Rig) Stop() {
+func (r *Stage) Stop() {
 	var wg sync.WaitGroup
 	for _, h := range r.live() {
 		wg.Go(h.node.Kill)
@@ -234,28 +234,28 @@
 }
 
 // Site returns the configuration with its addresses.
-func (r *Rig) Site() site.Site { return r.plan.Site }
+func (r *Stage) Site() site.Site { return r.plan.Site }
 
 // Operator returns a client of a live daemon.
-func (r *Rig) Operator() *admin.Client {
+func (r *Stage) Operator() *admin.Client {
 	return admin.NewClient(r.live()[0].prefs.Operator, "")
 }
 
 // Hosts returns the number of entry hosts.
-func (r *Rig) Hosts() int { return len(r.hosts) }
+func (r *Stage) Hosts() int { return len(r.hosts) }
 
 // HostAddress returns the address for callers of an entry host.
-func (r *Rig) HostAddress(i int) string { return r.hosts[i].prefs.Callers }
+func (r *Stage) HostAddress(i int) string { return r.hosts[i].prefs.Callers }
 
 // Daemon returns an entry host's daemon; nil while it is down.
-func (r *Rig) Daemon(i int) *node.Node {
+func (r *Stage) Daemon(i int) *node.Node {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.hosts[i].node
 }
 
 // HostsIn returns the numbers of a data centre's entry hosts.
-func (r *Rig) HostsIn(dataCentre string) []int {
+func (r *Stage) HostsIn(dataCentre string) []int {
 	var out []int
 	for i, h := range r.hosts {
 		if h.prefs.DataCentre == dataCentre {
@@ -266,7 +266,7 @@
 }
 
 // ServersIn returns the addresses of a data centre's servers of a service.
-func (r *Rig) ServersIn(dataCentre, service string) []string {
+func (r *Stage) ServersIn(dataCentre, service string) []string {
 	var out []string
 	d, _ := r.plan.Site.DataCentre(dataCentre)
 	for _, v := range d.Servers {
@@ -278,7 +278,7 @@
 }
 
 // StartDaemon starts an entry host's daemon from nothing.
-func (r *Rig) StartDaemon(i int) error {
+func (r *Stage) StartDaemon(i int) error {
 	h := r.hosts[i]
 	n, err := node.Start(h.prefs, node.WithLogger(r.log.With("host", h.prefs.Mesh)), node.WithOperator(admin.Handler))
 	if err != nil {
@@ -292,7 +292,7 @@
 }
 
 // KillDaemon ends a daemon at once, as SIGKILL does.
-func (r *Rig) KillDaemon(i int) {
+func (r *Stage) KillDaemon(i int) {
 	r.mu.Lock()
 	h := r.hosts[i]
 	n := h.node
@@ -305,7 +305,7 @@
 }
 
 // StopDaemon ends a daemon as planned.
-func (r *Rig) StopDaemon(i int) error {
+func (r *Stage) StopDaemon(i int) error {
 	r.mu.Lock()
 	h := r.hosts[i]
 	n := h.node
@@ -323,7 +323,7 @@
 }
 
 // Pick implements load.Balancer: the hosts whose readiness check passes.
-func (r *Rig) Pick(n uint64) string {
+func (r *Stage) Pick(n uint64) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var ready []string
@@ -342,13 +342,13 @@
 }
 
 // Killed implements load.Balancer.
-func (r *Rig) Killed(address string) bool {
+func (r *Stage) Killed(address string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.killed[address]
 }
 
-func (r *Rig) live() []*host {
+func (r *Stage) live() []*host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []*host
@@ -361,7 +361,7 @@
 }
 
 // BareHosts returns how many entry hosts the plan has, running or not.
-func (r *Rig) BareHosts() int {
+func (r *Stage) BareHosts() int {
 	n := 0
 	for _, h := range r.plan.Hosts {
 		n += h
@@ -370,6 +370,6 @@
 }
 
 // BareAddress returns an address for an entry host of the baseline.
-func (r *Rig) BareAddress(i int) string {
+func (r *Stage) BareAddress(i int) string {
 	return fmt.Sprintf("127.%d.200.%d:%d", r.octet, i+1, callersPort)
 }
