--- a/examples/core/main.go
+++ b/examples/core/main.go
@@ -255,7 +255,6 @@
 func (w *world) served() bool {
 	for _, a := range w.order {
 		h := w.daemons[a]
-		if h.queue != nil { w.say(h, "state %v gone %v", h.queue.Report(w.now).State, h.gone) }
 		if !h.gone && h.queue != nil && h.queue.Report(w.now).State == wire.ServerState_SERVER_STATE_OK {
 			return true
 		}
