--- /dev/null
+++ b/io/connection/plat/plat_test.go
@@ -0,0 +1,77 @@
+package plat_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"catkinstep/core/connection/wire"
+	"catkinstep/io/connection/plat"
+	"catkinstep/io/standin/store"
+)
+
+func platform() (*store.Store, *plat.Client, func()) {
+	s := store.New()
+	h := httptest.NewServer(s)
+	return s, plat.New(h.Listener.Addr().String(), "duluth"), h.Close
+}
+
+func TestObjects(t *testing.T) {
+	ctx := context.Background()
+	Convey("Objects are written on the condition of their version", t, func() {
+		_, c, stop := platform()
+		defer stop()
+		o, err := c.Read(ctx, "site")
+		So(o, ShouldBeNil)
+		So(err, ShouldBeNil)
+		first, err := c.Write(ctx, "site", 0, []byte("a"))
+		So(err, ShouldBeNil)
+		_, err = c.Write(ctx, "site", 0, []byte("b"))
+		So(plat.Is(err, plat.Conflict), ShouldBeTrue)
+		second, err := c.Write(ctx, "site", first.Version, []byte("b"))
+		So(err, ShouldBeNil)
+		So(second.Version, ShouldBeGreaterThan, first.Version)
+	})
+	Convey("A write whose reply was lost is told as unsure, and was made once", t, func() {
+		s, c, stop := platform()
+		defer stop()
+		s.SetFaults(store.Faults{LoseReplies: 1})
+		_, err := c.Write(ctx, "site", 0, []byte("a"))
+		So(plat.Is(err, plat.Unsure), ShouldBeTrue)
+		value, version := s.Value("site")
+		So(string(value), ShouldEqual, "a")
+		So(version, ShouldEqual, 1)
+	})
+	Convey("A data centre that is cut off reaches nothing, the others do", t, func() {
+		s, c, stop := platform()
+		defer stop()
+		s.SetFaults(store.Faults{DownFor: []string{"duluth"}})
+		_, err := c.Read(ctx, "site")
+		So(plat.Is(err, plat.Unreachable), ShouldBeTrue)
+		s.SetFaults(store.Faults{DownFor: []string{"toledo"}})
+		_, err = c.Read(ctx, "site")
+		So(err, ShouldBeNil)
+	})
+	Convey("A watch tells of what is there and of each change, as one waiting call", t, func() {
+		s, c, stop := platform()
+		defer stop()
+		first, err := c.Write(ctx, "site", 0, []byte("a"))
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		seen := make(chan string, 8)
+		go c.Watch(ctx, func(_ time.Time, o *wire.Object, _ error) {
+			if o != nil {
+				seen <- string(o.Value)
+			}
+		})
+		So(<-seen, ShouldEqual, "a")
+		_, err = c.Write(ctx, "site", first.Version, []byte("b"))
+		So(err, ShouldBeNil)
+		So(<-seen, ShouldEqual, "b")
+		So(s.Calls()["watch duluth"], ShouldBeLessThanOrEqualTo, 3)
+	})
+}
--- /dev/null
+++ b/io/process/admin/change_test.go
@@ -0,0 +1,92 @@
+package admin
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"catkinstep/core/version/site"
+	"catkinstep/io/connection/plat"
+	"catkinstep/io/standin/store"
+)
+
+func begin() (*store.Store, *plat.Client, func()) {
+	s := store.New()
+	h := httptest.NewServer(s)
+	c := plat.New(h.Listener.Addr().String(), "duluth")
+	_, _, err := Change(context.Background(), c, 0, func(site.Site) (site.Site, error) {
+		return site.Site{Name: "s", Presets: []site.Preset{{Name: "ordinary", InForce: true}, {Name: "peak"}}}, nil
+	})
+	So(err, ShouldBeNil)
+	return s, c, h.Close
+}
+
+// Two yards' operators change the configuration at the same moment. Each
+// change must either be in force or its operator be told who came first; none
+// may vanish under the other's.
+func TestRacingOperators(t *testing.T) {
+	Convey("Of a hundred racing changes none is lost without a word", t, func() {
+		s, _, stop := begin()
+		defer stop()
+		address := strings.TrimPrefix(httptest.NewServer(s).URL, "http://")
+		var mu sync.Mutex
+		var kept []string
+		told := 0
+		var wg sync.WaitGroup
+		for operator := range 2 {
+			c := plat.New(address, "toledo")
+			wg.Go(func() {
+				for n := range 50 {
+					host := fmt.Sprintf("10.%d.0.%d", operator, n)
+					_, _, err := Change(context.Background(), c, 0, func(v site.Site) (site.Site, error) { return v.WithOut(site.Out{Host: host}) })
+					mu.Lock()
+					switch {
+					case err == nil:
+						kept = append(kept, host)
+					case Is(err, Conflict) && strings.Contains(err.Error(), "out 10."):
+						told++
+					default:
+						t.Errorf("neither kept nor told: %v", err)
+					}
+					mu.Unlock()
+				}
+			})
+		}
+		wg.Wait()
+		data, _ := s.Value("site")
+		v, err := site.Unmarshal(data)
+		So(err, ShouldBeNil)
+		So(len(kept)+told, ShouldEqual, 100)
+		So(v.Outs, ShouldHaveLength, len(kept))
+		for _, host := range kept {
+			So(v.HostOut(host+":9000"), ShouldBeTrue)
+		}
+	})
+}
+
+// The platform writes a change, and the reply is lost. The operator must hear
+// that it was accepted: trying again by hand would look like a second change.
+func TestReplyLostAfterAChange(t *testing.T) {
+	Convey("An operator's own write is recognised after a lost reply", t, func() {
+		s, c, stop := begin()
+		defer stop()
+		s.SetFaults(store.Faults{LoseReplies: 1})
+		a, _, err := Change(context.Background(), c, 0, func(v site.Site) (site.Site, error) { return v.WithPreset("peak") })
+		So(err, ShouldBeNil)
+		So(a.Preset, ShouldEqual, "peak")
+	})
+	Convey("An operator with stale data is refused, with the change that came first", t, func() {
+		_, c, stop := begin()
+		defer stop()
+		_, o, err := Change(context.Background(), c, 0, func(v site.Site) (site.Site, error) { return v.WithPreset("peak") })
+		So(err, ShouldBeNil)
+		_, _, err = Change(context.Background(), c, o.Version-1, func(v site.Site) (site.Site, error) { return v.WithPreset("ordinary") })
+		So(Is(err, Conflict), ShouldBeTrue)
+		So(err.Error(), ShouldContainSubstring, "preset use peak")
+	})
+}
