--- a/cmd/catkinstep/bench.go
+++ b/cmd/catkinstep/bench.go
@@ -38,6 +38,35 @@
 	return conclude(os.Stdout, rows)
 }
 
+type outagesCmd struct {
+	Kind  string `arg:"" help:"One of server, frozenServer, daemon, leader, dataCentre."`
+	Tries int    `help:"How often." default:"20"`
+	Seed  uint64 `help:"Seed." default:"1"`
+}
+
+// Run measures how long keys are not served after a loss.
+func (o *outagesCmd) Run(ctx context.Context) error {
+	got, err := bench.Outages(ctx, o.Kind, o.Tries, bench.WithSeed(o.Seed), bench.WithProgress(os.Stderr))
+	if err != nil {
+		return err
+	}
+	return printJSON(got)
+}
+
+type idleCmd struct {
+	Daemons int           `help:"How many." default:"9"`
+	For     time.Duration `help:"How long." default:"60s"`
+}
+
+// Run counts control traffic and platform calls without any load.
+func (i *idleCmd) Run(ctx context.Context) error {
+	got, err := bench.MeasureIdle(ctx, i.Daemons, i.For)
+	if err != nil {
+		return err
+	}
+	return printJSON(got)
+}
+
 type benchCmd struct {
 	Scenario string        `arg:"" help:"One of steady, slowed, departure, turnsCold, hotKey, serverLoss, hostLoss."`
 	Against  string        `help:"Measure a baseline too." enum:",direct" default:""`
--- a/cmd/catkinstep/main.go
+++ b/cmd/catkinstep/main.go
@@ -33,6 +33,8 @@
 	Status     statusCmd     `cmd:"" help:"Show what is in force where."`
 	Report     reportCmd     `cmd:"" help:"Show reports."`
 	Demo       demoCmd       `cmd:"" help:"Run a whole site in one process, with a short story."`
+	Outages    outagesCmd    `cmd:"" help:"Measure how long keys are not served after a loss."`
+	Idle       idleCmd       `cmd:"" help:"Count control traffic and platform calls without load."`
 	Bench      benchCmd      `cmd:"" help:"Measure a scenario."`
 	Standin    standinCmd    `cmd:"" help:"Run stand-ins for the platform and for backend servers."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
--- a/core/version/site/site_test.go
+++ b/core/version/site/site_test.go
@@ -56,12 +56,12 @@
 	})
 	Convey("Rules beyond types name their lines too", t, func() {
 		for text, want := range map[string]string{
-			strings.Replace(right, "queue: 64", "inForce: true", 1):                 `site.yaml:16: presets[1].inForce: two presets in force, "ordinary" and "peak"`,
-			strings.Replace(right, "name: peak", "name: ordinary", 1):               `site.yaml:15: presets[1].name: "ordinary" stands twice`,
-			strings.Replace(right, "service: workshop}", "service: x}", 1):          `site.yaml:11: dataCentres[0].servers[0].service: no service "x"`,
-			strings.Replace(right, "127.0.0.1:9001", "localhost:9001", 1):           `site.yaml:11: dataCentres[0].servers[0].address: "localhost:9001" is no IP number with a port`,
-			strings.Replace(right, "queue: 64", "out: [nowhere]", 1):                `site.yaml:16: presets[1].out[0]: no data centre "nowhere"`,
-			strings.Replace(right, "name: small", "name: small\nhold: 2s", 1):       `site.yaml:2: hold: must be 0 (keys stay home) or at least 15s`,
+			strings.Replace(right, "queue: 64", "inForce: true", 1):           `site.yaml:16: presets[1].inForce: two presets in force, "ordinary" and "peak"`,
+			strings.Replace(right, "name: peak", "name: ordinary", 1):         `site.yaml:15: presets[1].name: "ordinary" stands twice`,
+			strings.Replace(right, "service: workshop}", "service: x}", 1):    `site.yaml:11: dataCentres[0].servers[0].service: no service "x"`,
+			strings.Replace(right, "127.0.0.1:9001", "localhost:9001", 1):     `site.yaml:11: dataCentres[0].servers[0].address: "localhost:9001" is no IP number with a port`,
+			strings.Replace(right, "queue: 64", "out: [nowhere]", 1):          `site.yaml:16: presets[1].out[0]: no data centre "nowhere"`,
+			strings.Replace(right, "name: small", "name: small\nhold: 2s", 1): `site.yaml:2: hold: must be 0 (keys stay home) or at least 15s`,
 		} {
 			if want != "" {
 				So(mistakes(text), ShouldResemble, []string{want})
--- a/io/process/node/handle.go
+++ b/io/process/node/handle.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"catkinstep/core/connection/wire"
 	"catkinstep/core/process/daemon"
 	"catkinstep/core/request/retry"
@@ -14,8 +16,17 @@
 	"catkinstep/io/connection/mesh"
 )
 
-// handle answers the calls of other daemons.
+// handle answers the calls of other daemons, and counts what control costs.
 func (n *Node) handle(ctx context.Context, c *wire.Call) *wire.Reply {
+	r := n.respond(ctx, c)
+	if c.GetOrder() == nil {
+		n.metrics.Add("control.bytesAsked", int64(proto.Size(c)))
+		n.metrics.Add("control.bytesAnswered", int64(proto.Size(r)))
+	}
+	return r
+}
+
+func (n *Node) respond(ctx context.Context, c *wire.Call) *wire.Reply {
 	switch k := c.Kind.(type) {
 	case *wire.Call_Beat:
 		r, ok := n.ask(ctx, func(id uint64) daemon.Msg { return daemon.BeatMsg{Call: id, Beat: k.Beat} }).(*wire.BeatReply)
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -257,6 +257,17 @@
 // Platform returns the daemon's access to the platform, for operators' changes.
 func (n *Node) Platform() *plat.Client { return n.platform }
 
+// ControlBytes returns how many bytes of control messages it has sent and got.
+func (n *Node) ControlBytes() int64 {
+	sum := int64(0)
+	for _, name := range []string{"control.bytesOut", "control.bytesIn", "control.bytesAsked", "control.bytesAnswered"} {
+		if v, ok := n.metrics.Get(name).(*expvar.Int); ok {
+			sum += v.Value()
+		}
+	}
+	return sum
+}
+
 // Metrics returns the daemon's counters.
 func (n *Node) Metrics() *expvar.Map { return n.metrics }
 
--- a/io/standin/bench/bench.go
+++ b/io/standin/bench/bench.go
@@ -111,12 +111,7 @@
 
 // Run measures a scenario, catkinstep first.
 func Run(ctx context.Context, name string, opts ...Option) ([]Row, error) {
-	base := run{plan: stage.Lakeshore(), seed: 1, length: 20 * time.Second, rate: 600, progress: io.Discard,
-		log: slog.New(slog.DiscardHandler), variants: []string{Catkinstep}}
-	base.plan.Work = 10 * time.Millisecond
-	for _, o := range opts {
-		o(&base)
-	}
+	base := newRun(opts)
 	s, ok := scenarios()[name]
 	if !ok {
 		return nil, fmt.Errorf("bench: %w: %q", ErrScenario, name)
@@ -134,6 +129,17 @@
 	return rows, nil
 }
 
+// newRun fills in what the options leave open.
+func newRun(opts []Option) run {
+	r := run{plan: stage.Lakeshore(), seed: 1, length: 20 * time.Second, rate: 600, progress: io.Discard,
+		log: slog.New(slog.DiscardHandler), variants: []string{Catkinstep}}
+	r.plan.Work = 10 * time.Millisecond
+	for _, o := range opts {
+		o(&r)
+	}
+	return r
+}
+
 func (r *run) measure(ctx context.Context, name, variant string) ([]Row, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/io/standin/oracle/oracle.go
+++ b/io/standin/oracle/oracle.go
@@ -247,3 +247,16 @@
 	}
 	return float64(extra) / float64(total)
 }
+
+// LastStart returns how long after a time the last run began in a data centre.
+func (o *Oracle) LastStart(dataCentre string, from time.Time) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	last := time.Duration(0)
+	for _, r := range o.runs {
+		if r.DataCentre == dataCentre {
+			last = max(last, r.Start.Sub(from))
+		}
+	}
+	return last
+}
--- a/io/standin/server/server.go
+++ b/io/standin/server/server.go
@@ -141,6 +141,9 @@
 	s.faults = f
 }
 
+// Freeze stops all work, as a paused process does, or lets it go on.
+func (s *Server) Freeze(on bool) { s.SetFaults(Faults{Frozen: on}) }
+
 // TurnCold loses the warmth without a warning.
 func (s *Server) TurnCold() {
 	s.mu.Lock()
--- a/io/standin/stage/rig.go
+++ b/io/standin/stage/stage.go
@@ -373,3 +373,18 @@
 func (r *Stage) BareAddress(i int) string {
 	return fmt.Sprintf("127.%d.200.%d:%d", r.octet, i+1, callersPort)
 }
+
+// Leads tells whether an entry host's daemon leads its data centre.
+func (r *Stage) Leads(i int) bool {
+	n := r.Daemon(i)
+	return n != nil && n.Status().Leader == n.Status().Daemon
+}
+
+// ControlBytes returns the bytes of control messages of a daemon so far.
+func (r *Stage) ControlBytes(i int) int64 {
+	n := r.Daemon(i)
+	if n == nil {
+		return 0
+	}
+	return n.ControlBytes()
+}
