--- a/core/process/daemon/lead.go
+++ b/core/process/daemon/lead.go
@@ -11,6 +11,19 @@
 	"catkinstep/core/version/table"
 )
 
+const (
+	// decideAtMost bounds the time between two regular decisions, and
+	// decidePerServer keeps their share of a core the same at any size. News that
+	// cannot wait, a release or the proof of a loss, is decided on at once.
+	decideAtMost    = 300 * time.Millisecond
+	decidePerServer = 500 * time.Microsecond
+)
+
+func (u *update) decideEvery() time.Duration {
+	d, _ := u.site.DataCentre(u.dataCentre)
+	return min(decideAtMost, time.Duration(len(d.Servers))*decidePerServer)
+}
+
 // decide lets the leader compare what it heard with what is in force, and
 // begins the writes that follow. One write of an object at a time: the next
 // one builds on what became of it.
--- a/core/process/daemon/model.go
+++ b/core/process/daemon/model.go
@@ -41,6 +41,7 @@
 	platform   contact
 	beat       beating
 	syncAt     time.Time
+	decideAt   time.Time // the next regular decision of a leader
 	syncNear   bool      // the next exchange is with the own data centre
 	nearAt     time.Time // the last contact with a daemon of it other than the leader
 	holds      map[string]route.Hold
--- a/core/process/daemon/update.go
+++ b/core/process/daemon/update.go
@@ -43,6 +43,7 @@
 	case GoneMsg:
 		if m.lead != nil {
 			m.lead.Gone(now, msg.Daemon)
+			u.decide()
 		}
 	case SyncMsg:
 		u.met(msg.Sync.From)
@@ -84,7 +85,10 @@
 func (u *update) tick() {
 	u.startUp()
 	u.follow()
-	u.decide()
+	if !u.now.Before(u.decideAt) {
+		u.decideAt = u.now.Add(u.decideEvery())
+		u.decide()
+	}
 	u.gossip()
 	u.leave()
 }
--- a/core/process/leader/leader.go
+++ b/core/process/leader/leader.go
@@ -151,6 +151,7 @@
 // Decide compares what was heard with what is in force.
 func (l *Leader) Decide(now time.Time, v View) Decision {
 	p := &plan{Leader: l, View: v, now: now, t: v.Table.Clone(), wanted: map[string]map[string]*wire.Release{}}
+	p.prepare()
 	p.homesWanted()
 	p.observe()
 	p.slowed()
--- a/core/process/leader/plan.go
+++ b/core/process/leader/plan.go
@@ -19,6 +19,36 @@
 	wanted  map[string]map[string]*wire.Release
 	homes   map[string][]int // the home that each shard should have
 	probe   []table.Daemon
+
+	// What would else be worked out anew for each server, which at hundreds of
+	// servers and daemons takes longer than a tick.
+	mine  []site.Server
+	named map[string]bool      // the servers that the site names here
+	owns  map[string]bool      // the servers that own a shard
+	fits  []table.Daemon       // the daemons that may get work
+	loads map[table.Daemon]int // servers by dispatcher
+}
+
+// prepare works out what the steps share.
+func (p *plan) prepare() {
+	d, _ := p.Site.DataCentre(p.dataCentre)
+	p.mine = d.Servers
+	p.named = make(map[string]bool, len(p.mine))
+	for _, v := range p.mine {
+		p.named[v.Address] = true
+	}
+	p.owns = map[string]bool{}
+	for _, r := range p.t.Rows {
+		for _, o := range r.Owner {
+			if o >= 0 {
+				p.owns[r.Servers[o]] = true
+			}
+		}
+	}
+	p.loads = map[table.Daemon]int{}
+	for _, have := range p.t.Dispatches {
+		p.loads[have.Daemon]++
+	}
 }
 
 func (p *plan) decision() Decision {
@@ -104,6 +134,9 @@
 	p.changed = p.changed || len(p.t.Daemons) != before
 	sortDaemons(p.t.Daemons)
 	for _, d := range p.t.Daemons {
+		if p.fit(p.now, d) {
+			p.fits = append(p.fits, d)
+		}
 		if p.silentFor(p.now, d) > p.suspectAfter/2 && !p.ended(d) {
 			p.probe = append(p.probe, d)
 		}
@@ -178,6 +211,8 @@
 		return
 	}
 	p.t.SetDispatch(address, next, p.pickBackup(next))
+	p.loads[d.Daemon]--
+	p.loads[next]++
 	p.changed = true
 }
 
@@ -233,6 +268,9 @@
 	if p.now.Sub(p.since) < 4*p.settleFor || !p.fit(p.now, d.Daemon) {
 		return false
 	}
+	if p.load(d.Daemon) <= len(p.t.Dispatches)/max(1, len(p.fits)) {
+		return false // no more than its share
+	}
 	for other, releases := range p.wanted {
 		for s, r := range releases {
 			if r.All && (other != d.Daemon.Address || s != address) {
@@ -244,47 +282,17 @@
 	return least != d.Daemon && p.load(d.Daemon) >= p.load(least)+2
 }
 
-func (p *plan) load(d table.Daemon) int {
-	n := 0
-	for _, have := range p.t.Dispatches {
-		if have.Daemon == d {
-			n++
-		}
-	}
-	return n
-}
+func (p *plan) load(d table.Daemon) int { return p.loads[d] }
 
 func (p *plan) dispatching(d table.Daemon) bool { return p.load(d) > 0 }
 
-func (p *plan) fitDaemons() []table.Daemon {
-	var fit []table.Daemon
-	for _, d := range p.t.Daemons {
-		if p.fit(p.now, d) {
-			fit = append(fit, d)
-		}
-	}
-	return fit
-}
+func (p *plan) fitDaemons() []table.Daemon { return p.fits }
 
-func (p *plan) myServers() []site.Server {
-	d, _ := p.Site.DataCentre(p.dataCentre)
-	return d.Servers
-}
+func (p *plan) myServers() []site.Server { return p.mine }
 
-func (p *plan) serves(address string) bool {
-	return slices.ContainsFunc(p.myServers(), func(v site.Server) bool { return v.Address == address })
-}
+func (p *plan) serves(address string) bool { return p.named[address] }
 
-func (p *plan) ownsNothing(address string) bool {
-	for name, r := range p.t.Rows {
-		for s := range r.Owner {
-			if o, ok := p.t.Owner(name, uint32(s)); ok && o == address {
-				return false
-			}
-		}
-	}
-	return true
-}
+func (p *plan) ownsNothing(address string) bool { return !p.owns[address] }
 
 // stands tells whether a release is of the table's term and of something that
 // is still as it was released.
