--- a/core/process/daemon/follow.go
+++ b/core/process/daemon/follow.go
@@ -1,10 +1,13 @@
 package daemon
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"catkinstep/core/connection/wire"
 	"catkinstep/core/process/leader"
 	"catkinstep/core/version/route"
@@ -138,7 +141,7 @@
 func (u *update) makeBeat() *wire.Beat {
 	b := &wire.Beat{
 		From: u.self.Address, Incarnation: u.self.Incarnation, DataCentre: u.dataCentre,
-		Leaving: !u.leaving.IsZero(), Urgent: u.urgent, Versions: u.Versions(), Servers: u.reports,
+		Leaving: !u.leaving.IsZero(), Urgent: u.urgent, Digest: u.digest(), Servers: u.reports,
 	}
 	for _, server := range slices.Sorted(maps.Keys(u.quiet)) {
 		b.Released = append(b.Released, u.quiet[server])
@@ -146,10 +149,20 @@
 	return b
 }
 
+// digest sums up the versions that this daemon holds.
+func (u *update) digest() uint64 {
+	d := xxhash.New()
+	for _, v := range u.Versions() {
+		_, _ = d.WriteString(v.Name)
+		_, _ = d.Write(binary.BigEndian.AppendUint64(nil, v.Version))
+	}
+	return d.Sum64()
+}
+
 // beaten answers a heartbeat to this daemon.
 func (u *update) beaten(msg BeatMsg) {
 	leading := u.lead != nil && (u.site.Hold == 0 || u.now.Before(u.leaseEnd()))
-	reply := &wire.BeatReply{Leading: leading, Epoch: u.table().Epoch, Versions: u.Versions()}
+	reply := &wire.BeatReply{Leading: leading, Epoch: u.table().Epoch}
 	if u.lead != nil {
 		u.lead.Heard(u.now, msg.Beat)
 		u.lead.Count(u.site, msg.Beat)
@@ -158,13 +171,21 @@
 		}
 		reply.Wanted = u.decision.Wanted[msg.Beat.From]
 	}
-	reply.Objects = u.newerThan(msg.Beat.Versions)
+	if msg.Beat.Digest != u.digest() {
+		reply.Versions = u.Versions()
+	}
 	u.do(BeatReplyCmd{Call: msg.Call, Reply: reply})
 }
 
 func (u *update) beatAnswered(msg BeatReplyMsg) {
 	u.beat.sent = time.Time{}
-	u.absorb(msg.Reply.Objects)
+	if len(msg.Reply.Versions) > 0 {
+		// One of us lacks something. Heartbeats carry no lists of versions: with
+		// a hundred daemons those would be most of the leader's traffic.
+		u.do(SyncCmd{To: msg.To.Address, Sync: &wire.Sync{
+			From: u.self.Address, Versions: u.Versions(), Objects: u.newerThan(msg.Reply.Versions),
+		}})
+	}
 	if u.lead != nil || msg.To != u.table().Leader {
 		return
 	}
--- a/core/process/leader/leader_test.go
+++ b/core/process/leader/leader_test.go
@@ -88,9 +88,7 @@
 	for _, servers := range []int{1, 2, 5, 10} {
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
 			beat := &wire.Beat{From: "10.0.0.1:7100", Incarnation: 1796257482125381667, DataCentre: "duluth"}
-			for _, n := range []string{"site", "homes", "dc/duluth", "dc/toledo"} {
-				beat.Versions = append(beat.Versions, &wire.Version{Name: n, Version: 123456})
-			}
+			beat.Digest = 1<<63 + 17
 			for i := range servers {
 				beat.Servers = append(beat.Servers, &wire.ServerReport{Server: fmt.Sprintf("10.1.0.%d:9000", i), State: wire.ServerState_SERVER_STATE_OK, Limit: 1, LatencyMicros: 5000})
 			}
