--- a/cmd/catkinstep/bench.go
+++ b/cmd/catkinstep/bench.go
@@ -74,17 +74,19 @@
 	Seed     uint64        `help:"Seed." default:"1"`
 	Rate     float64       `help:"Requests a second of each service." default:"600"`
 	Site     string        `help:"Whose site." enum:"lakeshore,graniteHearth" default:"lakeshore"`
+	Work     time.Duration `help:"Mean time of a request at a server." default:"10ms"`
 	JSON     string        `help:"Write the rows to a file."`
 }
 
 // Run measures a scenario.
 func (b *benchCmd) Run(ctx context.Context, c *commands) error {
 	opts := []bench.Option{bench.WithFor(b.For), bench.WithSeed(b.Seed), bench.WithRate(b.Rate), bench.WithProgress(os.Stderr)}
+	plan := stage.Lakeshore()
 	if b.Site == "graniteHearth" {
-		plan := stage.GraniteHearth()
-		plan.Work = 10 * time.Millisecond
-		opts = append(opts, bench.WithPlan(plan))
+		plan = stage.GraniteHearth()
 	}
+	plan.Work = b.Work
+	opts = append(opts, bench.WithPlan(plan))
 	if b.Against != "" {
 		opts = append(opts, bench.Against(b.Against))
 	}
