Ids come back with the daemon that has them

A lost dispatcher's server goes to the backup only when that has sent a heartbeat since, and is not handed over while ids are missing.

--- a/core/connection/queue/queue.go
+++ b/core/connection/queue/queue.go
@@ -67,6 +67,7 @@
 	pullAt  time.Time
 	lostAt  time.Time // when ids that were given up were last asked for
 	pullEnd map[uint32]time.Time
+	sources map[uint32]source // where ids are still to be fetched from
 	nextID  uint64
 
 	// tokens are those the book was kept under without a break; old are books
@@ -142,6 +143,12 @@
 	shards int
 }
 
+// source is where the ids of a shard are, and the epoch that it had there.
+type source struct {
+	from shard.Ledger
+	was  uint64
+}
+
 type pull struct {
 	from   shard.Ledger
 	shards []*wire.Shard // with their epochs there
@@ -159,6 +166,7 @@
 		copied:   map[uint32]copyState{},
 		pulls:    map[uint64]pull{},
 		pullEnd:  map[uint32]time.Time{},
+		sources:  map[uint32]source{},
 		counts:   map[uint32]uint32{},
 		tokens:   map[uint64]bool{},
 		epochs:   map[uint32]uint64{},
@@ -204,7 +212,7 @@
 // Report is what the leader wants to know of the server. The loads counted so
 // far are handed over with it.
 func (q *Queue) Report(now time.Time) *wire.ServerReport {
-	r := &wire.ServerReport{Server: q.address, State: q.server.state, Limit: q.limit.Share(), LatencyMicros: q.latency(now).Microseconds()}
+	r := &wire.ServerReport{Server: q.address, State: q.server.state, Limit: q.limit.Share(), LatencyMicros: q.latency(now).Microseconds(), IdsMissing: q.book != nil && q.book.Missing()}
 	for s, n := range q.counts {
 		r.Loads = append(r.Loads, &wire.ShardLoad{Shard: s, Orders: n})
 	}
--- a/core/connection/queue/server.go
+++ b/core/connection/queue/server.go
@@ -53,6 +53,7 @@
 		clear(q.epochs)
 		clear(q.pullEnd)
 		clear(q.pulls)
+		clear(q.sources)
 	}
 	q.token, q.backup = d.Token, d.Backup
 	q.tokens[q.token] = true
@@ -87,13 +88,20 @@
 			q.epochs[n] = row.Epoch[s]
 			delete(q.copied, n)
 			delete(q.pullEnd, n)
+			delete(q.sources, n)
 		}
 		if q.book.Known(n) {
 			continue
 		}
-		if from, _ := t.LedgerSource(q.service.Name, n); from == (shard.Ledger{}) {
+		if _, ok := q.sources[n]; ok {
+			continue // still to be fetched from there, whatever backups came since
+		}
+		from, was := t.LedgerSource(q.service.Name, n)
+		if from == (shard.Ledger{}) {
 			q.book.Cover(n, row.Epoch[s])
+			continue
 		}
+		q.sources[n] = source{from: from, was: was}
 	}
 }
 
@@ -338,8 +346,8 @@
 		if q.book.Known(n) && now.Sub(q.lostAt) < lostEvery {
 			continue // given up for now; who has the ids may only be paused
 		}
-		from, was := t.LedgerSource(q.service.Name, n)
-		if from == (shard.Ledger{}) {
+		src, ok := q.sources[n]
+		if !ok {
 			continue
 		}
 		if q.pullEnd[n].IsZero() {
@@ -349,15 +357,15 @@
 		}
 		at := -1
 		for i := range order {
-			if order[i].from == from {
+			if order[i].from == src.from {
 				at = i
 			}
 		}
 		if at < 0 {
-			order = append(order, pull{from: from})
+			order = append(order, pull{from: src.from})
 			at = len(order) - 1
 		}
-		order[at].shards = append(order[at].shards, &wire.Shard{Shard: n, Epoch: was})
+		order[at].shards = append(order[at].shards, &wire.Shard{Shard: n, Epoch: src.was})
 	}
 	if len(order) > 0 {
 		q.lostAt = now
@@ -377,16 +385,15 @@
 	}
 	delete(q.pulls, msg.ID)
 	q.book.Take(now, msg.Entries)
-	t := q.route.Tables[q.route.DataCentre]
 	for _, s := range p.shards {
 		// The shard may have gone and come back since it was asked for.
-		from, was := t.LedgerSource(q.service.Name, s.Shard)
-		if from != p.from || was != s.Epoch {
+		if q.sources[s.Shard] != (source{from: p.from, was: s.Epoch}) {
 			continue
 		}
 		if slices.Contains(msg.Covered, s.Shard) {
 			q.book.Cover(s.Shard, q.epochs[s.Shard])
 			delete(q.pullEnd, s.Shard)
+			delete(q.sources, s.Shard)
 		}
 		if end, ok := q.pullEnd[s.Shard]; ok && !q.book.Known(s.Shard) && !now.Before(end) {
 			q.book.Lose(now, s.Shard, q.epochs[s.Shard])
--- a/core/process/daemon/follow.go
+++ b/core/process/daemon/follow.go
@@ -166,7 +166,7 @@
 	if u.lead != nil {
 		u.lead.Heard(u.now, msg.Beat)
 		u.lead.Count(u.site, msg.Beat)
-		if len(msg.Beat.Released) > 0 || msg.Beat.Urgent {
+		if len(msg.Beat.Released) > 0 || msg.Beat.Urgent || len(u.decision.Nudge) > 0 {
 			u.decide()
 		}
 		reply.Wanted = u.decision.Wanted[msg.Beat.From]
@@ -342,7 +342,7 @@
 func (u *update) clearLoads() {
 	reports := make([]*wire.ServerReport, len(u.reports))
 	for i, r := range u.reports {
-		reports[i] = &wire.ServerReport{Server: r.Server, State: r.State, Limit: r.Limit, LatencyMicros: r.LatencyMicros}
+		reports[i] = &wire.ServerReport{Server: r.Server, State: r.State, Limit: r.Limit, LatencyMicros: r.LatencyMicros, IdsMissing: r.IdsMissing}
 	}
 	u.reports = reports
 }
@@ -371,7 +371,7 @@
 	}
 	out := make([]*wire.ServerReport, len(next))
 	for i, r := range next {
-		out[i] = &wire.ServerReport{Server: r.Server, State: r.State, Limit: r.Limit, LatencyMicros: r.LatencyMicros, Loads: append(waiting[r.Server], r.Loads...)}
+		out[i] = &wire.ServerReport{Server: r.Server, State: r.State, Limit: r.Limit, LatencyMicros: r.LatencyMicros, IdsMissing: r.IdsMissing, Loads: append(waiting[r.Server], r.Loads...)}
 	}
 	return out
 }
--- a/core/process/daemon/lead.go
+++ b/core/process/daemon/lead.go
@@ -40,6 +40,9 @@
 	u.decision = d
 	u.hold(d.Wanted[u.self.Address])
 	u.nudge(d.Wanted)
+	for _, to := range d.Nudge {
+		u.do(SyncCmd{To: to.Address, Sync: &wire.Sync{From: u.self.Address, Versions: u.Versions(), Nudge: true}})
+	}
 	if u.platform.failing && u.now.Before(u.platform.next) {
 		return
 	}
--- a/core/process/leader/leader.go
+++ b/core/process/leader/leader.go
@@ -20,7 +20,8 @@
 	servers    map[string]*server
 	want       map[string]*wish
 	tried      uint64
-	freed      time.Time // when unused releases were last given back
+	doubts     map[string]doubt // by server: since when its dispatcher is to be replaced
+	freed      time.Time        // when unused releases were last given back
 }
 
 // View is what is in force when a decision is made.
@@ -44,6 +45,8 @@
 	Wanted map[string][]*wire.Release
 	// Probe are silent daemons whose process may have ended.
 	Probe []table.Daemon
+	// Nudge are daemons that are to send a heartbeat now.
+	Nudge []table.Daemon
 }
 
 // peer is what was heard of one daemon.
@@ -67,6 +70,12 @@
 	fastSince time.Time // since when a slowed one answers as before
 }
 
+// doubt is since when the dispatcher under a token is to be replaced.
+type doubt struct {
+	token uint64
+	at    time.Time
+}
+
 // wish is the plan for one service's shards, kept until its inputs change.
 type wish struct {
 	owner    []int
@@ -88,6 +97,7 @@
 		peers:      map[string]*peer{},
 		servers:    map[string]*server{},
 		want:       map[string]*wish{},
+		doubts:     map[string]doubt{},
 		freed:      now,
 	}
 	for _, o := range opts {
--- a/core/process/leader/options.go
+++ b/core/process/leader/options.go
@@ -13,6 +13,7 @@
 	balanceEvery time.Duration
 	balanceMoves int
 	freeEvery    time.Duration
+	proveWithin  time.Duration
 }
 
 func defaults() settings {
@@ -24,6 +25,7 @@
 		balanceEvery: 5 * time.Second,
 		balanceMoves: 4,
 		freeEvery:    300 * time.Millisecond,
+		proveWithin:  250 * time.Millisecond,
 	}
 }
 
--- a/core/process/leader/plan.go
+++ b/core/process/leader/plan.go
@@ -19,6 +19,7 @@
 	wanted  map[string]map[string]*wire.Release
 	homes   map[string][]int // the home that each shard should have
 	probe   []table.Daemon
+	nudge   []table.Daemon
 
 	// What would else be worked out anew for each server, which at hundreds of
 	// servers and daemons takes longer than a tick.
@@ -52,7 +53,7 @@
 }
 
 func (p *plan) decision() Decision {
-	d := Decision{Homes: p.newHomes(), Wanted: map[string][]*wire.Release{}, Probe: p.probe}
+	d := Decision{Homes: p.newHomes(), Wanted: map[string][]*wire.Release{}, Probe: p.probe, Nudge: p.nudge}
 	for daemon, byServer := range p.wanted {
 		for _, r := range byServer {
 			r.Epoch, r.Freed = p.Table.Epoch, p.Table.Freed
@@ -151,8 +152,10 @@
 	for _, v := range p.myServers() {
 		d := p.t.Dispatches[v.Address]
 		switch {
-		case d.Daemon.Address == "", p.mayReplace(v, d):
+		case d.Daemon.Address == "":
 			p.dispatch(v.Address, d)
+		case p.mayReplace(v, d):
+			p.replace(v.Address, d)
 		case p.leaving(d.Daemon) && len(p.fitDaemons()) > 0, p.overloaded(v.Address, d):
 			if p.released(v.Address, nil) {
 				p.dispatch(v.Address, d)
@@ -205,13 +208,36 @@
 	return silent > bound && p.now.Sub(p.since) > bound
 }
 
+// replace gives a lost dispatcher's server to its backup, which has the ids, once
+// the backup has shown that it lives. Given to one that was lost at the same
+// time, the server would get a token under which nobody has the ids, and the
+// next dispatcher would look for them in vain.
+func (p *plan) replace(address string, d table.Dispatch) {
+	since, ok := p.doubts[address]
+	if !ok || since.token != d.Token {
+		since = doubt{token: d.Token, at: p.now}
+		p.doubts[address] = since
+	}
+	b := p.peers[d.Backup.Address]
+	alive := d.Backup == p.self || b != nil && b.daemon == d.Backup && b.at.After(since.at)
+	switch {
+	case alive || d.Backup == (table.Daemon{}):
+		p.dispatch(address, d)
+	case p.working(p.now, d.Backup) && p.now.Sub(since.at) < p.proveWithin:
+		p.nudge = append(p.nudge, d.Backup)
+	default:
+		d.Daemon, d.Backup = d.Backup, table.Daemon{} // whoever is picked, not that one
+		p.dispatch(address, d)
+	}
+}
+
 func (p *plan) dispatch(address string, d table.Dispatch) {
 	next := p.pick(d.Daemon, d.Backup)
 	if next.Address == "" {
 		return
 	}
 	p.t.SetDispatch(address, next, p.pickBackup(next))
-	p.loads[d.Daemon]--
+	p.loads[p.Table.Dispatches[address].Daemon]--
 	p.loads[next]++
 	p.changed = true
 }
@@ -271,6 +297,9 @@
 	if p.load(d.Daemon) <= len(p.t.Dispatches)/max(1, len(p.fits)) {
 		return false // no more than its share
 	}
+	if r := p.report(d.Daemon, address); r != nil && r.IdsMissing {
+		return false // the next one would look for them here, not where they are
+	}
 	for other, releases := range p.wanted {
 		for s, r := range releases {
 			if r.All && (other != d.Daemon.Address || s != address) {
--- a/core/proof/story_test.go
+++ b/core/proof/story_test.go
@@ -358,3 +358,27 @@
 		}
 	})
 }
+
+// A dispatcher dies while its backup is paused. The next one finds nobody who
+// has the ids; then the backup wakes and becomes the next one's backup, under
+// another token. Bookings of before must be answered from its copy again. They
+// were not: the next dispatcher looked for the ids under its own last token.
+func TestPausedBackupWakesWithTheIDs(t *testing.T) {
+	Convey("Ids come back with the daemon that has them", t, func() {
+		w := settled(11, 1, 3, 2, true)
+		server := w.site.DataCentres[0].Servers[0].Address
+		r := w.ask(w.keyAt(server), false)
+		w.run(1100 * time.Millisecond)
+		So(r.told, ShouldResemble, []string{"answered"})
+		d := w.tableOf("p0").Dispatches[server]
+		w.daemons[d.Daemon.Address].alive = false
+		w.daemons[d.Backup.Address].paused = w.now.Add(4 * time.Second)
+		w.run(12 * time.Second)
+		r.made = false
+		r.pending++
+		w.try(r, false)
+		w.run(3 * time.Second)
+		So(r.told, ShouldResemble, []string{"answered", "answered"})
+		So(w.violations(), ShouldBeEmpty)
+	})
+}
--- a/core/request/ledger/ledger.go
+++ b/core/request/ledger/ledger.go
@@ -149,6 +149,9 @@
 	}
 }
 
+// Missing tells whether any shard's earlier ids were given up.
+func (b *Book) Missing() bool { return len(b.lost) > 0 }
+
 // Drop removes a shard that has gone to another server.
 func (b *Book) Drop(shard uint32) {
 	delete(b.covered, shard)
