A popular lookup is no suspect of crashing servers

Ruled out: owners (all shards had one, dispatchers were well). A request that crashes servers is never answered in between, so an answer now ends the suspicion, everywhere.

--- a/core/request/crash/crash.go
+++ b/core/request/crash/crash.go
@@ -31,6 +31,9 @@
 			delete(s.seen, f)
 		}
 	}
+	if len(servers) == 0 {
+		return false
+	}
 	v := s.seen[fingerprint]
 	v.servers = slices.Clone(v.servers)
 	for _, server := range servers {
@@ -44,6 +47,16 @@
 	return news
 }
 
+// Answered notes that a request was answered, and tells whether it had been
+// suspected. A request that crashes servers does so each time; one that was only
+// under way when servers were lost for other reasons, as a popular lookup often
+// is, is answered in between.
+func (s *Suspects) Answered(fingerprint uint64) (cleared bool) {
+	_, cleared = s.seen[fingerprint]
+	delete(s.seen, fingerprint)
+	return cleared
+}
+
 // Refused tells whether a request must not be run any more.
 func (s *Suspects) Refused(now time.Time, fingerprint uint64) bool {
 	v, ok := s.seen[fingerprint]
--- a/io/process/node/desk.go
+++ b/io/process/node/desk.go
@@ -144,6 +144,7 @@
 	d.node.metrics.Add("orders.sent", 1)
 	answer, latency, err := d.client.Send(ctx, back.Order{Order: c.Order, Token: c.Token, Incarnation: c.Incarnation, NotAfter: c.NotAfter})
 	if err == nil {
+		d.node.clear(c.Order.Fingerprint)
 		d.tell(queue.AnsweredMsg{Seq: c.Seq, Answer: answer, Latency: latency})
 		return
 	}
@@ -206,15 +207,36 @@
 		return
 	}
 	n.log.Warn("server: lost while a request ran.", "server", c.Server, "fingerprint", c.Fingerprint, "servers", len(servers))
-	call := &wire.Call{Kind: &wire.Call_Suspect{Suspect: &wire.Suspect{Fingerprint: c.Fingerprint, Servers: servers}}}
+	n.tellAll(ctx, &wire.Suspect{Fingerprint: c.Fingerprint, Servers: servers})
+}
+
+// clear ends the suspicion of a request that was answered, everywhere.
+func (n *Node) clear(fingerprint uint64) {
+	n.crashMu.Lock()
+	cleared := n.suspects.Answered(fingerprint)
+	n.crashMu.Unlock()
+	if !cleared {
+		return
+	}
+	n.do(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, shareFor)
+		defer cancel()
+		n.tellAll(ctx, &wire.Suspect{Fingerprint: fingerprint})
+	})
+}
+
+// tellAll tells all known daemons of a suspicion, or of its end.
+func (n *Node) tellAll(ctx context.Context, s *wire.Suspect) {
+	call := &wire.Call{Kind: &wire.Call_Suspect{Suspect: s}}
+	var all sync.WaitGroup
 	for _, t := range n.route.Load().Tables {
 		for _, to := range t.Daemons {
 			if to != n.self {
-				go func() { _, _ = n.call(ctx, to.Address, call) }()
+				all.Go(func() { _, _ = n.call(ctx, to.Address, call) })
 			}
 		}
 	}
-	<-ctx.Done()
+	all.Wait()
 }
 
 func (d *desk) adopt(r *route.Route) { d.tell(queue.RouteMsg{Route: r}) }
--- a/io/process/node/handle.go
+++ b/io/process/node/handle.go
@@ -58,6 +58,9 @@
 	case *wire.Call_Suspect:
 		n.crashMu.Lock()
 		defer n.crashMu.Unlock()
+		if len(k.Suspect.Servers) == 0 {
+			n.suspects.Answered(k.Suspect.Fingerprint)
+		}
 		n.suspects.Lost(time.Now(), k.Suspect.Fingerprint, k.Suspect.Servers...)
 		return &wire.Reply{}
 	case *wire.Call_Status:
