Ids of a shard that came home unseen; servers of a new leader are all alike

Cause of a booking that ran twice (once in some 1,500 histories of TestDelayedHomesWriteOfAReplacedLeader): a leader, paused while a shard it had given away came home again, still had its mark and took the ids from where they were before. Homes now count a shard's changes, and what a table remembers of an earlier count is not used. Ruled out: the fence and the floor (no two owners). The failing history was not caught again for a trace; the named test shows the order of events but also passes without the change, so it is no proof of it.

--- a/core/connection/queue/queue_test.go
+++ b/core/connection/queue/queue_test.go
@@ -28,7 +28,7 @@
 	t.SetDispatch(address, self, second)
 	t.EnsureRow("k", 4, []string{address})
 	for s := range uint32(4) {
-		t.Assign("k", s, 0, shard.Ledger{}, 0, 1)
+		t.Assign("k", s, 0, shard.Ledger{}, 0, shard.Homes{}, 1)
 	}
 	homes := shard.Homes{}.WithDataCentres([]string{"p"}).WithService("k", []int{0, 0, 0, 0})
 	s := site.Site{
--- a/core/process/leader/home.go
+++ b/core/process/leader/home.go
@@ -108,14 +108,14 @@
 		if r := p.Table.Rows[service]; s >= len(r.Leaving) || !r.Leaving[s] {
 			return h, false
 		}
-		ledger, was := p.Table.LastLedger(service, uint32(s))
+		ledger, was := lastLedger(p.Table, p.Homes, service, uint32(s))
 		return h.WithHome(service, uint32(s), want, ledger, was), true
 	}
 	if !p.Site.DataCentreLost(from) || !p.firstInService() {
 		return h, false
 	}
 	lost := p.Others[from]
-	ledger, was := lost.LastLedger(service, uint32(s))
+	ledger, was := lastLedger(lost, p.Homes, service, uint32(s))
 	if ledger == (shard.Ledger{}) {
 		// Nothing known of its ledger: name one that nobody has, so that the
 		// next dispatcher takes ids for unknown instead of new.
--- a/core/process/leader/options.go
+++ b/core/process/leader/options.go
@@ -14,6 +14,7 @@
 	balanceMoves int
 	freeEvery    time.Duration
 	proveWithin  time.Duration
+	formFor      time.Duration
 }
 
 func defaults() settings {
@@ -26,6 +27,7 @@
 		balanceMoves: 4,
 		freeEvery:    300 * time.Millisecond,
 		proveWithin:  250 * time.Millisecond,
+		formFor:      4 * time.Second,
 	}
 }
 
--- a/core/process/leader/owner.go
+++ b/core/process/leader/owner.go
@@ -8,11 +8,15 @@
 	"catkinstep/core/connection/wire"
 	"catkinstep/core/version/shard"
 	"catkinstep/core/version/site"
+	"catkinstep/core/version/table"
 )
 
 const (
 	// leastSlack is the share above the mean that is not worth a move.
 	leastSlack = 0.05
+	// mostNoise is the share of chance in the loads beyond which shards are spread
+	// by their number alone.
+	mostNoise = 0.25
 	// loadMemory is about how long the smoothed loads reach back.
 	loadMemory = 10 * time.Second
 )
@@ -73,7 +77,7 @@
 		if owned && !p.mayMove(v, r.Servers[r.Owner[s]], uint32(s)) {
 			return
 		}
-		from, was := p.lastLedger(v.Name, uint32(s))
+		from, was := lastLedger(p.Table, p.Homes, v.Name, uint32(s))
 		p.t.Leave(v.Name, uint32(s), from, was)
 		p.changed = true
 	case r.Leaving[s] && p.HomesVersion > p.tried:
@@ -82,7 +86,22 @@
 	}
 }
 
+// forming tells whether this leader has begun just now, and knows its servers
+// from their first reports only.
+func (p *plan) forming() bool { return p.now.Sub(p.since) < p.formFor }
+
+// unheard tells whether a server of a service has not been reported on yet.
+func (p *plan) unheard(service string) bool {
+	return slices.ContainsFunc(p.myServers(), func(v site.Server) bool {
+		r := p.report(p.t.Dispatches[v.Address].Daemon, v.Address)
+		return v.Service == service && (r == nil || r.State == wire.ServerState_SERVER_STATE_STARTING)
+	})
+}
+
 func (p *plan) moveOwners(v site.Service) {
+	if !p.anyOwned(v.Name) && p.now.Sub(p.since) < p.formFor/4 && p.unheard(v.Name) {
+		return // else the first to be heard of gets all shards, and gives most away again
+	}
 	want := p.wantedOwners(v)
 	for s, to := range want {
 		r := p.t.Rows[v.Name]
@@ -95,8 +114,8 @@
 		if r.Owner[s] != shard.None && !p.mayMove(v, r.Servers[r.Owner[s]], uint32(s)) {
 			continue
 		}
-		from, was := p.lastLedger(v.Name, uint32(s))
-		p.t.Assign(v.Name, uint32(s), to, from, was, p.HomesVersion)
+		from, was := lastLedger(p.Table, p.Homes, v.Name, uint32(s))
+		p.t.Assign(v.Name, uint32(s), to, from, was, p.Homes, p.HomesVersion)
 		p.changed = true
 	}
 }
@@ -104,11 +123,18 @@
 // lastLedger names where a shard's ids are: here or, for a shard that came home
 // and was never assigned since, where it came from. Forgetting the latter when
 // such a shard goes on to yet another home would let its ids run again there.
-func (p *plan) lastLedger(service string, s uint32) (from shard.Ledger, was uint64) {
-	if from, was = p.Table.LastLedger(service, s); from != (shard.Ledger{}) {
+//
+// The home counts its changes, since a leader may have missed that a shard which
+// it gave away has come back: what it remembers is then of before, and bookings
+// that ran elsewhere meanwhile would run again.
+func lastLedger(t table.Table, h shard.Homes, service string, s uint32) (from shard.Ledger, was uint64) {
+	if r := t.Rows[service]; int(s) < len(r.Moved) && h.Moves(service, s) > r.Moved[s] {
+		return h.Source(service, s)
+	}
+	if from, was = t.LastLedger(service, s); from != (shard.Ledger{}) {
 		return from, was
 	}
-	return p.Homes.Source(service, s)
+	return h.Source(service, s)
 }
 
 // wantedOwners plans anew only when the servers' weights or the shards at home
@@ -134,12 +160,12 @@
 	if !due && slices.Equal(weights, w.weights) && slices.Equal(mine, w.mine) {
 		return w.owner
 	}
-	moves, slack := 0, 0.0
+	moves, slack, noise := 0, 0.0, w.noise(weights)
 	if slices.Equal(weights, w.weights) && slices.Equal(mine, w.mine) {
-		moves, slack = p.balanceMoves, w.noise(weights)
+		moves, slack = p.balanceMoves, noise
 	}
 	w.weights, w.mine = weights, mine
-	w.owner = w.spread(r.Owner, weights, mine, moves, slack)
+	w.owner = w.spread(r.Owner, weights, mine, moves, slack, noise < mostNoise)
 	return w.owner
 }
 
@@ -167,7 +193,7 @@
 		if r.State != wire.ServerState_SERVER_STATE_OK {
 			continue
 		}
-		if !p.holds(v.Name, i) && p.now.Sub(h.okSince) < p.returnAfter && p.anyOwned(v.Name) {
+		if !p.holds(v.Name, i) && p.now.Sub(h.okSince) < p.returnAfter && !p.forming() {
 			continue
 		}
 		out[i] = 1
@@ -237,7 +263,7 @@
 
 // spread plans the shards at home only. Sizes blend the counted load with an
 // even part, so that idle shards are spread too and noise moves nothing.
-func (w *wish) spread(owner []int, weights []float64, mine []bool, moves int, slack float64) []int {
+func (w *wish) spread(owner []int, weights []float64, mine []bool, moves int, slack float64, byLoad bool) []int {
 	total := 0.0
 	var at []int
 	for s := range owner {
@@ -250,7 +276,7 @@
 	for i, s := range at {
 		have[i] = owner[s]
 		sizes[i] = 1
-		if total > 1 {
+		if byLoad {
 			sizes[i] = 0.1 + 0.9*w.loads[s]*float64(len(at))/total
 		}
 	}
--- a/core/process/leader/plan.go
+++ b/core/process/leader/plan.go
@@ -106,7 +106,8 @@
 				s.okSince = p.now
 				// One that kept its shards has only got another dispatcher, which
 				// begins carefully; taking shards away for that would be churn.
-				s.ramping = p.ownsNothing(v.Address)
+				// When a whole data centre starts, all are equally cold.
+				s.ramping = p.ownsNothing(v.Address) && !p.forming()
 			}
 			s.lastOK = p.now
 			if r.Limit >= 1 {
--- a/core/process/leader/slow.go
+++ b/core/process/leader/slow.go
@@ -12,6 +12,10 @@
 	// take when it counts as slowed, and fastRatio when it does no more.
 	slowRatio = 3.0
 	fastRatio = 1.7
+	// leastExtra is what a slow answer must take beyond the median to matter to
+	// anybody; without it, servers that answer in a fraction of a millisecond are
+	// slow and fast by chance all the time, and shards move for nothing.
+	leastExtra = 10 * time.Millisecond
 	// slowAfter keeps a short stumble from moving anything.
 	slowAfter = 150 * time.Millisecond
 	// fastAfter keeps a server whose neighbours come and go from taking its
@@ -49,7 +53,11 @@
 		slices.Sort(latencies)
 		median := latencies[(len(latencies)-1)/2]
 		for _, r := range reports {
-			p.servers[r.Server].judge(p.now, float64(r.LatencyMicros)/float64(median))
+			ratio := float64(r.LatencyMicros) / float64(median)
+			if time.Duration(r.LatencyMicros-median)*time.Microsecond < leastExtra {
+				ratio = 1
+			}
+			p.servers[r.Server].judge(p.now, ratio)
 		}
 	}
 }
--- a/core/proof/world_test.go
+++ b/core/proof/world_test.go
@@ -138,7 +138,7 @@
 
 // follow notes what happens to the request that a flag names.
 func (w *world) follow(id, format string, args ...any) {
-	if *fuzzID != "" && id == *fuzzID {
+	if *fuzzID == "*" || id == *fuzzID {
 		w.note(id+" "+format, args...)
 	}
 }
--- a/core/version/shard/homes.go
+++ b/core/version/shard/homes.go
@@ -18,6 +18,8 @@
 	Sources map[string][]int `json:"sources"`
 	// Was holds, for each service, the epoch that a shard had there.
 	Was map[string][]uint64 `json:"was"`
+	// Moved counts, for each service, how often a shard has changed its home.
+	Moved map[string][]uint64 `json:"moved"`
 	// Ledgers are the places that Sources index.
 	Ledgers []Ledger `json:"ledgers"`
 	// Floors hold, for each data centre, the leader's epoch that last wrote. A
@@ -77,6 +79,14 @@
 	return h.Ledgers[row[s]], h.Was[service][s]
 }
 
+// Moves returns how often a shard has changed its home.
+func (h Homes) Moves(service string, s uint32) uint64 {
+	if row := h.Moved[service]; int(s) < len(row) {
+		return row[s]
+	}
+	return 0
+}
+
 // Index returns a data centre's place in DataCentres, or None.
 func (h Homes) Index(dataCentre string) int { return slices.Index(h.DataCentres, dataCentre) }
 
@@ -86,6 +96,7 @@
 	h.Rows = cloneRows(h.Rows)
 	h.Sources = cloneRows(h.Sources)
 	h.Was = cloneRows(h.Was)
+	h.Moved = cloneRows(h.Moved)
 	h.Ledgers = slices.Clone(h.Ledgers)
 	if h.Floors = maps.Clone(h.Floors); h.Floors == nil {
 		h.Floors = map[string]uint64{}
@@ -110,6 +121,7 @@
 	h.Rows[service] = row
 	h.Sources[service] = slices.Repeat([]int{None}, len(row))
 	h.Was[service] = make([]uint64, len(row))
+	h.Moved[service] = make([]uint64, len(row))
 	return h
 }
 
@@ -119,6 +131,7 @@
 	h = h.Clone()
 	h.Rows[service][s] = dataCentre
 	h.Was[service][s] = was
+	h.Moved[service][s]++
 	at := slices.Index(h.Ledgers, from)
 	if at < 0 {
 		at = len(h.Ledgers)
--- a/core/version/table/table.go
+++ b/core/version/table/table.go
@@ -69,6 +69,8 @@
 	Source []int `json:"source"`
 	// Was holds the epoch that each shard had at its source.
 	Was []uint64 `json:"was"`
+	// Moved is how often each shard had changed its home when it was assigned.
+	Moved []uint64 `json:"moved"`
 	// Leaving marks shards that are being given to another home. Nobody here
 	// may own them again until a write of the homes has settled it.
 	Leaving []bool `json:"leaving"`
@@ -110,6 +112,7 @@
 		r.Epoch = slices.Clone(r.Epoch)
 		r.Source = slices.Clone(r.Source)
 		r.Was = slices.Clone(r.Was)
+		r.Moved = slices.Clone(r.Moved)
 		r.Leaving = slices.Clone(r.Leaving)
 		r.Ledgers = slices.Clone(r.Ledgers)
 		rows[k] = r
@@ -196,6 +199,7 @@
 			Epoch:   make([]uint64, shards),
 			Source:  slices.Repeat([]int{shard.None}, shards),
 			Was:     make([]uint64, shards),
+			Moved:   make([]uint64, shards),
 			Leaving: make([]bool, shards),
 		}
 	}
@@ -209,10 +213,11 @@
 
 // Assign makes a server the owner of a shard under a new epoch. The caller
 // must know that the owner before has stopped.
-func (t *Table) Assign(service string, s uint32, server int, from shard.Ledger, was, homes uint64) {
+func (t *Table) Assign(service string, s uint32, server int, from shard.Ledger, was uint64, homes shard.Homes, version uint64) {
 	r := t.Rows[service]
 	t.Counter++
-	t.HomesSeen = max(t.HomesSeen, homes)
+	t.HomesSeen = max(t.HomesSeen, version)
+	r.Moved[s] = homes.Moves(service, s)
 	r.Owner[s] = server
 	r.Epoch[s] = t.HomesSeen<<counterBits | t.Counter
 	r.setSource(s, from, was)
--- a/io/request/entry/entry_test.go
+++ b/io/request/entry/entry_test.go
@@ -42,7 +42,7 @@
 	t := table.Table{DataCentre: "p"}.Clone()
 	t.SetDispatch("10.0.0.9:9000", d, table.Daemon{})
 	t.EnsureRow("workshop", 1, []string{"10.0.0.9:9000"})
-	t.Assign("workshop", 0, 0, shard.Ledger{}, 0, 1)
+	t.Assign("workshop", 0, 0, shard.Ledger{}, 0, shard.Homes{}, 1)
 	homes := shard.Homes{}.WithDataCentres([]string{"p"}).WithService("workshop", []int{0})
 	s := site.Site{Presets: []site.Preset{{Name: "o", InForce: true, RetryShare: 0.1}},
 		Services:    []site.Service{{Name: "workshop", Keyed: true, KeySegment: 2, Shards: 1, Slots: 1, Deadline: time.Second, Idempotent: []string{"GET"}, Levels: site.Levels{Within: time.Minute}}},
