--- a/core/process/leader/owner.go
+++ b/core/process/leader/owner.go
@@ -86,6 +86,15 @@
 	}
 }
 
+// awaitsIDs tells whether a server that works well is still without ids of before,
+// which a paused daemon may bring. They are looked for where its dispatcher knows
+// of them; shards that merely even out the loads would leave that trail.
+func (p *plan) awaitsIDs(address string) bool {
+	r := p.report(p.Table.Dispatches[address].Daemon, address)
+	return r != nil && r.IdsMissing && r.State == wire.ServerState_SERVER_STATE_OK &&
+		!p.Site.HostOut(address) && !p.Site.DataCentreOut(p.dataCentre)
+}
+
 // forming tells whether this leader has begun just now, and knows its servers
 // from their first reports only.
 func (p *plan) forming() bool { return p.now.Sub(p.since) < p.formFor }
@@ -111,8 +120,11 @@
 		if _, ok := p.Table.Dispatches[r.Servers[to]]; !ok {
 			continue // its dispatcher comes first
 		}
-		if r.Owner[s] != shard.None && !p.mayMove(v, r.Servers[r.Owner[s]], uint32(s)) {
-			continue
+		if r.Owner[s] != shard.None {
+			owner := r.Servers[r.Owner[s]]
+			if p.awaitsIDs(owner) || !p.mayMove(v, owner, uint32(s)) {
+				continue
+			}
 		}
 		from, was := lastLedger(p.Table, p.Homes, v.Name, uint32(s))
 		p.t.Assign(v.Name, uint32(s), to, from, was, p.Homes, p.HomesVersion)
