--- a/core/process/leader/leader_test.go
+++ b/core/process/leader/leader_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"catkinstep/core/connection/wire"
+	"catkinstep/core/version/shard"
 	"catkinstep/core/version/site"
 	"catkinstep/core/version/table"
 )
@@ -99,3 +100,14 @@
 		})
 	}
 }
+
+// A data centre comes back; its first shards have had no order yet, though the
+// shards it had before have. Their sizes were zero over zero, no server was the
+// emptiest, and the leader panicked.
+func TestSpreadOfShardsWithoutOrders(t *testing.T) {
+	w := &wish{loads: []float64{50, 0, 0}}
+	got := w.spread([]int{shard.None, shard.None, shard.None}, []float64{1, 1}, []bool{false, true, true}, 0, 0, true)
+	if got[1] < 0 || got[2] < 0 || got[1] == got[2] {
+		t.Fatalf("spread to %v", got)
+	}
+}
--- a/core/process/leader/owner.go
+++ b/core/process/leader/owner.go
@@ -288,7 +288,7 @@
 	for i, s := range at {
 		have[i] = owner[s]
 		sizes[i] = 1
-		if byLoad {
+		if byLoad && total > 0 {
 			sizes[i] = 0.1 + 0.9*w.loads[s]*float64(len(at))/total
 		}
 	}
--- a/core/version/shard/spread.go
+++ b/core/version/shard/spread.go
@@ -110,7 +110,7 @@
 	for s := range want {
 		all += p.size(s)
 	}
-	if all <= 0 {
+	if !(all > 0) { // also when a size is no number
 		return nil // nothing to spread: every owner has its share of nothing
 	}
 	f := &filling{quota: make([]float64, len(weights)), sum: make([]float64, len(weights))}
