--- a/cmd/catkinstep/main.go
+++ b/cmd/catkinstep/main.go
@@ -25,6 +25,7 @@
 	LogLevel string `help:"Lowest level that is logged." enum:"debug,info,warn,error" default:"info"`
 
 	Serve      serveCmd      `cmd:"" help:"Run a daemon on this host."`
+	Edge       edgeCmd       `cmd:"" help:"Run a daemon on the users' platform."`
 	Check      checkCmd      `cmd:"" help:"Check a site file and name every mistake."`
 	Apply      applyCmd      `cmd:"" help:"Put a site file in force."`
 	Preset     presetCmd     `cmd:"" help:"Switch presets."`
@@ -72,9 +73,13 @@
 }
 
 func (c *commands) logger() *slog.Logger {
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: c.level()}))
+}
+
+func (c *commands) level() slog.Level {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
 		level = slog.LevelInfo
 	}
-	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	return level
 }
--- /dev/null
+++ b/core/process/crew/crew.go
@@ -0,0 +1,246 @@
+package crew
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"catkinstep/core/version/grant"
+)
+
+const (
+	// silentAfter is how long a daemon may say nothing before it counts as lost.
+	// Daemons speak every half second; two words may be lost.
+	silentAfter = 1500 * time.Millisecond
+	// rankStep keeps daemons from taking the lead all at once; a conditional
+	// update takes a few milliseconds and its news a few more.
+	rankStep = 150 * time.Millisecond
+	// staleAfter is how old a daemon's news of the platform may be before it asks
+	// the platform itself. A leaving server must be known within two seconds.
+	staleAfter = 900 * time.Millisecond
+	// outAfter is how long a leader may fail to reach the platform, while others
+	// do, before it gives way.
+	outAfter = 1200 * time.Millisecond
+	// forgetAfter drops daemons that were not heard of any more.
+	forgetAfter = 30 * time.Second
+)
+
+// Member is one life of a daemon.
+type Member struct {
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	DataCentre  string `json:"dataCentre"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Word is what a daemon says of itself.
+type Word struct {
+	// Leaving daemons stop, or give way as leaders.
+	Leaving bool
+	// Stored is when the daemon itself last had an answer of the platform.
+	Stored time.Time
+	// Epoch is that of the newest table that it knows.
+	Epoch uint64
+}
+
+type peer struct {
+	Member
+	Word
+	heard time.Time
+	gone  bool
+}
+
+// Crew is the state; one goroutine owns it.
+type Crew struct {
+	self   Member
+	since  time.Time
+	stored time.Time
+	peers  map[string]*peer // by name
+	// lost is since when each leader has been missed.
+	missed      grant.Leader
+	missedSince time.Time
+}
+
+// New returns a Crew that has heard of nobody.
+func New(self Member, now time.Time) *Crew {
+	return &Crew{self: self, since: now, peers: map[string]*peer{}}
+}
+
+// Self returns this daemon.
+func (c *Crew) Self() Member { return c.self }
+
+// Stored notes an answer of the platform to this daemon.
+func (c *Crew) Stored(now time.Time) { c.stored = now }
+
+// LastStored is when the platform last answered this daemon.
+func (c *Crew) LastStored() time.Time { return c.stored }
+
+// Met adds a daemon that was only read of. It counts as lost until heard.
+func (c *Crew) Met(m Member) {
+	if m.Name == c.self.Name {
+		return
+	}
+	p := c.peers[m.Name]
+	if p == nil || p.Incarnation < m.Incarnation {
+		c.peers[m.Name] = &peer{Member: m}
+	}
+}
+
+// Heard takes in a daemon's word.
+func (c *Crew) Heard(now time.Time, m Member, w Word) {
+	if m.Name == c.self.Name {
+		return
+	}
+	if p := c.peers[m.Name]; p != nil && p.Incarnation > m.Incarnation {
+		return // delayed word of a life that has ended
+	}
+	c.peers[m.Name] = &peer{Member: m, Word: w, heard: now}
+}
+
+// Refused notes that no process listens at a daemon's address: its life has ended.
+func (c *Crew) Refused(address string) {
+	for _, p := range c.peers {
+		if p.Address == address {
+			p.gone = true
+		}
+	}
+}
+
+// Addresses lists whom to talk to, the lost ones too, so that they are found
+// again after a cut.
+func (c *Crew) Addresses(now time.Time, near bool) []string {
+	var out []string
+	for name, p := range c.peers {
+		if !p.heard.IsZero() && now.Sub(p.heard) > forgetAfter {
+			delete(c.peers, name)
+			continue
+		}
+		if (p.DataCentre == c.self.DataCentre) == near {
+			out = append(out, p.Address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// AddressOf finds a daemon by name; "" when it is not known.
+func (c *Crew) AddressOf(name string) string {
+	if p := c.peers[name]; p != nil {
+		return p.Address
+	}
+	return ""
+}
+
+// Count is how many daemons there may be, this one included. Lost ones count,
+// since they may still send to servers.
+func (c *Crew) Count() int { return len(c.peers) + 1 }
+
+// Place is this daemon's place among all that there may be, by name.
+func (c *Crew) Place() int {
+	n := 0
+	for name := range c.peers {
+		if name < c.self.Name {
+			n++
+		}
+	}
+	return n
+}
+
+// Reads tells whether this daemon should read the platform for the others: the
+// news it has is old, and no other daemon of its data centre would come first.
+// current is when the news was last known to be in force.
+func (c *Crew) Reads(now, current time.Time, leading bool) bool {
+	if leading || now.Sub(current) > staleAfter+time.Duration(c.rank(now, true))*rankStep {
+		return true
+	}
+	return false
+}
+
+// GivesWay tells whether a leader should let another lead, since the platform
+// answers others and not it.
+func (c *Crew) GivesWay(now time.Time) bool {
+	if now.Sub(c.stored) < outAfter {
+		return false
+	}
+	for _, p := range c.peers {
+		if c.lives(now, p) && !p.Leaving && p.Stored.After(c.stored) && now.Sub(p.Stored) < outAfter/2 {
+			return true
+		}
+	}
+	return false
+}
+
+// MayLead tells whether this daemon should try to take the lead from a leader.
+// ended says that the leader's life is proven over.
+func (c *Crew) MayLead(now time.Time, l grant.Leader) (try, ended bool) {
+	since, missing, ended := c.missing(now, l)
+	if !missing {
+		c.missed = grant.Leader{}
+		return false, ended
+	}
+	if c.missed != l || c.missedSince.IsZero() {
+		c.missed, c.missedSince = l, since
+	}
+	wait := time.Duration(c.rank(now, false)) * rankStep
+	return now.Sub(c.missedSince) >= wait && now.Sub(c.stored) < outAfter, ended
+}
+
+// missing tells whether a leader is lost, since when, and whether for good.
+func (c *Crew) missing(now time.Time, l grant.Leader) (since time.Time, missing, ended bool) {
+	if l.Daemon == "" {
+		return later(c.since, c.stored), true, true
+	}
+	if l.Daemon == c.self.Name {
+		return now, l.Incarnation != c.self.Incarnation, true
+	}
+	p := c.peers[l.Daemon]
+	switch {
+	case p == nil:
+		return c.since.Add(silentAfter), now.Sub(c.since) > silentAfter, false
+	case p.Incarnation > l.Incarnation || p.gone:
+		return now, true, true
+	case p.Leaving && c.lives(now, p):
+		return now, true, false
+	case p.heard.IsZero():
+		return c.since.Add(silentAfter), now.Sub(c.since) > silentAfter, false
+	}
+	return p.heard.Add(silentAfter), !c.lives(now, p), false
+}
+
+// GaveWay tells whether a former leader is known to have ended, or to know of a
+// newer epoch and so to have stopped granting.
+func (c *Crew) GaveWay(l grant.Leader, epoch uint64) bool {
+	if l.Daemon == "" || l.Daemon == c.self.Name {
+		return true
+	}
+	p := c.peers[l.Daemon]
+	return p != nil && (p.Incarnation > l.Incarnation || p.gone || p.Incarnation == l.Incarnation && p.Epoch >= epoch)
+}
+
+func (c *Crew) lives(now time.Time, p *peer) bool {
+	return !p.gone && !p.heard.IsZero() && now.Sub(p.heard) < silentAfter
+}
+
+// rank is this daemon's place among the living that could do the same.
+func (c *Crew) rank(now time.Time, near bool) int {
+	n := 0
+	for _, p := range c.peers {
+		if near && p.DataCentre != c.self.DataCentre || !c.lives(now, p) || p.Leaving {
+			continue
+		}
+		if now.Sub(p.Stored) > silentAfter && now.Sub(c.since) > silentAfter {
+			continue
+		}
+		if cmp.Compare(p.Name, c.self.Name) < 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/process/keeper/keeper.go
@@ -0,0 +1,265 @@
+package keeper
+
+import (
+	"time"
+
+	"catkinstep/core/version/fleet"
+	"catkinstep/core/version/grant"
+)
+
+// step is how far a range is on its way to another holder.
+type step int
+
+const (
+	held      step = iota
+	saving         // the intent is being stored
+	releasing      // the holder is asked to let go
+	granting       // the new holder has not confirmed yet
+)
+
+// span is a range with what the leader remembers of it.
+type span struct {
+	grant.Range
+	step step
+	// intent is the sequence of the first table that holds the intent.
+	intent uint64
+	// renewal is set when the fence was already confirmed by the holder.
+	renewal bool
+	// busy is set while a call to the holder is out.
+	busy bool
+	// until is when the holder's last grant has surely run out; zero means that
+	// none was ever sent.
+	until time.Time
+	// unsure is until when a grant without an answer may make the holder hold the
+	// range although it released it: such a grant may be applied late. Zero after
+	// a newer fence was confirmed, since older ones are refused from then on.
+	unsure time.Time
+	// due is when the next call may be made.
+	due      time.Time
+	handover string
+}
+
+// share is one service's keys.
+type share struct {
+	service  string
+	spans    []*span
+	balanced time.Time
+	rates    []float64
+}
+
+// Keeper holds the decisions of one leadership.
+type Keeper struct {
+	hold, right time.Duration
+
+	epoch     uint64
+	leader    grant.Leader
+	seq       uint64
+	minted    uint64
+	revision  uint64
+	since     time.Time
+	confirmed time.Time // when the epoch was last known to be in force
+	ticked    time.Time
+	oldEnded  bool
+
+	shares  []*share
+	fleet   *fleet.Fleet
+	keyed   []string
+	out     map[string]bool
+	settled time.Time // since when the list of servers is unchanged
+	servers int
+	ended   map[grant.Holder]bool
+	// addresses outlive the list's entries: a server that left the list without
+	// draining still has to release.
+	addresses map[grant.Holder]string
+
+	asked   uint64 // the sequence of the last save
+	dirty   bool   // the stored table lacks an intent
+	lazy    bool   // the stored table lacks something that may be lost
+	saved   time.Time
+	waiting bool // a save or read is out
+	reread  bool // the stored table is in doubt
+	again   time.Time
+	visible bool // the published table is out of date
+	cmds    []Cmd
+}
+
+// New returns the Keeper of a leadership that began with a conditional update
+// of the stored table, which now is at a revision.
+func New(now time.Time, t grant.Table, revision uint64, opts ...Option) *Keeper {
+	k := &Keeper{
+		hold: defaultHold, right: defaultRight,
+		epoch: t.Epoch, leader: t.Leader, seq: t.Seq, revision: revision,
+		since: now, confirmed: now, ticked: now, saved: now,
+		fleet: fleet.New(nil), ended: map[grant.Holder]bool{}, addresses: map[grant.Holder]string{}, visible: true,
+	}
+	for _, o := range opts {
+		o(k)
+	}
+	for _, s := range t.Shares {
+		k.shares = append(k.shares, k.takeOver(now, s))
+	}
+	return k
+}
+
+// takeOver builds on what the leader before left. Its last grants may still be
+// renewed by it for as long as its right lasts.
+func (k *Keeper) takeOver(now time.Time, s grant.Share) *share {
+	out := &share{service: s.Service, balanced: now}
+	for _, r := range s.Ranges {
+		sp := &span{Range: r, until: k.runsOut(now.Add(k.right)), due: now}
+		sp.Fence = k.mint()
+		switch {
+		case r.Next.Server != "":
+			sp.step, sp.intent = releasing, k.seq
+			sp.unsure = sp.until
+		case r.Pending:
+			sp.step = granting
+		}
+		out.spans = append(out.spans, sp)
+	}
+	return out
+}
+
+// Update takes in a message and returns what is to be done.
+func (k *Keeper) Update(now time.Time, m Msg) []Cmd {
+	k.cmds = nil
+	switch m := m.(type) {
+	case TickMsg:
+		k.tick(now)
+	case FleetMsg:
+		k.fleetIs(now, m)
+	case LoadMsg:
+		k.loadIs(m)
+	case GrantedMsg:
+		k.granted(now, m)
+	case ReleasedMsg:
+		k.released(now, m)
+	case StoredMsg:
+		k.stored(now, m)
+	case UnstoredMsg:
+		k.waiting, k.reread, k.again = false, true, now.Add(rereadAfter)
+	case CurrentMsg:
+		k.current(m)
+	case OldLeaderMsg:
+		k.oldLeaderEnded(m.At)
+	}
+	k.publish()
+	return k.cmds
+}
+
+// Table is what daemons should know.
+func (k *Keeper) Table() grant.Table { return k.table(false) }
+
+// table lists the ranges. The stored form names an intent before anything is
+// done about it; the published form only when the range is closed.
+func (k *Keeper) table(stored bool) grant.Table {
+	t := grant.Table{Epoch: k.epoch, Seq: k.seq, Leader: k.leader}
+	for _, s := range k.shares {
+		out := grant.Share{Service: s.service, Ranges: make([]grant.Range, 0, len(s.spans))}
+		for _, sp := range s.spans {
+			r := sp.Range
+			if !stored && sp.step == saving {
+				r.Next = grant.Holder{}
+			}
+			out.Ranges = append(out.Ranges, r)
+		}
+		t.Shares = append(t.Shares, out)
+	}
+	return t
+}
+
+func (k *Keeper) tick(now time.Time) {
+	pause := now.Sub(k.ticked)
+	k.ticked = now
+	if pause > wokeAfter {
+		k.note(NoteCmd{Text: "clock jumped, epoch is checked before the next call", Reason: pause.String()})
+		k.reread, k.again = true, now
+		k.confirmed = now.Add(-k.right)
+	}
+	k.store(now)
+	if now.Sub(k.confirmed) >= k.right {
+		return // others may have taken over: nothing is granted until that is known
+	}
+	k.place(now)
+	for _, s := range k.shares {
+		k.balance(now, s)
+		for _, sp := range s.spans {
+			k.plan(now, s, sp)
+			k.act(now, s, sp)
+		}
+	}
+	k.store(now)
+}
+
+func (k *Keeper) fleetIs(now time.Time, m FleetMsg) {
+	if len(m.Fleet.All()) != k.servers || k.settled.IsZero() {
+		k.settled, k.servers = now, len(m.Fleet.All())
+	}
+	k.fleet, k.keyed, k.out = m.Fleet, m.Keyed, m.Out
+	for _, v := range m.Fleet.All() {
+		k.addresses[holder(v)] = v.Address
+	}
+	for h := range k.ended {
+		if s, ok := k.fleet.Find(h.Server); !ok || s.Born != h.Born {
+			delete(k.ended, h)
+		}
+	}
+}
+
+func (k *Keeper) loadIs(m LoadMsg) {
+	for _, s := range k.shares {
+		if s.service == m.Service {
+			s.rates = m.Rates
+		}
+	}
+}
+
+func (k *Keeper) current(m CurrentMsg) {
+	if m.Epoch == k.epoch && m.At.After(k.confirmed) {
+		k.confirmed = m.At
+	}
+	if m.Epoch > k.epoch {
+		k.resign("another daemon leads with a newer epoch")
+	}
+}
+
+// oldLeaderEnded drops the time that the old leader could have gone on for.
+func (k *Keeper) oldLeaderEnded(at time.Time) {
+	if k.oldEnded {
+		return
+	}
+	k.oldEnded = true
+	bound := k.runsOut(at.Add(callTime))
+	for _, s := range k.shares {
+		for _, sp := range s.spans {
+			sp.until = earlier(sp.until, bound)
+			sp.unsure = earlier(sp.unsure, bound)
+		}
+	}
+}
+
+func (k *Keeper) publish() {
+	if !k.visible {
+		return
+	}
+	k.visible = false
+	k.seq++
+	k.cmds = append(k.cmds, PublishCmd{Table: k.table(false)})
+}
+
+func (k *Keeper) resign(reason string) {
+	k.cmds = append(k.cmds, ResignCmd{Reason: reason})
+}
+
+func (k *Keeper) note(n NoteCmd) { k.cmds = append(k.cmds, n) }
+
+// mint returns a fence above all of this epoch's and all older ones.
+func (k *Keeper) mint() uint64 {
+	k.minted++
+	return k.epoch<<fenceShift | k.minted
+}
+
+// runsOut is when a grant whose call ended at a time has surely run out.
+func (k *Keeper) runsOut(ended time.Time) time.Time {
+	return ended.Add(time.Duration(float64(k.hold)*clockRate) + flightSlack)
+}
--- /dev/null
+++ b/core/process/keeper/messages.go
@@ -0,0 +1,158 @@
+package keeper
+
+import (
+	"time"
+
+	"catkinstep/core/version/fleet"
+	"catkinstep/core/version/grant"
+)
+
+// Result is how a call to a server ended.
+type Result int
+
+// Results of calls.
+const (
+	// Done means that the server carried it out.
+	Done Result = iota
+	// Fenced means that the server has seen a higher fence on one of the keys.
+	Fenced
+	// Ended proves that the life of the holder is over: its address refuses
+	// connections or belongs to another.
+	Ended
+	// NotSent means that no byte of the call left this host.
+	NotSent
+	// Unsure means that the call may have been, or may yet be, carried out.
+	Unsure
+)
+
+// Msg is something that happened.
+type Msg interface{ msg() }
+
+// TickMsg lets time pass.
+type TickMsg struct{}
+
+// FleetMsg is news of the servers, the services with keys, and the data centres
+// that are to get no work.
+type FleetMsg struct {
+	Fleet *fleet.Fleet
+	Keyed []string
+	Out   map[string]bool
+}
+
+// LoadMsg says how many requests a second a bucket of keys got, over all daemons.
+type LoadMsg struct {
+	Service string
+	// Rates are requests a second for each of Buckets buckets.
+	Rates []float64
+}
+
+// GrantedMsg is the end of a GrantCmd.
+type GrantedMsg struct {
+	Cmd    GrantCmd
+	At     time.Time
+	Result Result
+}
+
+// ReleasedMsg is the end of a ReleaseCmd.
+type ReleasedMsg struct {
+	Cmd      ReleaseCmd
+	Result   Result
+	Handover string
+}
+
+// StoredMsg is the stored table, as a save or a read found it.
+type StoredMsg struct {
+	Table    grant.Table
+	Revision uint64
+	// Asked is when the call began.
+	Asked time.Time
+}
+
+// UnstoredMsg says that a save or a read got no usable answer.
+type UnstoredMsg struct{}
+
+// CurrentMsg says that the stored table was known to be of an epoch at a time,
+// from a watch or another daemon.
+type CurrentMsg struct {
+	Epoch uint64
+	At    time.Time
+}
+
+// OldLeaderMsg proves that the leader before this one ended or gave way by At.
+type OldLeaderMsg struct{ At time.Time }
+
+func (TickMsg) msg()      {}
+func (FleetMsg) msg()     {}
+func (LoadMsg) msg()      {}
+func (GrantedMsg) msg()   {}
+func (ReleasedMsg) msg()  {}
+func (StoredMsg) msg()    {}
+func (UnstoredMsg) msg()  {}
+func (CurrentMsg) msg()   {}
+func (OldLeaderMsg) msg() {}
+
+// Cmd is something to be done.
+type Cmd interface{ cmd() }
+
+// GrantCmd asks a server to hold a range. It must not be sent later than Before.
+//
+// A renewal bears the fence of the grant before it, so it must reach the same
+// life of the server: it may go out on a connection only that was open then.
+// Another life behind the same id would take the keys with a fence that it must
+// not have. A grant that is not sent for want of such a connection is followed
+// by one with a new fence.
+type GrantCmd struct {
+	Renewal  bool
+	Service  string
+	Address  string
+	Holder   grant.Holder
+	From, To int
+	Fence    uint64
+	Hold     time.Duration
+	Handover string
+	Before   time.Time
+}
+
+// ReleaseCmd asks a server to let go of a range once its running work has ended.
+type ReleaseCmd struct {
+	Service  string
+	Address  string
+	Holder   grant.Holder
+	From, To int
+	Fence    uint64
+	Before   time.Time
+}
+
+// SaveCmd stores the table if it still is at a revision.
+type SaveCmd struct {
+	Table    grant.Table
+	Revision uint64
+}
+
+// ReadCmd reads the stored table afresh.
+type ReadCmd struct{}
+
+// PublishCmd tells all daemons of a table.
+type PublishCmd struct{ Table grant.Table }
+
+// ResignCmd ends this leadership.
+type ResignCmd struct{ Reason string }
+
+// NoteCmd is a line for the log: a belief that changed, and why.
+type NoteCmd struct {
+	Text     string
+	Service  string
+	From, To int
+	Holder   grant.Holder
+	Next     grant.Holder
+	Fence    uint64
+	Reason   string
+}
+
+func (GrantCmd) cmd()   {}
+func (ReleaseCmd) cmd() {}
+func (SaveCmd) cmd()    {}
+func (ReadCmd) cmd()    {}
+func (PublishCmd) cmd() {}
+func (ResignCmd) cmd()  {}
+func (NoteCmd) cmd()    {}
--- /dev/null
+++ b/core/process/keeper/move.go
@@ -0,0 +1,208 @@
+package keeper
+
+import (
+	"time"
+
+	"catkinstep/core/version/fleet"
+	"catkinstep/core/version/grant"
+)
+
+// plan starts a move when the holder cannot go on.
+func (k *Keeper) plan(now time.Time, s *share, sp *span) {
+	if sp.busy || sp.step == saving || sp.step == releasing {
+		return
+	}
+	reason := k.unfit(now, sp)
+	if reason == "" {
+		return
+	}
+	to, ok := k.roomiest(s, sp.Holder)
+	if !ok {
+		return
+	}
+	k.move(s, sp, to, reason)
+}
+
+// unfit says why a range must leave its holder, or nothing.
+func (k *Keeper) unfit(now time.Time, sp *span) string {
+	v, ok := k.fleet.Find(sp.Holder.Server)
+	switch {
+	case !ok:
+		return "holder is gone from the list"
+	case k.over(sp.Holder):
+		return "holder's life has ended"
+	case v.Draining:
+		return "holder is draining"
+	case k.out[v.DataCentre]:
+		return "data centre is out"
+	case !sp.until.IsZero() && now.After(sp.until):
+		return "grant ran out unanswered"
+	}
+	return ""
+}
+
+// over tells whether a life is proven to have ended.
+func (k *Keeper) over(h grant.Holder) bool {
+	if h.Server == "" || k.ended[h] {
+		return true
+	}
+	v, ok := k.fleet.Find(h.Server)
+	return ok && v.Born != h.Born
+}
+
+// fits tells whether a server may get keys.
+func (k *Keeper) fits(v fleet.Server) bool {
+	return !v.Draining && !k.out[v.DataCentre] && !k.ended[grant.Holder{Server: v.ID, Born: v.Born}]
+}
+
+// move states the intent; nothing happens until it is stored.
+func (k *Keeper) move(s *share, sp *span, to grant.Holder, reason string) {
+	k.seq++
+	sp.Next, sp.step, sp.intent = to, saving, k.seq
+	k.dirty = true
+	k.note(NoteCmd{Text: "range is to move", Service: s.service, From: sp.From, To: sp.To,
+		Holder: sp.Holder, Next: sp.Next, Fence: sp.Fence, Reason: reason})
+}
+
+// act makes the next call for a range.
+func (k *Keeper) act(now time.Time, s *share, sp *span) {
+	if sp.step == releasing && k.free(now, sp) {
+		k.passOn(now, s, sp)
+	}
+	if sp.busy || now.Before(sp.due) {
+		return
+	}
+	address := k.addresses[sp.Holder]
+	if address == "" {
+		return
+	}
+	switch sp.step {
+	case releasing:
+		sp.busy = true
+		k.cmds = append(k.cmds, ReleaseCmd{Service: s.service, Address: address, Holder: sp.Holder,
+			From: sp.From, To: sp.To, Fence: k.mint(), Before: now.Add(sendWithin)})
+	case held, saving, granting:
+		sp.busy = true
+		k.cmds = append(k.cmds, GrantCmd{Renewal: sp.renewal, Service: s.service, Address: address, Holder: sp.Holder,
+			From: sp.From, To: sp.To, Fence: sp.Fence, Hold: k.hold, Handover: sp.handover, Before: now.Add(sendWithin)})
+	}
+}
+
+// free tells whether the holder can no longer run anything on the range.
+func (k *Keeper) free(now time.Time, sp *span) bool {
+	if sp.busy {
+		return false
+	}
+	return sp.until.IsZero() || k.over(sp.Holder) || now.After(sp.until)
+}
+
+// passOn makes the next holder the holder, which has yet to confirm.
+func (k *Keeper) passOn(now time.Time, s *share, sp *span) {
+	k.note(NoteCmd{Text: "range is free", Service: s.service, From: sp.From, To: sp.To, Holder: sp.Holder, Next: sp.Next, Fence: sp.Fence})
+	sp.Holder, sp.Next, sp.Pending = sp.Next, grant.Holder{}, true
+	sp.Fence, sp.step, sp.due = k.mint(), granting, now
+	sp.until, sp.unsure = time.Time{}, time.Time{}
+	k.lazy, k.visible = true, true
+}
+
+// granted takes in the end of a grant. Whatever its result, the server may hold
+// the range from it until it runs out, unless it surely never left.
+func (k *Keeper) granted(now time.Time, m GrantedMsg) {
+	sp := k.find(m.Cmd.Service, m.Cmd.From, m.Cmd.To)
+	if sp == nil || sp.Holder != m.Cmd.Holder {
+		return
+	}
+	sp.busy = false
+	if m.Result != NotSent && m.Result != Ended && m.Result != Fenced {
+		sp.until = later(sp.until, k.runsOut(m.At))
+	}
+	switch m.Result {
+	case Done:
+		k.confirmedGrant(now, sp, m)
+	case Ended:
+		k.lifeEnded(m.Cmd.Holder)
+	case Fenced:
+		// Another leader has granted it, or an older fence of ours was late. A new
+		// fence goes out only once the epoch is known to be in force.
+		sp.Fence, sp.due = k.mint(), now.Add(retryCall)
+		k.reread, k.again, k.confirmed = true, now, now.Add(-k.right)
+		k.note(NoteCmd{Text: "server has seen a higher fence", Service: m.Cmd.Service, From: sp.From, To: sp.To, Holder: sp.Holder, Fence: m.Cmd.Fence})
+	case Unsure:
+		// The next try bears a new fence: its answer shuts this one out.
+		sp.unsure = later(sp.unsure, k.runsOut(m.At))
+		sp.Fence, sp.due = k.mint(), now.Add(retryCall)
+	case NotSent:
+		sp.Fence, sp.due = k.mint(), now.Add(retryCall)
+		if m.Cmd.Renewal {
+			sp.due = now
+		}
+	}
+	sp.renewal = m.Result == Done
+}
+
+func (k *Keeper) confirmedGrant(now time.Time, sp *span, m GrantedMsg) {
+	// The answer proves that the old leader's grants on these keys are refused
+	// from now on: only this one counts.
+	sp.until, sp.unsure = k.runsOut(m.At), time.Time{}
+	sp.due = now.Add(k.hold / renewShare)
+	sp.handover = ""
+	if sp.step != granting {
+		return
+	}
+	sp.step, sp.Pending = held, false
+	k.lazy, k.visible = true, true
+	k.note(NoteCmd{Text: "range is held", Service: m.Cmd.Service, From: sp.From, To: sp.To, Holder: sp.Holder, Fence: sp.Fence})
+}
+
+func (k *Keeper) released(now time.Time, m ReleasedMsg) {
+	sp := k.find(m.Cmd.Service, m.Cmd.From, m.Cmd.To)
+	if sp == nil || sp.Holder != m.Cmd.Holder || sp.step != releasing {
+		return
+	}
+	sp.busy = false
+	switch m.Result {
+	case Done:
+		sp.handover, sp.until = m.Handover, sp.unsure
+	case Ended:
+		k.lifeEnded(m.Cmd.Holder)
+	default:
+		sp.due = now.Add(retryCall)
+	}
+}
+
+func (k *Keeper) lifeEnded(h grant.Holder) {
+	if k.ended[h] {
+		return
+	}
+	k.ended[h] = true
+	k.note(NoteCmd{Text: "server's life has ended", Holder: h, Reason: "its address refuses connections or belongs to another"})
+}
+
+func (k *Keeper) find(service string, from, to int) *span {
+	for _, s := range k.shares {
+		if s.service != service {
+			continue
+		}
+		for _, sp := range s.spans {
+			if sp.From == from && sp.To == to {
+				return sp
+			}
+		}
+	}
+	return nil
+}
+
+// earlier keeps zero, which means never.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/request/spread/options.go
@@ -0,0 +1,57 @@
+package spread
+
+import "time"
+
+const (
+	// firstGuess is taken for the time of a kind of request before the first
+	// answer: about half of the usual aim.
+	firstGuessShare = 0.5
+	// learn is the weight of one answer in the usual times.
+	learn = 0.08
+	// forget is the weight of one outcome in the share of failures.
+	forget = 0.15
+	// reportFades is how fast a report of a server's load loses its weight: about
+	// the time that a request runs, after which the queue is another one.
+	reportFades = 400 * time.Millisecond
+	// slowest and fastest bound a server's factor, so that one odd answer does
+	// not rule it in or out for long.
+	slowest = 25.0
+	fastest = 0.25
+	// farShare is the price of another data centre, as a share of the aim; the
+	// way itself takes a millisecond or two, the rest is for the bytes.
+	farShare = 0.12
+	// jitter spreads daemons that know the same over servers that look alike.
+	jitter = 0.15
+	// sickShare is the share of failures from which a server gets a trickle only.
+	sickShare = 0.35
+	// trickle is how often a sick server is tried, as a share of its requests.
+	trickle = 0.04
+	// refusedPause is how long a server that refuses connections is left alone.
+	refusedPause = 400 * time.Millisecond
+	// retryAtLeast is the shortest wait that a refusal asks for.
+	retryAtLeast = 60 * time.Millisecond
+	// coldMargin is the part of what a cold server bears beyond its rate that the
+	// daemons' first requests may use up together.
+	coldMargin = 0.75
+	// restartDoubt is how long a server that may have restarted counts as cold
+	// before its entry says so or not.
+	restartDoubt = 3 * time.Second
+)
+
+// Limits are what the daemons of a site may do to a server together.
+type Limits struct {
+	// ColdFactor and ColdSlack allow a cold server ColdRate*ColdFactor+ColdSlack
+	// requests in any second.
+	ColdFactor float64
+	ColdSlack  float64
+	// Daemons is how many daemons there are.
+	Daemons int
+	// Place is this daemon's place among them, from 0.
+	Place int
+}
+
+// WithDaemons returns the limits among another number of daemons.
+func (l Limits) WithDaemons(n, place int) Limits {
+	l.Daemons, l.Place = max(1, n), place
+	return l
+}
--- /dev/null
+++ b/core/version/config/config.go
@@ -0,0 +1,139 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+// Config is one accepted version of the configuration.
+type Config struct {
+	// Version grows with each accepted change, by irregular steps.
+	Version  uint64    `json:"version"`
+	Limits   Limits    `json:"limits"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	// HeaderBytes bounds a request's head, in bytes.
+	HeaderBytes int `json:"headerBytes"`
+	// BodyBytes bounds a request's body, in bytes.
+	BodyBytes int64 `json:"bodyBytes"`
+	// Header is how long a request's head may take to arrive.
+	Header time.Duration `json:"header"`
+	// Idle is how long a connection may be kept without a request.
+	Idle time.Duration `json:"idle"`
+}
+
+// Route says what becomes of the requests of a host under a path prefix.
+type Route struct {
+	Name   string `json:"name"`
+	Host   string `json:"host"`
+	Prefix string `json:"prefix"`
+	// Parts are the destinations with their weights; one for most routes.
+	Parts []Part `json:"parts"`
+	// Idempotent requests may run more than once.
+	Idempotent bool `json:"idempotent"`
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration `json:"timeout"`
+	// Aim is the latency within which an answer is fully useful.
+	Aim time.Duration `json:"aim"`
+	// Attempts bounds the backend servers that one request may be sent to.
+	Attempts int `json:"attempts"`
+	// Priority is the rank among the routes of a service; 0 is the most urgent.
+	Priority int `json:"priority"`
+}
+
+// Part is a destination's share of a route.
+type Part struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// Service is a set of backend servers that answer the same requests.
+type Service struct {
+	Name       string `json:"name"`
+	HealthPath string `json:"healthPath"`
+	// Connections bounds the connections to one server, from all daemons.
+	Connections int `json:"connections"`
+	// Keyed services run a request only at the server that holds its key.
+	Keyed bool `json:"keyed"`
+	// Warm is how long keys are slow at a server that got them without a handover.
+	Warm time.Duration `json:"warm"`
+	// Cold is how long a server stays cold after its start.
+	Cold time.Duration `json:"cold"`
+	// ColdRate is how many requests a second a cold server bears, from all daemons.
+	ColdRate float64 `json:"coldRate"`
+}
+
+// Match finds the route with the longest prefix of a path at a host.
+func (c Config) Match(host, path string) (Route, bool) {
+	host = bare(host)
+	best := -1
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if !strings.EqualFold(r.Host, host) || !strings.HasPrefix(path, r.Prefix) {
+			continue
+		}
+		if best < 0 || len(r.Prefix) > len(c.Routes[best].Prefix) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Route{}, false
+	}
+	return c.Routes[best], true
+}
+
+// Service finds a service by name.
+func (c Config) Service(name string) (Service, bool) {
+	for _, s := range c.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Check names the first thing that makes a configuration unusable.
+func (c Config) Check() error {
+	for _, r := range c.Routes {
+		if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || len(r.Parts) == 0 {
+			return &Error{Op: "check", Kind: BadRoute, Err: fmt.Errorf("route %q at %q%s has no host, prefix or destination", r.Name, r.Host, r.Prefix)}
+		}
+		for _, p := range r.Parts {
+			if _, ok := c.Service(p.Service); !ok {
+				return &Error{Op: "check", Kind: UnknownService, Err: fmt.Errorf("route %q leads to %q", r.Name, p.Service)}
+			}
+		}
+	}
+	return nil
+}
+
+// Pick draws a destination in proportion to the weights; u is from 0 to below 1.
+func (r Route) Pick(u float64) string {
+	total := 0.0
+	for _, p := range r.Parts {
+		total += p.Weight
+	}
+	u *= total
+	for _, p := range r.Parts {
+		if u -= p.Weight; u < 0 {
+			return p.Service
+		}
+	}
+	return r.Parts[len(r.Parts)-1].Service
+}
+
+// bare drops the port of a Host header.
+func bare(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		if _, err := netip.ParseAddr(host); err != nil {
+			return host[:i]
+		}
+	}
+	return host
+}
--- /dev/null
+++ b/core/version/grant/table.go
@@ -0,0 +1,91 @@
+package grant
+
+import (
+	"encoding/json"
+	"sort"
+)
+
+// LastKey is the highest key; keys are numbered from 0.
+const LastKey = 65535
+
+// Holder is one life of a backend server. The zero Holder is nobody.
+type Holder struct {
+	Server string `json:"server"`
+	Born   int64  `json:"born"`
+}
+
+// Range is a stretch of keys that are granted together.
+type Range struct {
+	// From and To are both inclusive.
+	From int `json:"from"`
+	To   int `json:"to"`
+	// Holder has the keys, or may have them.
+	Holder Holder `json:"holder"`
+	// Next is to get them once Holder is known to have let go.
+	Next Holder `json:"next"`
+	// Fence is that of the last grant to Holder.
+	Fence uint64 `json:"fence"`
+	// Pending means that Holder has not confirmed the grant yet.
+	Pending bool `json:"pending,omitempty"`
+}
+
+// Open tells whether requests may be sent to the holder.
+func (r Range) Open() bool { return r.Holder.Server != "" && r.Next.Server == "" && !r.Pending }
+
+// Has tells whether a key lies in the range.
+func (r Range) Has(key int) bool { return r.From <= key && key <= r.To }
+
+// Share is the division of one service's keys, in order and without gaps.
+type Share struct {
+	Service string  `json:"service"`
+	Ranges  []Range `json:"ranges"`
+}
+
+// Leader is the daemon that gives grants.
+type Leader struct {
+	Daemon string `json:"daemon"`
+	// Incarnation tells the daemon's lives apart.
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Table is the division of the keys of all services.
+type Table struct {
+	Epoch  uint64  `json:"epoch"`
+	Seq    uint64  `json:"seq"`
+	Leader Leader  `json:"leader"`
+	Shares []Share `json:"shares"`
+}
+
+// Newer tells whether t replaces o.
+func (t Table) Newer(o Table) bool {
+	if t.Epoch != o.Epoch {
+		return t.Epoch > o.Epoch
+	}
+	return t.Seq > o.Seq
+}
+
+// Owner finds the range of a key.
+func (t Table) Owner(service string, key int) (Range, bool) {
+	for i := range t.Shares {
+		if t.Shares[i].Service != service {
+			continue
+		}
+		rs := t.Shares[i].Ranges
+		n := sort.Search(len(rs), func(i int) bool { return rs[i].To >= key })
+		if n < len(rs) && rs[n].Has(key) {
+			return rs[n], true
+		}
+		return Range{}, false
+	}
+	return Range{}, false
+}
+
+// Marshal gives the stored form.
+func (t Table) Marshal() ([]byte, error) { return json.Marshal(t) }
+
+// Unmarshal reads the stored form.
+func Unmarshal(data []byte) (Table, error) {
+	var t Table
+	err := json.Unmarshal(data, &t)
+	return t, err
+}
--- /dev/null
+++ b/io/connection/link/error.go
@@ -0,0 +1,46 @@
+package link
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Kind sorts the errors of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	Refused Kind = "refused" // the address refuses connections
+	NotSent Kind = "notSent" // no byte of the request was written
+	Unsure  Kind = "unsure"  // written, and no answer came
+	Cut     Kind = "cut"     // the answer broke off or is no HTTP
+	Late    Kind = "late"    // written, and the time was over before an answer
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string { return fmt.Sprintf("link: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// KindOf returns the kind of an error of this package, or "".
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
+// NotRun tells whether an error proves that the request did not run.
+func NotRun(err error) bool {
+	k := KindOf(err)
+	return k == Refused || k == NotSent
+}
--- /dev/null
+++ b/io/process/router/control.go
@@ -0,0 +1,327 @@
+package router
+
+import (
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"catkinstep/core/connection/wire"
+	"catkinstep/core/process/crew"
+	"catkinstep/core/process/keeper"
+	"catkinstep/core/version/config"
+	"catkinstep/core/version/fleet"
+	"catkinstep/core/version/grant"
+	"catkinstep/core/version/news"
+)
+
+// Messages to the control loop.
+type (
+	tickMsg    struct{}
+	leavingMsg struct{}
+	// deltaMsg is news of one kind, from the store or another daemon.
+	deltaMsg struct {
+		delta     news.Delta
+		fromStore bool
+		done      chan struct{}
+	}
+	storeDownMsg struct{}
+	// hailMsg is another daemon's word; reply, if any, gets this one's.
+	hailMsg struct {
+		hail  *wire.Hail
+		reply chan *wire.Hail
+	}
+	// tableMsg is a published table.
+	tableMsg struct{ table grant.Table }
+	// fetchMsg asks for what a daemon lacks.
+	fetchMsg struct {
+		fetch *wire.Fetch
+		reply chan *wire.Delta
+	}
+	fetchedMsg struct{ kind string }
+	refusedMsg struct{ address string }
+	calledMsg  struct{ address string }
+	keeperMsg  struct{ msg keeper.Msg }
+	leadMsg    struct {
+		table, before grant.Table
+		revision      uint64
+	}
+	leadFailMsg struct{}
+)
+
+// control is the state that the control loop owns.
+type control struct {
+	r       *Router
+	shelves map[news.Kind]*news.Shelf
+	known   map[news.Kind]*atomic.Uint64
+	reads   atomic.Bool
+	crew    *crew.Crew
+	keeper  *keeper.Keeper
+	// before is the leader that this daemon took the lead from.
+	before   grant.Leader
+	taking   bool
+	leaving  bool
+	trouble  time.Time
+	lapsed   map[string]lapse
+	hailed   map[bool]time.Time // by near
+	calling  map[string]bool
+	fetching map[string]bool
+	heated   time.Time
+	heats    *heats
+	started  time.Time
+}
+
+// lapse is a server whose entry vanished around an outage of the store.
+type lapse struct {
+	server fleet.Server
+	until  time.Time
+}
+
+func newControl(r *Router, now time.Time) *control {
+	c := &control{
+		r: r, shelves: map[news.Kind]*news.Shelf{}, known: map[news.Kind]*atomic.Uint64{},
+		crew: crew.New(r.self, now), lapsed: map[string]lapse{}, hailed: map[bool]time.Time{},
+		calling: map[string]bool{}, fetching: map[string]bool{}, heated: now, heats: newHeats(), started: now,
+	}
+	for _, k := range news.Kinds {
+		c.shelves[k], c.known[k] = news.NewShelf(k), &atomic.Uint64{}
+	}
+	c.reads.Store(true)
+	return c
+}
+
+// through is the revision up to which a kind is known; any goroutine may ask.
+func (c *control) through(kind news.Kind) uint64 { return c.known[kind].Load() }
+
+// update takes in one message.
+func (c *control) update(now time.Time, m any) {
+	switch m := m.(type) {
+	case tickMsg:
+		c.tick(now)
+	case deltaMsg:
+		c.delta(now, m)
+	case storeDownMsg:
+		c.trouble = now
+	case hailMsg:
+		c.heard(now, m)
+	case fetchMsg:
+		m.reply <- c.fetched(now, m.fetch)
+	case fetchedMsg:
+		delete(c.fetching, m.kind)
+	case tableMsg:
+		c.tableIs(now, m.table)
+	case calledMsg:
+		delete(c.calling, m.address)
+	case refusedMsg:
+		c.crew.Refused(m.address)
+	case keeperMsg:
+		c.keep(now, m.msg)
+	case leadMsg:
+		c.lead(now, m)
+	case leadFailMsg:
+		c.taking = false
+	case leavingMsg:
+		c.leaving = true
+		c.hailAll(now)
+	}
+}
+
+func (c *control) tick(now time.Time) {
+	c.reads.Store(c.crew.Reads(now, c.shelves[news.Servers].At(), c.keeper != nil))
+	c.expire(now)
+	c.tryLead(now)
+	if c.keeper != nil {
+		c.lookAfter(now)
+	}
+	c.hail(now)
+	c.r.ready.Store(!c.leaving && c.isReady(now))
+}
+
+// isReady tells whether requests can be served: there is a configuration, and
+// the servers are known. Keys without holders yet do not hold the rest back.
+func (c *control) isReady(now time.Time) bool {
+	s := c.r.current.Load()
+	if !s.configured || len(s.fleet.All()) == 0 {
+		return false
+	}
+	return len(s.keyed()) == 0 || s.table.Epoch > 0 || now.Sub(c.started) > readyAnyway
+}
+
+// readyAnyway is how long a start may wait for the holders of keys: unkeyed
+// requests are served without them.
+const readyAnyway = 4 * time.Second
+
+// delta takes in news of one kind.
+func (c *control) delta(now time.Time, m deltaMsg) {
+	if m.done != nil {
+		defer close(m.done)
+	}
+	if m.fromStore {
+		c.crew.Stored(now)
+	}
+	shelf := c.shelves[m.delta.Kind]
+	if shelf == nil {
+		return
+	}
+	changed := shelf.Merge(m.delta)
+	c.known[m.delta.Kind].Store(shelf.Through())
+	if len(changed) == 0 {
+		return
+	}
+	switch m.delta.Kind {
+	case news.Config:
+		c.configIs(changed)
+	case news.Servers:
+		c.serversAre(now, changed)
+	case news.Outs:
+		c.outsAre(now, changed)
+	case news.Daemons:
+		c.daemonsAre(changed)
+	case news.Tables:
+		c.storedTableIs(now, changed)
+	}
+	if m.fromStore && m.delta.Kind != news.Daemons {
+		c.hailAll(now)
+	}
+}
+
+// configIs puts a newer configuration in force. An older one never replaces it,
+// whatever the order in which they come.
+func (c *control) configIs(changed []news.Item) {
+	for _, it := range changed {
+		var next config.Config
+		if it.Removed || json.Unmarshal(it.Value, &next) != nil {
+			c.r.log.Warn("config: not usable, the last one stays in force", "name", it.Name, "revision", it.Revision)
+			continue
+		}
+		s := c.r.current.Load()
+		if s.configured && next.Version <= s.config.Version {
+			c.r.log.Warn("config: older than the one in force", "version", next.Version, "inForce", s.config.Version)
+			continue
+		}
+		if err := next.Check(); err != nil {
+			c.r.log.Warn("config: not usable, the last one stays in force", "version", next.Version, "err", err)
+			continue
+		}
+		c.r.current.Store(s.withConfig(next))
+		c.r.log.Info("config: in force", "version", next.Version, "revision", it.Revision, "routes", len(next.Routes))
+	}
+}
+
+func (c *control) serversAre(now time.Time, changed []news.Item) {
+	old := c.r.current.Load().fleet
+	for _, it := range changed {
+		v, had := old.Find(it.Name)
+		if it.Removed {
+			c.r.log.Info("servers: gone", "server", it.Name, "revision", it.Revision, "outage", now.Sub(c.trouble) < troubleTime)
+			if had && !v.Draining && now.Sub(c.trouble) < troubleTime && !c.trouble.IsZero() {
+				c.lapsed[it.Name] = lapse{server: v, until: now.Add(lapseGrace)}
+			}
+			continue
+		}
+		delete(c.lapsed, it.Name)
+		var next fleet.Server
+		if json.Unmarshal(it.Value, &next) != nil {
+			continue
+		}
+		c.r.told(next)
+		if !had || v.Born != next.Born || v.Draining != next.Draining || v.Address != next.Address {
+			c.r.log.Info("servers: changed", "server", next.ID, "address", next.Address, "service", next.Service,
+				"dataCentre", next.DataCentre, "born", next.Born, "draining", next.Draining, "cold", next.Cold.String(), "revision", it.Revision)
+		}
+	}
+	c.rebuild()
+}
+
+// expire drops servers whose entries did not come back.
+func (c *control) expire(now time.Time) {
+	dropped := false
+	for id, l := range c.lapsed {
+		if now.After(l.until) {
+			delete(c.lapsed, id)
+			dropped = true
+			c.r.log.Info("servers: lapsed entry did not come back", "server", id)
+		}
+	}
+	if dropped {
+		c.rebuild()
+	}
+}
+
+// outsAre takes data centres out or in. Servers of one that comes back may have
+// restarted shortly before, and count as cold until their entries tell.
+func (c *control) outsAre(now time.Time, changed []news.Item) {
+	for _, it := range changed {
+		c.r.log.Info("outs: changed", "dataCentre", it.Name, "out", !it.Removed, "revision", it.Revision)
+		if it.Removed {
+			c.r.doubtAll(it.Name)
+		}
+	}
+	c.rebuild()
+}
+
+// rebuild makes the snapshot's list of servers anew.
+func (c *control) rebuild() {
+	var servers []fleet.Server
+	for _, it := range c.shelves[news.Servers].List() {
+		var v fleet.Server
+		if json.Unmarshal(it.Value, &v) == nil {
+			servers = append(servers, v)
+		}
+	}
+	for _, l := range c.lapsed {
+		servers = append(servers, l.server)
+	}
+	out := map[string]bool{}
+	for _, it := range c.shelves[news.Outs].List() {
+		out[it.Name] = true
+	}
+	f := fleet.New(servers)
+	c.r.current.Store(c.r.current.Load().withFleet(f, out))
+	c.r.links.keep(f)
+	c.r.mu.Lock()
+	c.r.spread.Keep(f)
+	c.r.mu.Unlock()
+}
+
+func (c *control) daemonsAre(changed []news.Item) {
+	for _, it := range changed {
+		var m crew.Member
+		if !it.Removed && json.Unmarshal(it.Value, &m) == nil {
+			c.crew.Met(m)
+		}
+	}
+	c.share()
+}
+
+// share divides what the daemons may do together anew.
+func (c *control) share() {
+	c.r.mu.Lock()
+	c.r.spread.Limit(c.r.limits(c.crew.Count(), c.crew.Place()))
+	c.r.mu.Unlock()
+}
+
+func (c *control) storedTableIs(now time.Time, changed []news.Item) {
+	for _, it := range changed {
+		t, err := grant.Unmarshal(it.Value)
+		if err != nil || it.Removed {
+			c.r.log.Warn("keys: stored table not usable", "revision", it.Revision, "err", err)
+			continue
+		}
+		c.tableIs(now, t)
+	}
+}
+
+// tableIs takes in a table that may be newer than the one in force.
+func (c *control) tableIs(now time.Time, t grant.Table) {
+	s := c.r.current.Load()
+	if c.keeper != nil && t.Epoch > c.keeper.Table().Epoch {
+		c.keep(now, keeper.CurrentMsg{Epoch: t.Epoch, At: now})
+	}
+	if !t.Newer(s.table) {
+		return
+	}
+	if t.Epoch != s.table.Epoch {
+		c.r.log.Info("keys: new leader", "epoch", t.Epoch, "leader", t.Leader.Daemon)
+	}
+	c.r.current.Store(s.withTable(t))
+}
--- /dev/null
+++ b/io/process/router/follow.go
@@ -0,0 +1,81 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"catkinstep/core/version/news"
+	"catkinstep/io/process/clock"
+)
+
+// idlePoll paces the look whether this daemon should read the store.
+const idlePoll = 100 * time.Millisecond
+
+// follow reads one kind of object, whenever this daemon is the one to do so.
+func (r *Router) follow(kind news.Kind) error {
+	ctx := r.tomb.Context(context.Background())
+	pause, listed := backoffLeast, false
+	for r.tomb.Alive() {
+		if !r.control.reads.Load() && r.control.through(kind) > 0 {
+			sleep(ctx, idlePoll)
+			continue
+		}
+		asked := clock.Now()
+		d, err := r.ask(ctx, kind, listed)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			listed = listed && !isForgotten(err)
+			r.log.Warn("store: no news", "kind", kind, "since", r.control.through(kind), "err", err)
+			r.post(storeDownMsg{})
+			sleep(ctx, pause)
+			pause = min(2*pause, backoffMost)
+			continue
+		}
+		pause, listed = backoffLeast, true
+		d.At = asked
+		done := make(chan struct{})
+		if !r.post(deltaMsg{delta: d, fromStore: true, done: done}) {
+			return nil
+		}
+		<-done
+		if kind == news.Servers {
+			sleep(ctx, serverPace)
+		}
+	}
+	return nil
+}
+
+// ask lists a kind at first and after its history was lost, and else waits for
+// changes.
+func (r *Router) ask(ctx context.Context, kind news.Kind, listed bool) (news.Delta, error) {
+	since := r.control.through(kind)
+	if !listed || since == 0 {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		return r.store.List(ctx, kind)
+	}
+	wait := quietWait
+	if kind == news.Servers {
+		wait = serverWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	return r.store.Watch(ctx, kind, since, wait)
+}
+
+func isForgotten(err error) bool {
+	var e *news.Error
+	return errors.As(err, &e) && e.Kind == news.Forgotten
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/process/router/lead.go
@@ -0,0 +1,234 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"catkinstep/core/process/keeper"
+	"catkinstep/core/version/grant"
+	"catkinstep/core/version/news"
+	"catkinstep/io/connection/link"
+	"catkinstep/io/process/clock"
+)
+
+// tableName is the stored table's name.
+const tableName = "keys"
+
+// tryLead takes the lead when nobody has it any more.
+func (c *control) tryLead(now time.Time) {
+	if c.keeper != nil || c.taking || c.leaving || c.through(news.Tables) == 0 || len(c.r.current.Load().keyed()) == 0 {
+		return
+	}
+	stored, revision := c.storedTable()
+	try, _ := c.crew.MayLead(now, stored.Leader)
+	if !try {
+		return
+	}
+	c.taking = true
+	next := stored
+	next.Epoch, next.Seq = stored.Epoch+1, stored.Seq+1
+	next.Leader = grant.Leader{Daemon: c.r.self.Name, Incarnation: c.r.self.Incarnation}
+	go c.r.takeLead(next, stored, revision)
+}
+
+func (c *control) storedTable() (grant.Table, uint64) {
+	it, ok := c.shelves[news.Tables].Get(tableName)
+	if !ok {
+		return grant.Table{}, 0
+	}
+	t, err := grant.Unmarshal(it.Value)
+	if err != nil {
+		return grant.Table{}, it.Revision
+	}
+	return t, it.Revision
+}
+
+// takeLead writes the table under a new epoch, if it is still the one that the
+// decision was made on.
+func (r *Router) takeLead(next, before grant.Table, revision uint64) {
+	item, err := r.saveTable(next, revision)
+	if err == nil {
+		r.post(leadMsg{table: next, before: before, revision: item.Revision})
+		return
+	}
+	r.log.Info("keys: lead not taken", "epoch", next.Epoch, "err", err)
+	ctx := r.tomb.Context(context.Background())
+	r.readTable(ctx)
+	sleep(ctx, backoffLeast)
+	r.post(leadFailMsg{})
+}
+
+// lead begins a leadership.
+func (c *control) lead(now time.Time, m leadMsg) {
+	c.taking = false
+	c.before = m.before.Leader
+	c.crew.Stored(now)
+	c.keeper = keeper.New(now, m.table, m.revision, keeper.WithHold(c.r.hold))
+	c.heats = newHeats()
+	c.r.log.Info("keys: leading", "epoch", m.table.Epoch, "before", c.before.Daemon, "revision", m.revision)
+	c.tellFleet(now)
+	c.lookAfter(now)
+}
+
+// lookAfter lets the keeper act on what is known now.
+func (c *control) lookAfter(now time.Time) {
+	c.tellFleet(now)
+	c.keep(now, keeper.CurrentMsg{Epoch: c.storedEpoch(), At: c.shelves[news.Tables].At()})
+	if c.keeper != nil && c.crew.GaveWay(c.before, c.keeper.Table().Epoch) {
+		c.keep(now, keeper.OldLeaderMsg{At: now})
+	}
+	if now.Sub(c.heats.since) >= heatEvery {
+		for _, l := range c.heats.roll(now) {
+			c.keep(now, l)
+		}
+	}
+	c.keep(now, keeper.TickMsg{})
+}
+
+func (c *control) storedEpoch() uint64 {
+	t, _ := c.storedTable()
+	return t.Epoch
+}
+
+func (c *control) tellFleet(now time.Time) {
+	s := c.r.current.Load()
+	c.keep(now, keeper.FleetMsg{Fleet: s.fleet, Keyed: s.keyed(), Out: s.out})
+}
+
+// keep passes a message to the keeper and carries out what it wants.
+func (c *control) keep(now time.Time, m keeper.Msg) {
+	if c.keeper == nil {
+		return
+	}
+	for _, cmd := range c.keeper.Update(now, m) {
+		c.carryOut(now, cmd)
+		if c.keeper == nil {
+			return
+		}
+	}
+}
+
+func (c *control) carryOut(now time.Time, cmd keeper.Cmd) {
+	switch cmd := cmd.(type) {
+	case keeper.GrantCmd:
+		go c.r.grant(cmd)
+	case keeper.ReleaseCmd:
+		go c.r.release(cmd)
+	case keeper.SaveCmd:
+		go c.r.saveKept(cmd)
+	case keeper.ReadCmd:
+		go c.r.readKept()
+	case keeper.PublishCmd:
+		c.tableIs(now, cmd.Table)
+		c.hailAll(now)
+	case keeper.ResignCmd:
+		c.r.log.Info("keys: no longer leading", "reason", cmd.Reason)
+		c.keeper = nil
+	case keeper.NoteCmd:
+		c.r.log.Info("keys: "+cmd.Text, "service", cmd.Service, "from", cmd.From, "to", cmd.To, "holder", cmd.Holder.Server,
+			"born", cmd.Holder.Born, "next", cmd.Next.Server, "fence", cmd.Fence, "reason", cmd.Reason)
+	}
+}
+
+func (r *Router) grant(cmd keeper.GrantCmd) {
+	m := keeper.GrantedMsg{Cmd: cmd, Result: keeper.NotSent}
+	w := r.links.get(linkKey{address: cmd.Address, id: cmd.Holder.Server, born: cmd.Holder.Born, use: forGrants})
+	w.turn.Lock()
+	if clock.Now().Before(cmd.Before) {
+		q := r.speech.Grant(cmd)
+		q.KeptOnly = cmd.Renewal
+		m.Result, _ = r.order(w, cmd.Holder, q, grantTimeout)
+	}
+	w.turn.Unlock()
+	m.At = clock.Now()
+	r.post(keeperMsg{msg: m})
+}
+
+func (r *Router) release(cmd keeper.ReleaseCmd) {
+	m := keeper.ReleasedMsg{Cmd: cmd, Result: keeper.NotSent}
+	if clock.Now().Before(cmd.Before) {
+		w := r.links.get(linkKey{address: cmd.Address, id: cmd.Holder.Server, born: cmd.Holder.Born, use: forReleases})
+		m.Result, m.Handover = r.order(w, cmd.Holder, r.speech.Release(cmd), releaseTimeout)
+	}
+	r.post(keeperMsg{msg: m})
+}
+
+// order makes a call to a server that is no caller's request.
+func (r *Router) order(w *way, h grant.Holder, q link.Request, timeout time.Duration) (keeper.Result, string) {
+	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), timeout)
+	defer cancel()
+	a, err := w.Do(ctx, q)
+	if err == nil {
+		return r.speech.Result(a)
+	}
+	if !q.KeptOnly || !link.NotRun(err) {
+		r.log.Info("keys: call to server failed", "target", q.Target, "server", h.Server, "host", q.Host, "err", err)
+	}
+	switch link.KindOf(err) {
+	case link.Refused:
+		return keeper.Ended, ""
+	case link.NotSent:
+		return keeper.NotSent, ""
+	}
+	return keeper.Unsure, ""
+}
+
+func (r *Router) saveTable(t grant.Table, revision uint64) (news.Item, error) {
+	value, err := t.Marshal()
+	if err != nil {
+		return news.Item{}, err
+	}
+	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), storeTimeout)
+	defer cancel()
+	item, err := r.store.Save(ctx, news.Tables, tableName, value, revision)
+	if item.Revision > 0 {
+		r.post(deltaMsg{delta: news.Delta{Kind: news.Tables, Items: []news.Item{item}}})
+	}
+	return item, err
+}
+
+func (r *Router) saveKept(cmd keeper.SaveCmd) {
+	asked := clock.Now()
+	item, err := r.saveTable(cmd.Table, cmd.Revision)
+	var e *news.Error
+	if err != nil && (!errors.As(err, &e) || e.Kind != news.Conflict) {
+		r.log.Warn("keys: table not saved", "seq", cmd.Table.Seq, "err", err)
+		r.post(storeDownMsg{})
+		r.post(keeperMsg{msg: keeper.UnstoredMsg{}})
+		return
+	}
+	r.storedIs(item, asked)
+}
+
+func (r *Router) readKept() {
+	asked := clock.Now()
+	item, err := r.readTable(r.tomb.Context(context.Background()))
+	if err != nil {
+		r.post(keeperMsg{msg: keeper.UnstoredMsg{}})
+		return
+	}
+	r.storedIs(item, asked)
+}
+
+func (r *Router) readTable(ctx context.Context) (news.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	item, err := r.store.Read(ctx, news.Tables, tableName)
+	if err != nil {
+		r.log.Warn("keys: table not read", "err", err)
+		return item, err
+	}
+	r.post(deltaMsg{delta: news.Delta{Kind: news.Tables, Items: []news.Item{item}}})
+	return item, nil
+}
+
+func (r *Router) storedIs(item news.Item, asked time.Time) {
+	t, err := grant.Unmarshal(item.Value)
+	if err != nil {
+		r.log.Error("keys: stored table not readable", "revision", item.Revision, "err", err)
+		r.post(keeperMsg{msg: keeper.UnstoredMsg{}})
+		return
+	}
+	r.post(keeperMsg{msg: keeper.StoredMsg{Table: t, Revision: item.Revision, Asked: asked}})
+}
--- /dev/null
+++ b/io/process/router/options.go
@@ -0,0 +1,128 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"catkinstep/core/connection/names"
+	"catkinstep/core/process/keeper"
+	"catkinstep/core/version/news"
+	"catkinstep/io/connection/link"
+)
+
+const (
+	// tickEvery paces the control loop; it bounds how late a renewal or a move is.
+	tickEvery = 50 * time.Millisecond
+	// hailNear and hailFar pace the words between daemons: within a data centre
+	// they carry the requests under way, between data centres bytes are dear.
+	hailNear = 250 * time.Millisecond
+	hailFar  = 500 * time.Millisecond
+	// meshTimeout bounds one call between daemons.
+	meshTimeout = 700 * time.Millisecond
+	// serverPace is the pause between two reads of the servers' changes, which
+	// come many times a second. A leaving server must be known within two seconds.
+	serverPace = 300 * time.Millisecond
+	// serverWait and quietWait are how long a watch may hear nothing: servers
+	// write every second or two, the rest changes rarely.
+	serverWait = time.Second
+	quietWait  = 2500 * time.Millisecond
+	// watchSlack is how much longer than that its answer may take.
+	watchSlack = 700 * time.Millisecond
+	// storeTimeout bounds other calls to the store, which take milliseconds.
+	storeTimeout = 1200 * time.Millisecond
+	// backoffLeast and backoffMost bound the pause after a failed call.
+	backoffLeast = 150 * time.Millisecond
+	backoffMost  = time.Second
+	// grantTimeout bounds a grant; a release waits for running work.
+	grantTimeout   = 700 * time.Millisecond
+	releaseTimeout = 3 * time.Second
+	// lapseGrace keeps servers whose entries vanished around an outage of the
+	// store: those that live are back within about two seconds.
+	lapseGrace = 2500 * time.Millisecond
+	// troubleTime is how long after a failed call an outage may explain a loss.
+	troubleTime = 5 * time.Second
+	// heatEvery paces the counts of keys that go to the leader.
+	heatEvery = time.Second
+	// lingerAfter is how long after the stop began new connections are taken:
+	// the balancer needs two misses, a second apart.
+	lingerAfter = 2800 * time.Millisecond
+	// exitMargin is left of the grace when the process ends in any case.
+	exitMargin = 400 * time.Millisecond
+	// retryMargin is the part of the allowed retries that is used; the rest is
+	// for daemons whose share of the requests has just shrunk.
+	retryMargin = 0.7
+	// answerMargin is how long past the deadline a server's own word is awaited.
+	answerMargin = 60 * time.Millisecond
+	// wayBack is taken off the time that a server gets, for its answer's way.
+	wayBack = 3 * time.Millisecond
+	// grantLinks is how many connections for grants are kept to each server.
+	grantLinks = 1
+	// notReadyRetry is what callers are told who come before there is a
+	// configuration; reading it takes some milliseconds.
+	notReadyRetry = 250 * time.Millisecond
+	// movingRetry is what callers are told whose key is between two holders: the
+	// work that runs on it must end first.
+	movingRetry = 250 * time.Millisecond
+)
+
+// Settings are what one daemon is started with. Addresses are IP numbers with ports.
+type Settings struct {
+	// Name tells the daemon apart from others; its host keeps it.
+	Name       string
+	DataCentre string
+	// Callers, Ready, Mesh and Metrics are the addresses to listen at.
+	Callers string
+	Ready   string
+	Mesh    string
+	Metrics string
+	// Seeds are mesh addresses of some daemons; they may be stale.
+	Seeds []string
+	// Grace is how long a planned stop may take.
+	Grace time.Duration
+	// ColdFactor and ColdSlack bound what a cold server gets of all daemons in
+	// a second: its rate times the factor, plus the slack.
+	ColdFactor float64
+	ColdSlack  float64
+	// RetryShare and RetryBurst bound extra attempts over all daemons: a share
+	// of the requests plus a number in each window.
+	RetryShare float64
+	RetryBurst float64
+	// HoldMost bounds the time of a grant.
+	HoldMost time.Duration
+}
+
+// Store is the platform's object store in the project's own terms. Errors are
+// of type *news.Error.
+type Store interface {
+	// List returns all objects of a kind.
+	List(ctx context.Context, kind news.Kind) (news.Delta, error)
+	// Watch waits for changes after a revision, and returns none after a while.
+	Watch(ctx context.Context, kind news.Kind, since uint64, wait time.Duration) (news.Delta, error)
+	// Read returns one object.
+	Read(ctx context.Context, kind news.Kind, name string) (news.Item, error)
+	// Save replaces an object that is at a revision; 0 means that there is none.
+	// On a conflict it returns the object as it is.
+	Save(ctx context.Context, kind news.Kind, name string, value []byte, revision uint64) (news.Item, error)
+}
+
+// Speech is how backend servers are spoken to.
+type Speech interface {
+	Names() names.Names
+	Grant(keeper.GrantCmd) link.Request
+	Release(keeper.ReleaseCmd) link.Request
+	// Result sorts the answer to either; handover comes with a release.
+	Result(*link.Answer) (r keeper.Result, handover string)
+}
+
+// Option changes a Router that New makes.
+type Option func(*Router)
+
+// WithLogger sets where decisions are logged.
+func WithLogger(l *slog.Logger) Option { return func(r *Router) { r.log = l } }
+
+// WithHold sets how long grants last.
+func WithHold(d time.Duration) Option { return func(r *Router) { r.hold = d } }
+
+// defaultHold is how long grants last; core/process/keeper has the grounds.
+const defaultHold = 6 * time.Second
--- /dev/null
+++ b/io/process/router/router.go
@@ -0,0 +1,194 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"catkinstep/core/process/crew"
+	"catkinstep/core/request/retry"
+	"catkinstep/core/request/spread"
+	"catkinstep/core/version/fleet"
+	"catkinstep/core/version/news"
+	"catkinstep/io/connection/caller"
+	"catkinstep/io/connection/mesh"
+	"catkinstep/io/process/clock"
+)
+
+// Router is one daemon.
+type Router struct {
+	settings Settings
+	store    Store
+	speech   Speech
+	log      *slog.Logger
+	hold     time.Duration
+	self     crew.Member
+
+	tomb    tomb.Tomb
+	control *control
+	inbox   chan any
+	current atomic.Pointer[snap]
+	ready   atomic.Bool
+	callers *caller.Server
+	mesh    *mesh.Mesh
+	links   links
+
+	mu      sync.Mutex // guards what follows, shared by requests
+	spread  *spread.Spread
+	budgets map[string]*retry.Budget
+	heat    map[heatKey]uint32
+	random  *rand.Rand
+
+	meters meters
+}
+
+type heatKey struct {
+	service string
+	bucket  uint32
+}
+
+// inboxSize bounds the messages that wait for the control loop.
+const inboxSize = 256
+
+// New returns a Router that does nothing yet.
+func New(s Settings, st Store, sp Speech, opts ...Option) *Router {
+	r := &Router{
+		settings: s, store: st, speech: sp, log: slog.Default(),
+		hold: defaultHold, inbox: make(chan any, inboxSize), budgets: map[string]*retry.Budget{}, heat: map[heatKey]uint32{},
+		self: crew.Member{Name: s.Name, Address: s.Mesh, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixMicro())},
+	}
+	for _, o := range opts {
+		o(r)
+	}
+	r.links.names = sp.Names()
+	r.random = rand.New(rand.NewPCG(r.self.Incarnation, 23))
+	r.spread = spread.New(r.self.Incarnation, r.limits(1, 0))
+	r.current.Store((&snap{}).withFleet(fleet.New(nil), nil))
+	r.control = newControl(r, clock.Now())
+	r.callers = caller.New(r.serve, caller.WithLimits(r.callerLimits))
+	return r
+}
+
+// Run serves until the context ends, then stops without cutting a request.
+func (r *Router) Run(ctx context.Context) error {
+	l, err := net.Listen("tcp", r.settings.Callers)
+	if err != nil {
+		return &Error{Op: "listen for callers", Kind: Address, Err: err}
+	}
+	if r.mesh, err = mesh.Listen(r.settings.Mesh, r.answerMesh); err != nil {
+		return &Error{Op: "listen for daemons", Kind: Address, Err: err}
+	}
+	side, err := r.sideListeners()
+	if err != nil {
+		return err
+	}
+	r.log.Info("router: start", "name", r.self.Name, "dataCentre", r.self.DataCentre, "incarnation", r.self.Incarnation, "callers", r.settings.Callers)
+	r.tomb.Go(func() error { return r.callers.Serve(l) })
+	r.tomb.Go(r.loop)
+	for _, kind := range news.Kinds {
+		r.tomb.Go(func() error { return r.follow(kind) })
+	}
+	r.tomb.Go(r.register)
+	select {
+	case <-ctx.Done():
+	case <-r.tomb.Dying():
+	}
+	r.stop(l)
+	for _, s := range side {
+		_ = s.Close()
+	}
+	return r.tomb.Wait()
+}
+
+// stop ends in four steps: not ready, so that no new connections come; answers
+// announce the close; the listener and idle connections close; the rest is
+// answered.
+func (r *Router) stop(l net.Listener) {
+	began := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(r.settings.Grace-exitMargin))
+	defer cancel()
+	r.log.Info("router: stop", "running", r.callers.Running())
+	r.ready.Store(false)
+	r.callers.Stop()
+	r.post(leavingMsg{})
+	sleep(ctx, lingerAfter)
+	_ = l.Close()
+	r.callers.Finish(ctx)
+	r.log.Info("router: stopped", "running", r.callers.Running(), "took", time.Since(began).String())
+	r.tomb.Kill(nil)
+	_ = r.mesh.Close()
+	r.links.close()
+}
+
+// post hands a message to the control loop; false means that the router stops.
+func (r *Router) post(m any) bool {
+	select {
+	case r.inbox <- m:
+		return true
+	case <-r.tomb.Dying():
+		return false
+	}
+}
+
+func (r *Router) loop() error {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-r.tomb.Dying():
+			return nil
+		case m := <-r.inbox:
+			r.control.update(clock.Now(), m)
+		case <-t.C:
+			r.control.update(clock.Now(), tickMsg{})
+		}
+	}
+}
+
+// register makes this daemon known, once the store can be written to.
+func (r *Router) register() error {
+	value, err := json.Marshal(r.self)
+	if err != nil {
+		return err
+	}
+	revision, pause := uint64(0), backoffLeast
+	for r.tomb.Alive() {
+		ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), storeTimeout)
+		item, err := r.store.Save(ctx, news.Daemons, r.self.Name, value, revision)
+		cancel()
+		if err == nil {
+			r.post(deltaMsg{delta: news.Delta{Kind: news.Daemons, Items: []news.Item{item}}})
+			return nil
+		}
+		var e *news.Error
+		if errors.As(err, &e) && e.Kind == news.Conflict {
+			revision = item.Revision
+			continue
+		}
+		r.log.Warn("store: daemon not registered", "err", err)
+		sleep(r.tomb.Context(context.Background()), pause)
+		pause = min(2*pause, backoffMost)
+	}
+	return nil
+}
+
+func (r *Router) limits(daemons, place int) spread.Limits {
+	return spread.Limits{ColdFactor: r.settings.ColdFactor, ColdSlack: r.settings.ColdSlack}.WithDaemons(daemons, place)
+}
+
+func (r *Router) callerLimits() caller.Limits {
+	l := r.current.Load().config.Limits
+	out := caller.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, Header: l.Header, Idle: l.Idle}
+	if out.HeaderBytes <= 0 {
+		out = caller.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, Header: 3 * time.Second, Idle: 15 * time.Second}
+	}
+	return out
+}
--- /dev/null
+++ b/io/process/router/serve.go
@@ -0,0 +1,323 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"catkinstep/core/process/keeper"
+	"catkinstep/core/request/retry"
+	"catkinstep/core/request/spread"
+	"catkinstep/core/version/config"
+	"catkinstep/core/version/fleet"
+	"catkinstep/io/connection/caller"
+	"catkinstep/io/connection/link"
+)
+
+// order is one caller's request on its way.
+type order struct {
+	caller.Request
+	id       string
+	route    config.Route
+	service  config.Service
+	key      int // -1 where the service has no keys
+	deadline time.Time
+	need     spread.Need
+	attempts int
+	began    time.Time // of the present attempt
+	maybeRan bool
+	// held is a server's own failure, given to the caller if nothing better comes.
+	held *link.Answer
+}
+
+// serve answers one request.
+func (r *Router) serve(ctx context.Context, q caller.Request) caller.Reply {
+	s := r.current.Load()
+	id := q.Header.Get(r.speech.Names().ID)
+	if !s.configured {
+		return r.refuse(id, "", "no configuration yet", notReadyRetry)
+	}
+	o, bad := r.understand(s, q, id)
+	if bad != nil {
+		return *bad
+	}
+	r.count(o)
+	reply := r.attempt(ctx, o)
+	r.meters.observe(reply.Status, time.Since(q.Read))
+	return reply
+}
+
+// understand finds what a request is about and how long it may take.
+func (r *Router) understand(s *snap, q caller.Request, id string) (*order, *caller.Reply) {
+	route, ok := s.config.Match(q.Host, q.URL.EscapedPath())
+	if !ok {
+		r.log.Info("request: no route", "id", id, "host", q.Host, "path", q.URL.Path, "version", s.config.Version)
+		return nil, r.plain(http.StatusNotFound)
+	}
+	o := &order{Request: q, id: id, route: route, key: -1}
+	o.service, _ = s.config.Service(route.Pick(r.draw()))
+	o.deadline = q.Read.Add(route.Timeout)
+	if ms, err := strconv.ParseFloat(q.Header.Get(r.speech.Names().Deadline), 64); err == nil && ms >= 0 {
+		if d := q.Read.Add(time.Duration(ms * float64(time.Millisecond))); d.Before(o.deadline) {
+			o.deadline = d
+		}
+	}
+	if o.service.Keyed {
+		key, err := strconv.Atoi(q.Header.Get(r.speech.Names().Key))
+		if err != nil || key < 0 || key > 65535 {
+			r.log.Info("request: no key", "id", id, "route", route.Name, "key", q.Header.Get(r.speech.Names().Key))
+			return nil, r.plain(http.StatusBadRequest)
+		}
+		o.key = key
+	}
+	o.need = spread.Need{Route: route.Name, Service: o.service, Aim: route.Aim, Priority: route.Priority,
+		Began: q.Read, Deadline: o.deadline, Near: r.settings.DataCentre}
+	return o, nil
+}
+
+// attempt sends the request until an answer counts or nothing more may be done.
+func (r *Router) attempt(ctx context.Context, o *order) caller.Reply {
+	for {
+		if ctx.Err() != nil {
+			return *r.plain(http.StatusBadGateway) // the caller has left
+		}
+		v, c := r.choose(o)
+		if c.Refused() {
+			return r.giveUp(o, string(c.Reason), c.RetryAfter)
+		}
+		o.attempts++
+		a, err := r.send(ctx, o, v)
+		reply, again := r.judge(ctx, o, v, c, a, err)
+		if !again {
+			return reply
+		}
+		o.need.Tried = append(o.need.Tried, v.ID)
+	}
+}
+
+// choose finds the server for the next attempt.
+func (r *Router) choose(o *order) (fleet.Server, spread.Choice) {
+	s := r.current.Load()
+	now := time.Now()
+	if o.key >= 0 {
+		return r.owner(s, o, now)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.spread.Choose(now, o.need, s.serving[o.service.Name])
+	if !c.Refused() {
+		o.began = now
+		r.spread.Begin(now, c.Server, o.need)
+	}
+	return c.Server, c
+}
+
+// moving is why a request for a key cannot go anywhere now.
+const moving spread.Reason = "keyMoving"
+
+// owner finds the only server that may run a request with a key.
+func (r *Router) owner(s *snap, o *order, now time.Time) (fleet.Server, spread.Choice) {
+	g, ok := s.table.Owner(o.service.Name, o.key)
+	v, found := s.fleet.Find(g.Holder.Server)
+	if !ok || !g.Open() || !found || v.Born != g.Holder.Born || !s.mayServe(v) {
+		return v, spread.Choice{Reason: moving, RetryAfter: movingRetry}
+	}
+	for _, id := range o.need.Tried {
+		if id == v.ID {
+			return v, spread.Choice{Reason: moving, RetryAfter: movingRetry}
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.spread.Judge(now, o.need, v)
+	if !c.Refused() {
+		o.began = now
+		r.spread.Begin(now, v, o.need)
+	}
+	return v, c
+}
+
+// send makes one attempt. An idempotent request ends with its caller; another
+// goes on, since breaking it off would leave its outcome unknown for nothing.
+func (r *Router) send(ctx context.Context, o *order, v fleet.Server) (*link.Answer, error) {
+	if !o.route.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	left := time.Until(o.deadline) - wayBack
+	ctx, cancel := context.WithDeadline(ctx, o.deadline.Add(answerMargin))
+	defer cancel()
+	a, err := r.links.of(v).Do(ctx, link.Request{
+		Method: o.Method, Target: o.RequestURI, Host: o.Host, Header: r.forwarded(o.Header), Body: o.Body, ID: o.id, Left: left,
+	})
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.spread.End(now, v, o.need, o.began, outcome(ctx, a, err), report(a))
+	return a, err
+}
+
+func report(a *link.Answer) *spread.Report {
+	if a == nil {
+		return nil
+	}
+	return a.Load
+}
+
+func outcome(ctx context.Context, a *link.Answer, err error) spread.Outcome {
+	switch {
+	case err != nil && link.KindOf(err) == link.Refused:
+		return spread.Unreachable
+	case err != nil && context.Cause(ctx) == context.Canceled:
+		return spread.CalledOff
+	case err != nil:
+		return spread.Failed
+	case a.NotRun:
+		return spread.Shed
+	case a.Status >= http.StatusInternalServerError:
+		return spread.Failed
+	}
+	return spread.Answered
+}
+
+// judge decides what an attempt's end means for the caller.
+func (r *Router) judge(ctx context.Context, o *order, v fleet.Server, c spread.Choice, a *link.Answer, err error) (caller.Reply, bool) {
+	notRun := err != nil && link.NotRun(err) || err == nil && a.NotRun
+	switch {
+	case err == nil && !a.NotRun && r.isAnswer(a):
+		if a.Status < http.StatusInternalServerError || !r.mayRepeat(ctx, o, false) {
+			if a.Status >= http.StatusInternalServerError {
+				r.logAttempt(o, v, c, a, nil, "passed on")
+			}
+			return r.answer(a), false
+		}
+		o.held, o.maybeRan = a, true
+	case !notRun:
+		o.maybeRan = true
+	}
+	if notRun && o.key >= 0 && err == nil {
+		return r.giveUp(o, "server does not hold the key or is full", movingRetry), false
+	}
+	if r.mayRepeat(ctx, o, notRun) && r.spend(o) {
+		r.logAttempt(o, v, c, a, err, "sent again")
+		return caller.Reply{}, true
+	}
+	r.logAttempt(o, v, c, a, err, "given up")
+	return r.giveUp(o, "attempt failed", c.RetryAfter), false
+}
+
+// isAnswer tells a server's own answer from what something else wrote.
+func (r *Router) isAnswer(a *link.Answer) bool {
+	return a.Status >= http.StatusMultipleChoices || a.Header.Get(r.speech.Names().Signature) != ""
+}
+
+// mayRepeat tells whether another attempt is allowed and can still help.
+func (r *Router) mayRepeat(ctx context.Context, o *order, notRun bool) bool {
+	return ctx.Err() == nil && o.attempts < max(1, o.route.Attempts) && (o.route.Idempotent || notRun && !o.maybeRan) &&
+		time.Now().Before(o.deadline)
+}
+
+// giveUp tells the caller at once. 503 says that the request did not run, and
+// when to come back; 502 and 504 say nothing of that.
+func (r *Router) giveUp(o *order, reason string, after time.Duration) caller.Reply {
+	if o.held != nil {
+		return r.answer(o.held)
+	}
+	if !o.maybeRan {
+		return r.refuse(o.id, o.route.Name, reason, after)
+	}
+	status := http.StatusBadGateway
+	if !time.Now().Before(o.deadline) {
+		status = http.StatusGatewayTimeout
+	}
+	return *r.plain(status)
+}
+
+func (r *Router) refuse(id, route, reason string, after time.Duration) caller.Reply {
+	after = max(after, minRetry)
+	r.log.Info("request: refused, not run", "id", id, "route", route, "reason", reason, "retryAfter", after.String())
+	h := http.Header{"Retry-After": {strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}}
+	return caller.Reply{Status: http.StatusServiceUnavailable, Header: h}
+}
+
+// minRetry keeps callers from coming back within the time that an answer takes.
+const minRetry = 50 * time.Millisecond
+
+func (r *Router) plain(status int) *caller.Reply {
+	return &caller.Reply{Status: status, Header: http.Header{}}
+}
+
+// answer is a server's answer as the caller gets it.
+func (r *Router) answer(a *link.Answer) caller.Reply {
+	h := a.Header
+	h.Del(r.speech.Names().Load)
+	return caller.Reply{Status: a.Status, Header: h, Body: a.Body}
+}
+
+// forwarded are the headers that go on to the server.
+func (r *Router) forwarded(h http.Header) http.Header {
+	for _, name := range []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Upgrade", "Expect", "Content-Length", "Transfer-Encoding"} {
+		if h.Get(name) == "" {
+			continue
+		}
+		h.Del(name)
+	}
+	return h
+}
+
+// count earns the share of retries of a request, and notes its key.
+func (r *Router) count(o *order) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.key >= 0 {
+		r.heat[heatKey{service: o.service.Name, bucket: uint32(keeper.Bucket(o.key))}]++
+	}
+	b := r.budgets[o.service.Name]
+	if b == nil {
+		b = retry.NewBudget(r.settings.RetryShare*retryMargin, 1)
+		r.budgets[o.service.Name] = b
+	}
+	b.Request()
+}
+
+// spend takes one repeat out of the shared budget.
+func (r *Router) spend(o *order) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budgets[o.service.Name].Take()
+}
+
+func (r *Router) draw() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.Float64()
+}
+
+func (r *Router) logAttempt(o *order, v fleet.Server, c spread.Choice, a *link.Answer, err error, then string) {
+	status := 0
+	if a != nil {
+		status = a.Status
+	}
+	r.log.Info("request: attempt failed", "id", o.id, "route", o.route.Name, "key", o.key, "attempt", o.attempts, "server", v.ID,
+		"expected", c.Expected.String(), "left", time.Until(o.deadline).String(), "status", status, "err", err, "then", then)
+}
+
+// told takes in a server's own word of how long it stays cold.
+func (r *Router) told(v fleet.Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.spread.Told(time.Now(), v)
+}
+
+// doubtAll takes the servers of a data centre for cold until they tell.
+func (r *Router) doubtAll(dataCentre string) {
+	s := r.current.Load()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, v := range s.fleet.All() {
+		service, _ := s.config.Service(v.Service)
+		if v.DataCentre == dataCentre {
+			r.spread.Doubt(v, time.Now().Add(service.Cold))
+		}
+	}
+}
