--- a/cmd/catkinstep/main.go
+++ b/cmd/catkinstep/main.go
@@ -14,6 +14,7 @@
 	"github.com/alecthomas/kong"
 
 	"catkinstep/core/version/check"
+	bridge "catkinstep/platform"
 )
 
 // version is what "catkinstep version" prints.
@@ -53,7 +54,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	var c commands
-	k := kong.Parse(&c, kong.Name("catkinstep"), kong.Description("A router for backend servers that own keys exclusively."), kong.UsageOnError())
+	k := kong.Parse(&c, kong.Name("catkinstep"), kong.Description("A router for backend servers that own keys exclusively."), kong.UsageOnError(),
+		kong.Vars{"settingsEnv": bridge.SettingsEnv})
 	k.BindTo(ctx, (*context.Context)(nil))
 	if err := k.Run(&c); err != nil {
 		report(err)
--- a/core/process/crew/crew.go
+++ b/core/process/crew/crew.go
@@ -97,7 +97,9 @@
 	c.peers[m.Name] = &peer{Member: m, Word: w, heard: now}
 }
 
-// Refused notes that no process listens at a daemon's address: its life has ended.
+// Refused notes that connections to a daemon's address are refused. Its process
+// has ended, or a cut refuses them in its place: reason enough to take the lead
+// at once, but no proof that it has stopped leading.
 func (c *Crew) Refused(address string) {
 	for _, p := range c.peers {
 		if p.Address == address {
@@ -197,8 +199,10 @@
 	switch {
 	case p == nil:
 		return c.since.Add(silentAfter), now.Sub(c.since) > silentAfter, false
-	case p.Incarnation > l.Incarnation || p.gone:
+	case p.Incarnation > l.Incarnation:
 		return now, true, true
+	case p.gone:
+		return now, true, false
 	case p.Leaving && c.lives(now, p):
 		return now, true, false
 	case p.heard.IsZero():
@@ -214,7 +218,7 @@
 		return true
 	}
 	p := c.peers[l.Daemon]
-	return p != nil && (p.Incarnation > l.Incarnation || p.gone || p.Incarnation == l.Incarnation && p.Epoch >= epoch)
+	return p != nil && (p.Incarnation > l.Incarnation || p.Incarnation == l.Incarnation && p.Epoch >= epoch)
 }
 
 func (c *Crew) lives(now time.Time, p *peer) bool {
--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -16,8 +16,9 @@
 	Done Result = iota
 	// Fenced means that the server has seen a higher fence on one of the keys.
 	Fenced
-	// Ended proves that the life of the holder is over: its address refuses
-	// connections or belongs to another.
+	// Ended proves that the life of the holder is over: its address belongs to
+	// another. Refused connections prove nothing, since a cut may refuse them
+	// while the holder lives and is reached by others.
 	Ended
 	// NotSent means that no byte of the call left this host.
 	NotSent
--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -175,7 +175,7 @@
 		return
 	}
 	k.ended[h] = true
-	k.note(NoteCmd{Text: "server's life has ended", Holder: h, Reason: "its address refuses connections or belongs to another"})
+	k.note(NoteCmd{Text: "server's life has ended", Holder: h, Reason: "its address belongs to another"})
 }
 
 func (k *Keeper) find(service string, from, to int) *span {
--- a/core/request/retry/retry.go
+++ b/core/request/retry/retry.go
@@ -116,6 +116,12 @@
 // SetShare follows a change of the configuration.
 func (b *Budget) SetShare(share float64) { b.share = share }
 
+// SetBurst follows a change of the number of daemons that share the burst.
+func (b *Budget) SetBurst(burst float64) {
+	b.most = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // Request earns the share of one request.
 func (b *Budget) Request() { b.tokens = min(b.most, b.tokens+max(0, b.share)) }
 
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -46,6 +46,7 @@
 		revision      uint64
 	}
 	leadFailMsg struct{}
+	settingsMsg struct{ settings Settings }
 )
 
 // control is the state that the control loop owns.
@@ -60,6 +61,7 @@
 	before   grant.Leader
 	taking   bool
 	leaving  bool
+	seeds    []string
 	trouble  time.Time
 	lapsed   map[string]lapse
 	hailed   map[bool]time.Time // by near
@@ -80,7 +82,7 @@
 	c := &control{
 		r: r, shelves: map[news.Kind]*news.Shelf{}, known: map[news.Kind]*atomic.Uint64{},
 		crew: crew.New(r.self, now), lapsed: map[string]lapse{}, hailed: map[bool]time.Time{},
-		calling: map[string]bool{}, fetching: map[string]bool{}, heated: now, heats: newHeats(), started: now,
+		calling: map[string]bool{}, fetching: map[string]bool{}, heated: now, heats: newHeats(), started: now, seeds: r.settings.Seeds,
 	}
 	for _, k := range news.Kinds {
 		c.shelves[k], c.known[k] = news.NewShelf(k), &atomic.Uint64{}
@@ -117,6 +119,8 @@
 		c.keep(now, m.msg)
 	case leadMsg:
 		c.lead(now, m)
+	case settingsMsg:
+		c.settingsAre(m.settings)
 	case leadFailMsg:
 		c.taking = false
 	case leavingMsg:
@@ -293,11 +297,25 @@
 	c.share()
 }
 
+// settingsAre takes over the seeds and the bounds.
+func (c *control) settingsAre(s Settings) {
+	c.r.mu.Lock()
+	c.r.bounds = s
+	c.r.mu.Unlock()
+	c.seeds = s.Seeds
+	c.share()
+	c.r.log.Info("settings: reloaded", "seeds", len(s.Seeds), "retryShare", s.RetryShare, "coldFactor", s.ColdFactor)
+}
+
 // share divides what the daemons may do together anew.
 func (c *control) share() {
 	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	c.r.daemons = c.crew.Count()
 	c.r.spread.Limit(c.r.limits(c.crew.Count(), c.crew.Place()))
-	c.r.mu.Unlock()
+	for _, b := range c.r.budgets {
+		b.SetBurst(c.r.burst())
+	}
 }
 
 func (c *control) storedTableIs(now time.Time, changed []news.Item) {
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -41,7 +41,7 @@
 func (c *control) hailSome(now time.Time, near bool) {
 	addresses := c.crew.Addresses(now, near)
 	if !near && len(c.crew.Addresses(now, true))+len(addresses) == 0 {
-		addresses = c.r.settings.Seeds
+		addresses = c.seeds
 	}
 	for _, a := range addresses {
 		if a == c.r.self.Address || c.calling[a] {
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -165,10 +165,7 @@
 	if !q.KeptOnly || !link.NotRun(err) {
 		r.log.Info("keys: call to server failed", "target", q.Target, "server", h.Server, "host", q.Host, "err", err)
 	}
-	switch link.KindOf(err) {
-	case link.Refused:
-		return keeper.Ended, ""
-	case link.NotSent:
+	if link.NotRun(err) {
 		return keeper.NotSent, ""
 	}
 	return keeper.Unsure, ""
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -125,4 +125,4 @@
 func WithHold(d time.Duration) Option { return func(r *Router) { r.hold = d } }
 
 // defaultHold is how long grants last; core/process/keeper has the grounds.
-const defaultHold = 6 * time.Second
+const defaultHold = 3500 * time.Millisecond
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -44,6 +44,8 @@
 	mu      sync.Mutex // guards what follows, shared by requests
 	spread  *spread.Spread
 	budgets map[string]*retry.Budget
+	bounds  Settings // those that can be reloaded
+	daemons int
 	heat    map[heatKey]uint32
 	random  *rand.Rand
 
@@ -62,7 +64,7 @@
 func New(s Settings, st Store, sp Speech, opts ...Option) *Router {
 	r := &Router{
 		settings: s, store: st, speech: sp, log: slog.Default(),
-		hold: defaultHold, inbox: make(chan any, inboxSize), budgets: map[string]*retry.Budget{}, heat: map[heatKey]uint32{},
+		hold: defaultHold, bounds: s, daemons: 1, inbox: make(chan any, inboxSize), budgets: map[string]*retry.Budget{}, heat: map[heatKey]uint32{},
 		self: crew.Member{Name: s.Name, Address: s.Mesh, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixMicro())},
 	}
 	for _, o := range opts {
@@ -108,6 +110,16 @@
 	return r.tomb.Wait()
 }
 
+// Reload puts in force what of other settings can be changed while the daemon
+// runs, and names what cannot.
+func (r *Router) Reload(next Settings) {
+	now := r.settings
+	if next.Name != now.Name || next.DataCentre != now.DataCentre || next.Callers != now.Callers || next.Ready != now.Ready || next.Mesh != now.Mesh {
+		r.log.Warn("settings: name, data centre and addresses change at the next start only")
+	}
+	r.post(settingsMsg{settings: next})
+}
+
 // stop ends in four steps: not ready, so that no new connections come; answers
 // announce the close; the listener and idle connections close; the rest is
 // answered.
@@ -180,8 +192,17 @@
 	return nil
 }
 
+// burst is this daemon's share of the repeats that may come at once. A daemon
+// that knows no other takes one.
+func (r *Router) burst() float64 {
+	if r.daemons < 2 {
+		return 1
+	}
+	return max(1, r.bounds.RetryBurst*retryMargin/float64(r.daemons))
+}
+
 func (r *Router) limits(daemons, place int) spread.Limits {
-	return spread.Limits{ColdFactor: r.settings.ColdFactor, ColdSlack: r.settings.ColdSlack}.WithDaemons(daemons, place)
+	return spread.Limits{ColdFactor: r.bounds.ColdFactor, ColdSlack: r.bounds.ColdSlack}.WithDaemons(daemons, place)
 }
 
 func (r *Router) callerLimits() caller.Limits {
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -274,7 +274,7 @@
 	}
 	b := r.budgets[o.service.Name]
 	if b == nil {
-		b = retry.NewBudget(r.settings.RetryShare*retryMargin, 1)
+		b = retry.NewBudget(r.bounds.RetryShare*retryMargin, int(r.burst()))
 		r.budgets[o.service.Name] = b
 	}
 	b.Request()
