--- /dev/null
+++ b/core/process/crew/crew_test.go
@@ -0,0 +1,109 @@
+package crew
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"catkinstep/core/version/grant"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time { return t0.Add(time.Duration(seconds * float64(time.Second))) }
+
+func member(name, place string, life uint64) Member {
+	return Member{Name: name, Address: name + ":1", DataCentre: place, Incarnation: life}
+}
+
+// heard makes a crew of daemon "b" that has just heard of "a" and "c".
+func heard() *Crew {
+	c := New(member("b", "x", 1), t0)
+	c.Stored(at(9.9))
+	c.Heard(at(10), member("a", "x", 1), Word{Stored: at(9.9)})
+	c.Heard(at(10), member("c", "y", 1), Word{Stored: at(9.9)})
+	return c
+}
+
+func TestMayLead(t *testing.T) {
+	lead := func(c *Crew, now time.Time, l grant.Leader) bool {
+		c.Stored(now.Add(-100 * time.Millisecond))
+		try, _ := c.MayLead(now, l)
+		return try
+	}
+	Convey("A leader whose word is fresh is left alone, a silent one replaced", t, func() {
+		c := heard()
+		l := grant.Leader{Daemon: "c", Incarnation: 1}
+		So(lead(c, at(10.5), l), ShouldBeFalse)
+		So(lead(c, at(11.6), l), ShouldBeTrue)
+	})
+	Convey("Daemons take turns by name, the first living one at once", t, func() {
+		c := heard()
+		l := grant.Leader{Daemon: "c", Incarnation: 1}
+		c.Refused("c:1")
+		So(lead(c, at(10.1), l), ShouldBeFalse) // "a" lives and comes first
+		So(lead(c, at(10.3), l), ShouldBeTrue)
+	})
+	Convey("A restarted leader's new life proves the end of the old", t, func() {
+		c := heard()
+		c.Heard(at(10.2), member("c", "y", 2), Word{})
+		_, ended := c.MayLead(at(10.2), grant.Leader{Daemon: "c", Incarnation: 1})
+		So(ended, ShouldBeTrue)
+	})
+	Convey("A daemon that the platform does not answer never tries", t, func() {
+		c := heard()
+		try, _ := c.MayLead(at(20), grant.Leader{Daemon: "c", Incarnation: 1})
+		So(try, ShouldBeFalse)
+	})
+}
+
+// A cut may refuse connections in the name of a daemon that lives and leads on
+// its side. Refusal is reason to take the lead, and no proof that the old leader
+// stopped: the new one must go on waiting for its grants to run out.
+func TestRefusalProvesNothing(t *testing.T) {
+	Convey("A refused leader is missed, but not known to have stopped", t, func() {
+		c := heard()
+		l := grant.Leader{Daemon: "c", Incarnation: 1}
+		c.Refused("c:1")
+		_, ended := c.MayLead(at(10.2), l)
+		So(ended, ShouldBeFalse)
+		So(c.GaveWay(l, 5), ShouldBeFalse)
+		c.Heard(at(12), member("c", "y", 1), Word{Epoch: 5})
+		So(c.GaveWay(l, 5), ShouldBeTrue)
+	})
+}
+
+// The platform refuses the leader alone and serves the others. Servers that
+// leave would keep their keys for as long as it leads.
+func TestGivesWay(t *testing.T) {
+	Convey("A leader gives way when the platform answers others only", t, func() {
+		c := heard()
+		So(c.GivesWay(at(10)), ShouldBeFalse)
+		c.Heard(at(11.4), member("a", "x", 1), Word{Stored: at(11.3)})
+		So(c.GivesWay(at(11.5)), ShouldBeTrue)
+	})
+	Convey("It stays when the platform answers nobody", t, func() {
+		c := heard()
+		c.Heard(at(11.4), member("a", "x", 1), Word{Stored: at(9.9)})
+		So(c.GivesWay(at(11.5)), ShouldBeFalse)
+	})
+}
+
+func TestReads(t *testing.T) {
+	Convey("Only the leader reads while its news is fresh; old news is read by one of each data centre", t, func() {
+		c := heard()
+		So(c.Reads(at(10), at(9.5), false), ShouldBeFalse)
+		So(c.Reads(at(10), at(9.5), true), ShouldBeTrue)
+		So(c.Reads(at(11), at(9.35), false), ShouldBeFalse) // "a" comes first here
+		So(c.Reads(at(11), at(9.2), false), ShouldBeTrue)
+	})
+	Convey("A delayed word of an ended life changes nothing", t, func() {
+		c := heard()
+		c.Heard(at(10.1), member("a", "x", 2), Word{Epoch: 4})
+		c.Heard(at(10.2), member("a", "x", 1), Word{Leaving: true})
+		So(c.Count(), ShouldEqual, 3)
+		So(c.Place(), ShouldEqual, 1)
+		So(c.peers["a"].Leaving, ShouldBeFalse)
+	})
+}
--- /dev/null
+++ b/core/request/spread/spread_test.go
@@ -0,0 +1,189 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"catkinstep/core/version/config"
+	"catkinstep/core/version/fleet"
+)
+
+var t0 = time.Unix(1000, 0)
+
+var service = config.Service{Name: "s", Connections: 100, Cold: 3 * time.Second, ColdRate: 12}
+
+func servers(n int) []fleet.Server {
+	var out []fleet.Server
+	for i := range n {
+		out = append(out, fleet.Server{ID: fmt.Sprintf("s%d", i), Service: "s", DataCentre: "x", Slots: 4, Born: 1})
+	}
+	return out
+}
+
+func need(now time.Time) Need {
+	return Need{Route: "r", Service: service, Aim: 400 * time.Millisecond, Priority: 1, Began: now, Deadline: now.Add(time.Second), Near: "x"}
+}
+
+func fresh() *Spread { return New(1, Limits{ColdFactor: 1.5, ColdSlack: 5, Daemons: 2}) }
+
+// answer plays a request that takes so long at a server.
+func answer(s *Spread, now time.Time, v fleet.Server, took time.Duration, o Outcome) {
+	n := need(now)
+	s.Begin(now, v, n)
+	s.End(now.Add(took), v, n, now, o, nil)
+}
+
+// A server hangs with requests under way. It answers nothing, so no average
+// learns of it, and callers would wait there until their deadlines.
+func TestHangingServerIsLeft(t *testing.T) {
+	Convey("What is under way for long makes a server the last choice", t, func() {
+		s, vs := fresh(), servers(2)
+		for i := range 20 {
+			answer(s, t0.Add(time.Duration(i)*time.Second), vs[i%2], 100*time.Millisecond, Answered)
+		}
+		now := t0.Add(time.Minute)
+		s.Begin(now, vs[0], need(now))
+		now = now.Add(2 * time.Second)
+		for range 20 {
+			So(s.Choose(now, need(now), vs).Server.ID, ShouldEqual, "s1")
+		}
+	})
+}
+
+func TestChoose(t *testing.T) {
+	Convey("Requests go to the emptier server", t, func() {
+		s, vs := fresh(), servers(2)
+		for range 8 {
+			s.Begin(t0, vs[0], need(t0))
+		}
+		So(s.Choose(t0, need(t0), vs).Server.ID, ShouldEqual, "s1")
+	})
+	Convey("What other daemons have under way counts", t, func() {
+		s, vs := fresh(), servers(2)
+		s.Others(t0, "d2", map[string]int{"s0": 9})
+		So(s.Choose(t0, need(t0), vs).Server.ID, ShouldEqual, "s1")
+	})
+	Convey("Another data centre is chosen only when waiting here costs more", t, func() {
+		s, vs := fresh(), servers(2)
+		vs[1].DataCentre = "y"
+		So(s.Choose(t0, need(t0), vs).Server.ID, ShouldEqual, "s0")
+		for range 12 {
+			s.Begin(t0, vs[0], need(t0))
+		}
+		So(s.Choose(t0, need(t0), vs).Server.ID, ShouldEqual, "s1")
+	})
+	Convey("Draining servers and those already tried are no choice", t, func() {
+		s, vs := fresh(), servers(2)
+		vs[0].Draining = true
+		n := need(t0)
+		n.Tried = []string{"s1"}
+		c := s.Choose(t0, n, vs)
+		So(c.Reason, ShouldEqual, None)
+		So(c.RetryAfter, ShouldBeGreaterThan, 0)
+	})
+	Convey("A failing server gets a trickle, by which its recovery shows", t, func() {
+		s, vs := fresh(), servers(1)
+		for i := range 10 {
+			answer(s, t0.Add(time.Duration(i)*time.Millisecond), vs[0], time.Millisecond, Failed)
+		}
+		tried := 0
+		for range 1000 {
+			if !s.Choose(t0.Add(time.Second), need(t0.Add(time.Second)), vs).Refused() {
+				tried++
+			}
+		}
+		So(tried, ShouldBeBetween, 5, 120)
+	})
+	Convey("A server that refuses connections is left alone, then taken for cold", t, func() {
+		s, vs := fresh(), servers(1)
+		answer(s, t0, vs[0], time.Millisecond, Unreachable)
+		So(s.Choose(t0.Add(100*time.Millisecond), need(t0), vs).Reason, ShouldEqual, Sick)
+		now := t0.Add(refusedPause + 10*time.Millisecond)
+		So(s.Choose(now, need(now), vs).Reason, ShouldEqual, ColdFull)
+		s.Told(now, vs[0])
+		So(s.Choose(now, need(now), vs).Refused(), ShouldBeFalse)
+	})
+}
+
+// More requests come than the servers can answer within the aim. Those that
+// would wait past it are refused at once, the less urgent first, and told when
+// the queue has moved on; an idle slot is always used.
+func TestBurst(t *testing.T) {
+	Convey("A request that would come late is refused at once", t, func() {
+		s, vs := fresh(), servers(1)
+		for i := range 30 {
+			answer(s, t0.Add(time.Duration(i)*time.Second), vs[0], 150*time.Millisecond, Answered)
+		}
+		now := t0.Add(time.Minute)
+		taken := map[int]int{}
+		for range 40 {
+			for _, priority := range []int{1, 2} {
+				n := need(now)
+				n.Priority = priority
+				c := s.Choose(now, n, vs)
+				if c.Refused() {
+					So(c.Reason, ShouldEqual, Busy)
+					So(c.RetryAfter, ShouldBeBetweenOrEqual, 40*time.Millisecond, 400*time.Millisecond)
+					continue
+				}
+				s.Begin(now, vs[0], n)
+				taken[priority]++
+			}
+		}
+		So(taken[1]+taken[2], ShouldBeBetween, 4, 16)
+		So(taken[1], ShouldBeGreaterThanOrEqualTo, taken[2])
+	})
+	Convey("An idle slot is used although the answer will be late", t, func() {
+		s, vs := fresh(), servers(1)
+		for i := range 200 {
+			answer(s, t0.Add(time.Duration(i)*time.Second), vs[0], 600*time.Millisecond, Answered)
+		}
+		now := t0.Add(time.Hour)
+		So(s.Choose(now, need(now), vs).Refused(), ShouldBeFalse)
+	})
+}
+
+// Daemons that cannot talk send to a server that has just started. Over all of
+// them it must never get more in a second than it bears, however the requests
+// fall and however many daemons there are.
+func TestColdServerOverAllDaemons(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := rapid.IntRange(1, 100).Draw(t, "daemons")
+		limits := Limits{ColdFactor: 1.5, ColdSlack: rapid.Float64Range(5, 8).Draw(t, "slack"), Daemons: daemons}
+		v := servers(1)[0]
+		var spreads []*Spread
+		for i := range daemons {
+			l := limits
+			l.Place = i
+			s := New(uint64(i), l)
+			s.Doubt(v, t0.Add(time.Minute))
+			spreads = append(spreads, s)
+		}
+		var sent []time.Time
+		for now := t0; now.Before(t0.Add(4 * time.Second)); now = now.Add(20 * time.Millisecond) {
+			for range rapid.IntRange(0, 30).Draw(t, "requests") {
+				s := spreads[rapid.IntRange(0, daemons-1).Draw(t, "at")]
+				n := need(now)
+				if !s.Judge(now, n, v).Refused() {
+					s.Begin(now, v, n)
+					s.End(now, v, n, now, CalledOff, nil)
+					sent = append(sent, now)
+				}
+			}
+		}
+		bound := service.ColdRate*limits.ColdFactor + limits.ColdSlack
+		first := 0
+		for i, at := range sent {
+			for at.Sub(sent[first]) >= time.Second {
+				first++
+			}
+			if float64(i-first+1) > bound {
+				t.Fatalf("%d requests within a second, %v allowed", i-first+1, bound)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/version/config/config_test.go
@@ -0,0 +1,70 @@
+package config
+
+import (
+	"errors"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func sample() Config {
+	return Config{Version: 7,
+		Routes: []Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Parts: []Part{{Service: "s", Weight: 1}}},
+			{Name: "deep", Host: "a.example", Prefix: "/x/y/", Parts: []Part{{Service: "s", Weight: 90}, {Service: "t", Weight: 10}}},
+			{Name: "flat", Host: "a.example", Prefix: "/x/", Parts: []Part{{Service: "t", Weight: 1}}},
+		},
+		Services: []Service{{Name: "s"}, {Name: "t", Keyed: true}},
+	}
+}
+
+func TestMatch(t *testing.T) {
+	Convey("The longest prefix at the host decides, whatever the order", t, func() {
+		c := sample()
+		for _, v := range []struct {
+			host, path, name string
+			ok               bool
+		}{
+			{"a.example", "/x/y/z", "deep", true},
+			{"A.example:8080", "/x/y/", "deep", true},
+			{"a.example", "/x/y", "flat", true},
+			{"a.example", "/", "all", true},
+			{"b.example", "/x/", "", false},
+		} {
+			r, ok := c.Match(v.host, v.path)
+			So(ok, ShouldEqual, v.ok)
+			So(r.Name, ShouldEqual, v.name)
+		}
+	})
+}
+
+func TestPick(t *testing.T) {
+	Convey("Parts get their weights' shares", t, func() {
+		r, _ := sample().Match("a.example", "/x/y/z")
+		counts := map[string]int{}
+		for i := range 1000 {
+			counts[r.Pick(float64(i)/1000)]++
+		}
+		So(counts["s"], ShouldEqual, 900)
+		So(counts["t"], ShouldEqual, 100)
+	})
+	Convey("A draw at the upper end still finds a part", t, func() {
+		r, _ := sample().Match("a.example", "/x/y/z")
+		So(r.Pick(0.9999999999999999), ShouldEqual, "t")
+	})
+}
+
+func TestCheck(t *testing.T) {
+	Convey("What cannot be used is named", t, func() {
+		So(sample().Check(), ShouldBeNil)
+		unknown := sample()
+		unknown.Routes = append(unknown.Routes, Route{Name: "r", Host: "h", Prefix: "/", Parts: []Part{{Service: "nowhere"}}})
+		var e *Error
+		So(errors.As(unknown.Check(), &e), ShouldBeTrue)
+		So(e.Kind, ShouldEqual, UnknownService)
+		bare := sample()
+		bare.Routes = append(bare.Routes, Route{Name: "r", Host: "h", Prefix: "no-slash"})
+		So(errors.As(bare.Check(), &e), ShouldBeTrue)
+		So(e.Kind, ShouldEqual, BadRoute)
+	})
+}
--- /dev/null
+++ b/io/connection/caller/caller_test.go
@@ -0,0 +1,190 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func start(t *testing.T, h Handler, opts ...Option) (*Server, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(h, opts...)
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close(); <-done })
+	return s, l.Addr().String()
+}
+
+// client is a caller that writes and reads as it likes.
+type client struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(address string) *client {
+	c, err := net.Dial("tcp", address)
+	So(err, ShouldBeNil)
+	return &client{Conn: c, r: bufio.NewReader(c)}
+}
+
+func (c *client) get(path string) {
+	_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+	So(err, ShouldBeNil)
+}
+
+func (c *client) answer() (*http.Response, string) {
+	_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodGet})
+	So(err, ShouldBeNil)
+	body, err := io.ReadAll(resp.Body)
+	So(err, ShouldBeNil)
+	return resp, string(body)
+}
+
+func echo(_ context.Context, r Request) Reply {
+	return Reply{Status: 200, Header: http.Header{}, Body: []byte(r.URL.Path + string(r.Body))}
+}
+
+// A caller sends a second lookup before the first is answered. The first is
+// slow; a server that read on only after answering it would make the caller
+// give up the second as unread.
+func TestPipelined(t *testing.T) {
+	Convey("Requests run side by side and are answered in order", t, func() {
+		quick := make(chan struct{})
+		_, address := start(t, func(_ context.Context, r Request) Reply {
+			if r.URL.Path == "/slow" {
+				select {
+				case <-quick:
+				case <-time.After(3 * time.Second):
+				}
+				return echo(nil, r) //nolint:staticcheck // echo needs no context
+			}
+			close(quick)
+			return echo(nil, r) //nolint:staticcheck // as above
+		})
+		c := dial(address)
+		defer c.Close() //nolint:errcheck // a test's client
+		c.get("/slow")
+		c.get("/quick")
+		began := time.Now()
+		_, first := c.answer()
+		_, second := c.answer()
+		So(first, ShouldEqual, "/slow")
+		So(second, ShouldEqual, "/quick")
+		So(time.Since(began), ShouldBeLessThan, 2*time.Second)
+	})
+}
+
+func TestBodies(t *testing.T) {
+	_, address := start(t, echo, WithLimits(func() Limits {
+		return Limits{HeaderBytes: 2000, BodyBytes: 100, Header: time.Second, Idle: time.Second}
+	}))
+	send := func(text string) (*http.Response, string) {
+		c := dial(address)
+		defer c.Close() //nolint:errcheck // a test's client
+		_, err := io.WriteString(c, text)
+		So(err, ShouldBeNil)
+		return c.answer()
+	}
+	Convey("Bodies come whole, with a length or in chunks", t, func() {
+		_, body := send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz")
+		So(body, ShouldEqual, "/axyz")
+		_, body = send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n1\r\nz\r\n0\r\n\r\n")
+		So(body, ShouldEqual, "/axyz")
+	})
+	Convey("What is beyond the limits is told so, and no more is read", t, func() {
+		resp, _ := send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n")
+		So(resp.StatusCode, ShouldEqual, 413)
+		So(resp.Close, ShouldBeTrue)
+		resp, _ = send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", 200, strings.Repeat("x", 200)))
+		So(resp.StatusCode, ShouldEqual, 413)
+		resp, _ = send("GET /a HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 9000) + "\r\n\r\n")
+		So(resp.StatusCode, ShouldEqual, 431)
+		resp, _ = send("nonsense\r\n\r\n")
+		So(resp.StatusCode, ShouldEqual, 400)
+	})
+	Convey("A head that does not arrive in time is told so", t, func() {
+		resp, _ := send("GET /a HTTP/1.1\r\nHost:")
+		So(resp.StatusCode, ShouldEqual, 408)
+	})
+}
+
+// A caller closes its connection while its request runs. Its work must be
+// called off at once, not when the answer cannot be delivered.
+func TestCallerLeaves(t *testing.T) {
+	Convey("The request's context ends with the connection", t, func() {
+		gone := make(chan struct{})
+		_, address := start(t, func(ctx context.Context, _ Request) Reply {
+			<-ctx.Done()
+			close(gone)
+			return Reply{Status: 502, Header: http.Header{}}
+		})
+		c := dial(address)
+		c.get("/x")
+		time.Sleep(50 * time.Millisecond)
+		_ = c.Close()
+		select {
+		case <-gone:
+		case <-time.After(2 * time.Second):
+			So("the handler", ShouldEqual, "told")
+		}
+	})
+}
+
+// A planned stop comes while requests are under way and queued behind each
+// other on one connection. Each that was read is answered; only the last answer
+// announces the close.
+func TestPlannedStop(t *testing.T) {
+	Convey("No request that was read is cut", t, func() {
+		let := make(chan struct{})
+		var began atomic.Int32
+		s, address := start(t, func(ctx context.Context, r Request) Reply {
+			began.Add(1)
+			<-let
+			return echo(ctx, r)
+		})
+		c := dial(address)
+		defer c.Close() //nolint:errcheck // a test's client
+		c.get("/1")
+		c.get("/2")
+		for began.Load() < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		s.Stop()
+		close(let)
+		first, body1 := c.answer()
+		second, body2 := c.answer()
+		So(body1+body2, ShouldEqual, "/1/2")
+		So(first.Close, ShouldBeFalse)
+		So(second.Close, ShouldBeTrue)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		s.Finish(ctx)
+		So(ctx.Err(), ShouldBeNil)
+		So(s.Running(), ShouldEqual, 0)
+	})
+	Convey("An idle connection is closed only at the end", t, func() {
+		s, address := start(t, echo)
+		c := dial(address)
+		defer c.Close() //nolint:errcheck // a test's client
+		c.get("/1")
+		_, _ = c.answer()
+		s.Stop()
+		c.get("/2")
+		resp, body := c.answer()
+		So(body, ShouldEqual, "/2")
+		So(resp.Close, ShouldBeTrue)
+	})
+}
