--- a/core/process/keeper/calls_test.go
+++ b/core/process/keeper/calls_test.go
@@ -18,18 +18,18 @@
 
 // reach decides what becomes of a call before it arrives. A cut may swallow it,
 // or refuse the connection although the server lives.
-func (w *world) reach(d *daemon, life uint64, address string, before time.Time) (v *server, r Result) {
+func (w *world) reach(d *daemon, life uint64, address string, before time.Time) (v *server, r grant.Result) {
 	if w.now.Before(d.frozen) || d.life != life || !w.now.Before(before) {
-		return nil, NotSent
+		return nil, grant.NotSent
 	}
 	v = w.find(address)
 	if w.now.Before(d.blocked[address]) || v == nil {
 		if w.chance(0.5) {
-			return nil, NotSent
+			return nil, grant.NotSent
 		}
-		return nil, Unsure
+		return nil, grant.Unsure
 	}
-	return v, Done
+	return v, grant.Done
 }
 
 func (w *world) grant(d *daemon, life uint64, c GrantCmd) {
@@ -40,38 +40,38 @@
 	v, r := w.reach(d, life, c.Address, c.Before)
 	if v == nil {
 		wait := time.Duration(0)
-		if r == Unsure {
+		if r == grant.Unsure {
 			wait = w.span(100*time.Millisecond, grantTime)
 		}
 		w.after(wait, func() { w.send(d, life, GrantedMsg{Cmd: c, At: w.now, Result: r}) })
 		return
 	}
 	if v.Born != c.Holder.Born && c.Renewal {
-		w.send(d, life, GrantedMsg{Cmd: c, At: w.now, Result: NotSent})
+		w.send(d, life, GrantedMsg{Cmd: c, At: w.now, Result: grant.NotSent})
 		return
 	}
 	arrived := w.now
 	if w.chance(0.03) { // carried out late, and not answered
 		w.after(w.span(0, 5*time.Second), func() { w.apply(v, c, arrived) })
-		w.after(w.span(50*time.Millisecond, grantTime), func() { w.send(d, life, GrantedMsg{Cmd: c, At: w.now, Result: Unsure}) })
+		w.after(w.span(50*time.Millisecond, grantTime), func() { w.send(d, life, GrantedMsg{Cmd: c, At: w.now, Result: grant.Unsure}) })
 		return
 	}
 	r = w.apply(v, c, arrived)
 	if w.chance(0.03) {
-		w.after(w.span(50*time.Millisecond, grantTime), func() { w.send(d, life, GrantedMsg{Cmd: c, At: w.now, Result: Unsure}) })
+		w.after(w.span(50*time.Millisecond, grantTime), func() { w.send(d, life, GrantedMsg{Cmd: c, At: w.now, Result: grant.Unsure}) })
 		return
 	}
 	w.after(w.span(0, 20*time.Millisecond), func() { w.send(d, life, GrantedMsg{Cmd: c, At: w.now, Result: r}) })
 }
 
-func (w *world) apply(v *server, c GrantCmd, arrived time.Time) Result {
+func (w *world) apply(v *server, c GrantCmd, arrived time.Time) grant.Result {
 	if !v.alive {
-		return Unsure
+		return grant.Unsure
 	}
 	from, to := Bucket(c.From), Bucket(c.To)
 	for b := from; b <= to; b++ {
 		if v.fence[b] > c.Fence {
-			return Fenced
+			return grant.Fenced
 		}
 	}
 	for b := from; b <= to; b++ {
@@ -80,7 +80,7 @@
 			v.until[b] = until
 		}
 	}
-	return Done
+	return grant.Done
 }
 
 func (w *world) release(d *daemon, life uint64, c ReleaseCmd) {
@@ -99,9 +99,9 @@
 			done = v.work[b]
 		}
 	}
-	r = Done
+	r = grant.Done
 	if w.chance(0.05) {
-		r = Unsure
+		r = grant.Unsure
 	}
 	w.after(done.Sub(w.now)+worldStep, func() { w.send(d, life, ReleasedMsg{Cmd: c, Result: r, Handover: "h"}) })
 }
--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -7,25 +7,6 @@
 	"catkinstep/core/version/grant"
 )
 
-// Result is how a call to a server ended.
-type Result int
-
-// Results of calls.
-const (
-	// Done means that the server carried it out.
-	Done Result = iota
-	// Fenced means that the server has seen a higher fence on one of the keys.
-	Fenced
-	// Ended proves that the life of the holder is over: its address belongs to
-	// another. Refused connections prove nothing, since a cut may refuse them
-	// while the holder lives and is reached by others.
-	Ended
-	// NotSent means that no byte of the call left this host.
-	NotSent
-	// Unsure means that the call may have been, or may yet be, carried out.
-	Unsure
-)
-
 // Msg is something that happened.
 type Msg interface{ msg() }
 
@@ -55,13 +36,13 @@
 type GrantedMsg struct {
 	Cmd    GrantCmd
 	At     time.Time
-	Result Result
+	Result grant.Result
 }
 
 // ReleasedMsg is the end of a ReleaseCmd.
 type ReleasedMsg struct {
 	Cmd      ReleaseCmd
-	Result   Result
+	Result   grant.Result
 	Handover string
 }
 
@@ -107,25 +88,19 @@
 // not have. A grant that is not sent for want of such a connection is followed
 // by one with a new fence.
 type GrantCmd struct {
-	Renewal  bool
-	Service  string
-	Address  string
-	Holder   grant.Holder
-	From, To int
-	Fence    uint64
-	Hold     time.Duration
-	Handover string
-	Before   time.Time
+	grant.Call
+	Renewal bool
+	Service string
+	Holder  grant.Holder
+	Before  time.Time
 }
 
 // ReleaseCmd asks a server to let go of a range once its running work has ended.
 type ReleaseCmd struct {
-	Service  string
-	Address  string
-	Holder   grant.Holder
-	From, To int
-	Fence    uint64
-	Before   time.Time
+	grant.Call
+	Service string
+	Holder  grant.Holder
+	Before  time.Time
 }
 
 // SaveCmd stores the table if it still is at a revision.
--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -86,12 +86,12 @@
 	switch sp.step {
 	case releasing:
 		sp.busy = true
-		k.cmds = append(k.cmds, ReleaseCmd{Service: s.service, Address: sp.Holder.Address, Holder: sp.Holder,
-			From: sp.From, To: sp.To, Fence: k.mint(), Before: now.Add(sendWithin)})
+		k.cmds = append(k.cmds, ReleaseCmd{Service: s.service, Holder: sp.Holder, Before: now.Add(sendWithin),
+			Call: grant.Call{Address: sp.Holder.Address, From: sp.From, To: sp.To, Fence: k.mint()}})
 	case held, saving, granting:
 		sp.busy = true
-		k.cmds = append(k.cmds, GrantCmd{Renewal: sp.renewal, Service: s.service, Address: sp.Holder.Address, Holder: sp.Holder,
-			From: sp.From, To: sp.To, Fence: sp.Fence, Hold: k.hold, Handover: sp.handover, Before: now.Add(sendWithin)})
+		k.cmds = append(k.cmds, GrantCmd{Renewal: sp.renewal, Service: s.service, Holder: sp.Holder, Before: now.Add(sendWithin),
+			Call: grant.Call{Address: sp.Holder.Address, From: sp.From, To: sp.To, Fence: sp.Fence, Hold: k.hold, Handover: sp.handover}})
 	}
 }
 
@@ -120,31 +120,31 @@
 		return
 	}
 	sp.busy = false
-	if m.Result != NotSent && m.Result != Ended && m.Result != Fenced {
+	if m.Result != grant.NotSent && m.Result != grant.Ended && m.Result != grant.Fenced {
 		sp.until = later(sp.until, k.runsOut(m.At))
 	}
 	switch m.Result {
-	case Done:
+	case grant.Done:
 		k.confirmedGrant(now, sp, m)
-	case Ended:
+	case grant.Ended:
 		k.lifeEnded(m.Cmd.Holder)
-	case Fenced:
+	case grant.Fenced:
 		// Another leader has granted it, or an older fence of ours was late. A new
 		// fence goes out only once the epoch is known to be in force.
 		sp.Fence, sp.due = k.mint(), now.Add(retryCall)
 		k.reread, k.again, k.confirmed = true, now, now.Add(-k.right)
 		k.note(NoteCmd{Text: "server has seen a higher fence", Service: m.Cmd.Service, From: sp.From, To: sp.To, Holder: sp.Holder, Fence: m.Cmd.Fence})
-	case Unsure:
+	case grant.Unsure:
 		// The next try bears a new fence: its answer shuts this one out.
 		sp.unsure = later(sp.unsure, k.runsOut(m.At))
 		sp.Fence, sp.due = k.mint(), now.Add(retryCall)
-	case NotSent:
+	case grant.NotSent:
 		sp.Fence, sp.due = k.mint(), now.Add(retryCall)
 		if m.Cmd.Renewal {
 			sp.due = now
 		}
 	}
-	sp.renewal = m.Result == Done
+	sp.renewal = m.Result == grant.Done
 }
 
 func (k *Keeper) confirmedGrant(now time.Time, sp *span, m GrantedMsg) {
@@ -168,9 +168,9 @@
 	}
 	sp.busy = false
 	switch m.Result {
-	case Done:
+	case grant.Done:
 		sp.handover, sp.until = m.Handover, sp.unsure
-	case Ended:
+	case grant.Ended:
 		k.lifeEnded(m.Cmd.Holder)
 	default:
 		sp.due = now.Add(retryCall)
--- /dev/null
+++ b/core/version/grant/call.go
@@ -0,0 +1,34 @@
+package grant
+
+import "time"
+
+// Result is how a call to a server ended.
+type Result int
+
+// Results of calls.
+const (
+	// Done means that the server carried it out.
+	Done Result = iota
+	// Fenced means that the server has seen a higher fence on one of the keys.
+	Fenced
+	// Ended proves that the life of the holder is over: its address belongs to
+	// another. Refused connections prove nothing, since a cut may refuse them
+	// while the holder lives and is reached by others.
+	Ended
+	// NotSent means that no byte of the call left this host.
+	NotSent
+	// Unsure means that the call may have been, or may yet be, carried out.
+	Unsure
+)
+
+// Call asks a server to hold a range, or to let go of it once its running work
+// has ended.
+type Call struct {
+	Address  string
+	From, To int
+	Fence    uint64
+	// Hold is for how long, from the call's arrival; releases have none.
+	Hold time.Duration
+	// Handover is what the last holder gave out with its release.
+	Handover string
+}
--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -12,8 +12,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"catkinstep/core/request/spread"
 )
 
 const (
@@ -55,7 +53,14 @@
 	Body   []byte
 	// NotRun is the server's word that it did not run the request.
 	NotRun bool
-	Load   *spread.Report
+	Load   *Load
+}
+
+// Load is what an answer tells of its server.
+type Load struct {
+	Running, Waiting, Slots int
+	// Bytes is the size of the answer's body.
+	Bytes int
 }
 
 // Do writes a request once and reads its whole answer. The context's end closes
@@ -209,7 +214,7 @@
 }
 
 // parseLoad reads running, waiting and slots; nil when there is no such report.
-func parseLoad(s string) *spread.Report {
+func parseLoad(s string) *Load {
 	parts := strings.Split(s, ",")
 	if len(parts) < 3 {
 		return nil
@@ -222,7 +227,7 @@
 		}
 		n[i] = v
 	}
-	return &spread.Report{Running: n[0], Waiting: n[1], Slots: n[2]}
+	return &Load{Running: n[0], Waiting: n[1], Slots: n[2]}
 }
 
 func keepAliveTimeout(s string) (time.Duration, bool) {
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"catkinstep/io/process/setup"
+
 	"catkinstep/core/connection/wire"
 	"catkinstep/core/process/crew"
 	"catkinstep/core/process/keeper"
@@ -45,7 +47,7 @@
 		revision      uint64
 	}
 	leadFailMsg struct{}
-	settingsMsg struct{ settings Settings }
+	settingsMsg struct{ settings setup.Settings }
 )
 
 // control is the state that the control loop owns.
@@ -315,7 +317,7 @@
 }
 
 // settingsAre takes over the seeds and the bounds.
-func (c *control) settingsAre(s Settings) {
+func (c *control) settingsAre(s setup.Settings) {
 	c.r.mu.Lock()
 	c.r.bounds = s
 	c.r.mu.Unlock()
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -131,11 +131,11 @@
 }
 
 func (r *Router) grant(cmd keeper.GrantCmd) {
-	m := keeper.GrantedMsg{Cmd: cmd, Result: keeper.NotSent}
+	m := keeper.GrantedMsg{Cmd: cmd, Result: grant.NotSent}
 	w := r.links.get(linkKey{address: cmd.Address, id: cmd.Holder.Server, born: cmd.Holder.Born, use: forGrants})
 	w.turn.Lock()
 	if r.now().Before(cmd.Before) {
-		q := r.speech.Grant(cmd)
+		q := r.speech.Grant(cmd.Call)
 		q.KeptOnly = cmd.Renewal
 		m.Result, _ = r.order(w, cmd.Holder, q, grantTimeout)
 	}
@@ -145,16 +145,16 @@
 }
 
 func (r *Router) release(cmd keeper.ReleaseCmd) {
-	m := keeper.ReleasedMsg{Cmd: cmd, Result: keeper.NotSent}
+	m := keeper.ReleasedMsg{Cmd: cmd, Result: grant.NotSent}
 	if r.now().Before(cmd.Before) {
 		w := r.links.get(linkKey{address: cmd.Address, id: cmd.Holder.Server, born: cmd.Holder.Born, use: forReleases})
-		m.Result, m.Handover = r.order(w, cmd.Holder, r.speech.Release(cmd), releaseTimeout)
+		m.Result, m.Handover = r.order(w, cmd.Holder, r.speech.Release(cmd.Call), releaseTimeout)
 	}
 	r.post(keeperMsg{msg: m})
 }
 
 // order makes a call to a server that is no caller's request.
-func (r *Router) order(w *way, h grant.Holder, q link.Request, timeout time.Duration) (keeper.Result, string) {
+func (r *Router) order(w *way, h grant.Holder, q link.Request, timeout time.Duration) (grant.Result, string) {
 	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), timeout)
 	defer cancel()
 	a, err := w.Do(ctx, q)
@@ -165,9 +165,9 @@
 		r.log.Info("keys: call to server failed", "target", q.Target, "server", h.Server, "host", q.Host, "err", err)
 	}
 	if link.NotRun(err) {
-		return keeper.NotSent, ""
+		return grant.NotSent, ""
 	}
-	return keeper.Unsure, ""
+	return grant.Unsure, ""
 }
 
 func (r *Router) saveTable(t grant.Table, revision uint64) (news.Item, error) {
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"catkinstep/core/connection/names"
-	"catkinstep/core/process/keeper"
+	"catkinstep/core/version/grant"
 	"catkinstep/core/version/news"
 	"catkinstep/io/connection/link"
 )
@@ -72,32 +72,6 @@
 	movingRetry = 250 * time.Millisecond
 )
 
-// Settings are what one daemon is started with. Addresses are IP numbers with ports.
-type Settings struct {
-	// Name tells the daemon apart from others; its host keeps it.
-	Name       string
-	DataCentre string
-	// Callers, Ready, Mesh and Metrics are the addresses to listen at.
-	Callers string
-	Ready   string
-	Mesh    string
-	Metrics string
-	// Seeds are mesh addresses of some daemons; they may be stale.
-	Seeds []string
-	// Grace is how long a planned stop may take.
-	Grace time.Duration
-	// ColdFactor and ColdSlack bound what a cold server gets of all daemons in
-	// a second: its rate times the factor, plus the slack.
-	ColdFactor float64
-	ColdSlack  float64
-	// RetryShare and RetryBurst bound extra attempts over all daemons: a share
-	// of the requests plus a number in each window.
-	RetryShare float64
-	RetryBurst float64
-	// HoldMost bounds the time of a grant.
-	HoldMost time.Duration
-}
-
 // Store is the platform's object store in the project's own terms. Errors are
 // of type *news.Error.
 type Store interface {
@@ -115,10 +89,10 @@
 // Speech is how backend servers are spoken to.
 type Speech interface {
 	Names() names.Names
-	Grant(keeper.GrantCmd) link.Request
-	Release(keeper.ReleaseCmd) link.Request
+	Grant(grant.Call) link.Request
+	Release(grant.Call) link.Request
 	// Result sorts the answer to either; handover comes with a release.
-	Result(*link.Answer) (r keeper.Result, handover string)
+	Result(*link.Answer) (r grant.Result, handover string)
 }
 
 // Option changes a Router that New makes.
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"catkinstep/io/process/setup"
+
 	"gopkg.in/tomb.v2"
 
 	"catkinstep/core/process/crew"
@@ -25,7 +27,7 @@
 
 // Router is one daemon.
 type Router struct {
-	settings Settings
+	settings setup.Settings
 	store    Store
 	speech   Speech
 	log      *slog.Logger
@@ -45,7 +47,7 @@
 	mu      sync.Mutex // guards what follows, shared by requests
 	spread  *spread.Spread
 	budgets map[string]*retry.Budget
-	bounds  Settings // those that can be reloaded
+	bounds  setup.Settings // those that can be reloaded
 	daemons int
 	heat    map[heatKey]heatCount
 	random  *rand.Rand
@@ -68,7 +70,7 @@
 const inboxSize = 256
 
 // New returns a Router that does nothing yet.
-func New(s Settings, st Store, sp Speech, opts ...Option) *Router {
+func New(s setup.Settings, st Store, sp Speech, opts ...Option) *Router {
 	r := &Router{
 		settings: s, store: st, speech: sp, log: slog.Default(),
 		hold: defaultHold, now: clock.Now, bounds: s, daemons: 1, inbox: make(chan any, inboxSize), budgets: map[string]*retry.Budget{}, heat: map[heatKey]heatCount{},
@@ -119,7 +121,7 @@
 
 // Reload puts in force what of other settings can be changed while the daemon
 // runs, and names what cannot.
-func (r *Router) Reload(next Settings) {
+func (r *Router) Reload(next setup.Settings) {
 	now := r.settings
 	if next.Name != now.Name || next.DataCentre != now.DataCentre || next.Callers != now.Callers || next.Ready != now.Ready || next.Mesh != now.Mesh {
 		r.log.Warn("settings: name, data centre and addresses change at the next start only")
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -158,10 +158,10 @@
 }
 
 func report(a *link.Answer) *spread.Report {
-	if a == nil {
+	if a == nil || a.Load == nil {
 		return nil
 	}
-	return a.Load
+	return &spread.Report{Running: a.Load.Running, Waiting: a.Load.Waiting, Slots: a.Load.Slots, Bytes: a.Load.Bytes}
 }
 
 func outcome(ctx context.Context, a *link.Answer, err error) spread.Outcome {
