--- a/core/process/crew/crew.go
+++ b/core/process/crew/crew.go
@@ -63,7 +63,11 @@
 	since  time.Time
 	stored time.Time
 	peers  map[string]*peer // by name
-	// lost is since when each leader has been missed.
+	// known is the leader last asked about, and since when it has been known: a
+	// leader that nothing was heard of yet is given as long as a silent one.
+	known      grant.Leader
+	knownSince time.Time
+	// missed is the leader that is missed, and since when.
 	missed      grant.Leader
 	missedSince time.Time
 }
@@ -197,6 +201,9 @@
 // MayLead tells whether this daemon should try to take the lead from a leader.
 // ended says that the leader's life is proven over.
 func (c *Crew) MayLead(now time.Time, l grant.Leader) (try, ended bool) {
+	if c.known != l {
+		c.known, c.knownSince = l, now
+	}
 	since, missing, ended := c.missing(now, l)
 	if !missing {
 		c.missed = grant.Leader{}
@@ -220,7 +227,7 @@
 	p := c.peers[l.Daemon]
 	switch {
 	case p == nil:
-		return c.since.Add(silentAfter), now.Sub(c.since) > silentAfter, false
+		return c.knownSince.Add(silentAfter), now.Sub(c.knownSince) > silentAfter, false
 	case p.Incarnation > l.Incarnation:
 		return now, true, true
 	case p.gone:
@@ -228,7 +235,7 @@
 	case p.Leaving && c.leads(now, p):
 		return now, true, false
 	case p.heard.IsZero():
-		return c.since.Add(silentAfter), now.Sub(c.since) > silentAfter, false
+		return c.knownSince.Add(silentAfter), now.Sub(c.knownSince) > silentAfter, false
 	}
 	return p.heard.Add(silentAfter), !c.leads(now, p), false
 }
--- a/core/process/crew/crew_test.go
+++ b/core/process/crew/crew_test.go
@@ -45,6 +45,11 @@
 		So(lead(c, at(10.1), l), ShouldBeFalse) // "a" lives and comes first
 		So(lead(c, at(10.3), l), ShouldBeTrue)
 	})
+	Convey("A leader that has just come up, and was not heard of yet, is not missed at once", t, func() {
+		c := New(member("b", "x", 1), t0)
+		So(lead(c, at(60), grant.Leader{Daemon: "new", Incarnation: 1}), ShouldBeFalse)
+		So(lead(c, at(61.6), grant.Leader{Daemon: "new", Incarnation: 1}), ShouldBeTrue)
+	})
 	Convey("A restarted leader's new life proves the end of the old", t, func() {
 		c := heard()
 		c.Heard(at(10.2), member("c", "y", 2), Word{})
--- a/core/process/keeper/calls_test.go
+++ b/core/process/keeper/calls_test.go
@@ -163,6 +163,9 @@
 
 func (w *world) takeLead(d *daemon) {
 	next := w.table
+	if w.chance(0.7) || w.calm {
+		next = next.WithHeld(w.published)
+	}
 	next.Epoch, next.Seq = next.Epoch+1, next.Seq+1
 	next.Leader = grant.Leader{Daemon: d.name, Incarnation: d.life}
 	before := w.table.Leader
--- a/core/process/keeper/world_test.go
+++ b/core/process/keeper/world_test.go
@@ -21,9 +21,11 @@
 	daemons []*daemon
 	table   grant.Table
 	stored  uint64
-	events  []event
-	trace   []string
-	bad     string
+	// published is the newest table that a leader told of.
+	published grant.Table
+	events    []event
+	trace     []string
+	bad       string
 }
 
 type event struct {
@@ -226,6 +228,10 @@
 		w.after(w.span(0, 20*time.Millisecond), func() { w.save(d, life, c) })
 	case ReadCmd:
 		w.after(w.span(0, 20*time.Millisecond), func() { w.read(d, life) })
+	case PublishCmd:
+		if c.Table.Newer(w.published) {
+			w.published = c.Table
+		}
 	case ResignCmd:
 		w.say("%s resigns: %s", d.name, c.Reason)
 		d.keeper = nil
--- a/core/version/grant/table.go
+++ b/core/version/grant/table.go
@@ -83,6 +83,31 @@
 	return Range{}, false
 }
 
+// WithHeld returns the stored table with the moves completed that its own leader
+// published as completed. The leader stores completions late, since they can be
+// made out again; a successor that built on the stored form alone would close
+// ranges that are held. A later move cannot be hidden by this: its intent would
+// have been stored first, and this would not be the stored table.
+func (t Table) WithHeld(published Table) Table {
+	if published.Epoch != t.Epoch || published.Seq <= t.Seq {
+		return t
+	}
+	shares := make([]Share, len(t.Shares))
+	for i, s := range t.Shares {
+		shares[i] = Share{Service: s.Service, Ranges: make([]Range, len(s.Ranges))}
+		for j, r := range s.Ranges {
+			p, ok := published.Owner(s.Service, r.From)
+			moved := r.Next.Server != "" && p.Holder == r.Next || r.Pending && p.Holder == r.Holder
+			if ok && p.From == r.From && p.To == r.To && p.Open() && moved {
+				r = p
+			}
+			shares[i].Ranges[j] = r
+		}
+	}
+	t.Shares = shares
+	return t
+}
+
 // Marshal gives the stored form.
 func (t Table) Marshal() ([]byte, error) { return json.Marshal(t) }
 
--- a/core/version/grant/table_test.go
+++ b/core/version/grant/table_test.go
@@ -36,6 +36,36 @@
 	})
 }
 
+// A leader is stopped right after a range was held by its new holder, before that
+// was stored. Its successor must not close the range to callers meanwhile.
+func TestWithHeld(t *testing.T) {
+	a, b, c := Holder{Server: "a"}, Holder{Server: "b"}, Holder{Server: "c"}
+	one := func(seq uint64, r Range) Table {
+		r.To = LastKey
+		return Table{Epoch: 2, Seq: seq, Shares: []Share{{Service: "k", Ranges: []Range{r}}}}
+	}
+	stored := one(5, Range{Holder: a, Next: b})
+	Convey("A move that its leader published as completed is completed", t, func() {
+		got := stored.WithHeld(one(7, Range{Holder: b}))
+		So(got.Shares[0].Ranges[0].Holder, ShouldResemble, b)
+		So(got.Shares[0].Ranges[0].Open(), ShouldBeTrue)
+		So(stored.Shares[0].Ranges[0].Next, ShouldResemble, b)
+	})
+	Convey("Anything else stays as it was stored", t, func() {
+		other := one(7, Range{Holder: b})
+		other.Epoch = 1
+		for _, published := range []Table{
+			other,
+			one(4, Range{Holder: b}),
+			one(7, Range{Holder: b, Pending: true}),
+			one(7, Range{Holder: b, Next: c}),
+			one(7, Range{Holder: c}),
+		} {
+			So(stored.WithHeld(published), ShouldResemble, stored)
+		}
+	})
+}
+
 // Tables reach a daemon by the store and by other daemons, in any order. What it
 // ends with must not depend on the order.
 func TestNewerIsATotalOrder(t *testing.T) {
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -25,7 +25,7 @@
 		return
 	}
 	c.taking = true
-	next := stored
+	next := stored.WithHeld(c.r.current.Load().table)
 	next.Epoch, next.Seq = stored.Epoch+1, stored.Seq+1
 	next.Leader = grant.Leader{Daemon: c.r.self.Name, Incarnation: c.r.self.Incarnation}
 	go c.r.takeLead(next, stored, revision)
--- a/io/standin/users/store.go
+++ b/io/standin/users/store.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -161,6 +162,8 @@
 	s.mu.Unlock()
 	switch {
 	case f.Silent:
+		// A caller's leaving is seen only once its request has been read whole.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	case f.Status != 0:
