--- a/core/process/keeper/world_test.go
+++ b/core/process/keeper/world_test.go
@@ -51,7 +51,6 @@
 	frozen  time.Time
 	inbox   []Msg
 	before  grant.Leader
-	epoch   uint64 // the newest that it knows
 	blind   time.Time
 	blocked map[string]time.Time // servers that it does not reach, and until when
 }
@@ -76,11 +75,10 @@
 	return w
 }
 
-func (w *world) birth(id string) *server {
+func (w *world) birth(id string) {
 	v := &server{Server: fleet.Server{ID: id, Address: id, Service: oneService, DataCentre: "a", Slots: 3, Born: w.now.UnixMilli()},
 		alive: true, listed: true, slow: 1 + 0.02*w.random.Float64()}
 	w.servers = append(w.servers, v)
-	return v
 }
 
 func (w *world) chance(p float64) bool { return !w.calm && w.random.Float64() < p }
--- a/io/connection/caller/conn.go
+++ b/io/connection/caller/conn.go
@@ -36,7 +36,7 @@
 	done  chan struct{}
 }
 
-func newConn(s *Server, nc net.Conn, ctx context.Context, cancel context.CancelFunc) *conn {
+func newConn(ctx context.Context, cancel context.CancelFunc, s *Server, nc net.Conn) *conn {
 	m := &meter{r: nc}
 	return &conn{server: s, Conn: nc, meter: m, r: bufio.NewReaderSize(m, 4096), ctx: ctx, cancel: cancel, queue: make(chan *job, depth)}
 }
--- a/io/connection/caller/server.go
+++ b/io/connection/caller/server.go
@@ -7,8 +7,9 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"catkinstep/io/connection/sock"
 )
 
 const (
@@ -115,9 +116,12 @@
 }
 
 func (s *Server) start(nc net.Conn) {
-	bound(nc)
+	if err := sock.Bound(nc, userTimeout); err != nil {
+		_ = nc.Close() // the caller has gone already
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	c := newConn(s, nc, ctx, cancel)
+	c := newConn(ctx, cancel, s, nc)
 	s.mu.Lock()
 	s.conns[c] = true
 	s.mu.Unlock()
@@ -142,18 +146,3 @@
 	}
 	return len(s.conns)
 }
-
-func bound(nc net.Conn) {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return
-	}
-	const tcpUserTimeout = 18 // TCP_USER_TIMEOUT
-	_ = rc.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-}
--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -131,7 +131,7 @@
 // kept. Answers that bear another id belong to requests that were given up.
 func (l *Link) read(c *conn, q Request) (*Answer, time.Duration, error) {
 	for range crossedAtMost {
-		resp, err := response(c.r, q.Method)
+		resp, err := response(c.r, q.Method) //nolint:bodyclose // the connection is kept or closed whole
 		if err != nil {
 			return nil, 0, broken(err)
 		}
--- a/io/connection/link/link.go
+++ b/io/connection/link/link.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"catkinstep/io/connection/sock"
+
 	"catkinstep/core/connection/names"
 )
 
@@ -45,7 +47,6 @@
 	net.Conn
 	r     *bufio.Reader
 	until time.Time // when it must no longer be used
-	used  bool
 }
 
 // New returns a Link to a server's address that keeps so many idle connections.
@@ -108,7 +109,7 @@
 func (l *Link) dial(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	d := net.Dialer{Control: control, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 2}}
+	d := net.Dialer{Control: sock.Control(userTimeout), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 2}}
 	nc, err := d.DialContext(ctx, "tcp", l.address)
 	if err != nil {
 		kind := NotSent
@@ -120,17 +121,6 @@
 	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, bufferBytes)}, nil
 }
 
-// control sets the bound on unacknowledged bytes.
-func control(_, _ string, rc syscall.RawConn) error {
-	var failed error
-	err := rc.Control(func(fd uintptr) {
-		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
-
-const tcpUserTimeout = 18 // TCP_USER_TIMEOUT, of which package syscall has no name
-
 // quiet tells whether nothing has come on a kept connection: neither its end
 // nor bytes that belong to no request.
 func quiet(c *conn) bool {
--- a/io/process/clock/clock.go
+++ b/io/process/clock/clock.go
@@ -8,20 +8,16 @@
 package clock
 
 import (
-	"syscall"
 	"time"
-	"unsafe"
-)
 
-// bootTime is CLOCK_BOOTTIME, of which package syscall has no name.
-const bootTime = 7
+	"golang.org/x/sys/unix"
+)
 
 // Now returns the time since the host's start as a time.Time. It compares with
 // other results of Now only, never with the time of day.
 func Now() time.Time {
-	var ts syscall.Timespec
-	_, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, bootTime, uintptr(unsafe.Pointer(&ts)), 0)
-	if errno != 0 {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		return time.Now().Round(0) // no such clock: the time of day at least counts suspension
 	}
 	return time.Unix(ts.Sec, ts.Nsec)
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -179,7 +179,7 @@
 	case news.Servers:
 		c.serversAre(now, changed)
 	case news.Outs:
-		c.outsAre(now, changed)
+		c.outsAre(changed)
 	case news.Daemons:
 		c.daemonsAre(changed)
 	case news.Tables:
@@ -272,7 +272,7 @@
 
 // outsAre takes data centres out or in. Servers of one that comes back may have
 // restarted shortly before, and count as cold until their entries tell.
-func (c *control) outsAre(now time.Time, changed []news.Item) {
+func (c *control) outsAre(changed []news.Item) {
 	for _, it := range changed {
 		c.r.log.Info("outs: changed", "dataCentre", it.Name, "out", !it.Removed, "revision", it.Revision)
 		if it.Removed {
--- a/io/process/router/follow.go
+++ b/io/process/router/follow.go
@@ -24,7 +24,7 @@
 		d, err := r.ask(ctx, kind, listed, sure)
 		if err != nil {
 			if ctx.Err() != nil {
-				return nil
+				return nil //nolint:nilerr // the router stops
 			}
 			listed, sure = listed && !isForgotten(err), isForgotten(err)
 			r.log.Warn("store: no news", "kind", kind, "since", r.control.through(kind), "err", err)
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -53,7 +53,9 @@
 	}
 	r.log.Info("keys: lead not taken", "epoch", next.Epoch, "err", err)
 	ctx := r.tomb.Context(context.Background())
-	r.readTable(ctx)
+	if _, err := r.readTable(ctx); err != nil {
+		r.log.Info("keys: table not read after that", "err", err)
+	}
 	sleep(ctx, backoffLeast)
 	r.post(leadFailMsg{})
 }
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -168,7 +169,7 @@
 	switch {
 	case err != nil && link.KindOf(err) == link.Refused:
 		return spread.Unreachable
-	case err != nil && context.Cause(ctx) == context.Canceled:
+	case err != nil && errors.Is(context.Cause(ctx), context.Canceled):
 		return spread.CalledOff
 	case err != nil:
 		return spread.Failed
--- a/io/standin/users/server.go
+++ b/io/standin/users/server.go
@@ -221,7 +221,8 @@
 	if fail != nil && fail(r) {
 		w.WriteHeader(http.StatusInternalServerError)
 	}
-	_, _ = io.WriteString(w, v.config.ID+" "+r.RequestURI+" "+body)
+	w.Header().Set("Content-Type", "text/plain")
+	_, _ = io.WriteString(w, v.config.ID+" "+r.RequestURI+" "+body) //nolint:gosec // read by tests only
 }
 
 func (v *Server) refuse(w http.ResponseWriter, r *http.Request, status int) {
