A request that crashes servers is refused after three of them, at every daemon

Cause: the direct path had no such bound; a request that crashes each server that runs it comes again at any daemon. Change: core/request/crash decides, words between daemons carry the losses. Measured: TestCrashingRequest, which failed without it (lost at each try).

--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -39,6 +39,8 @@
 		reply chan *wire.Delta
 	}
 	fetchedMsg struct{ kind string }
+	// suspectMsg says that a request is refused from now on.
+	suspectMsg struct{}
 	refusedMsg struct{ address string }
 	calledMsg  struct{ address string }
 	keeperMsg  struct{ msg keeper.Msg }
@@ -123,6 +125,8 @@
 		c.settingsAre(m.settings)
 	case leadFailMsg:
 		c.taking = false
+	case suspectMsg:
+		c.hailAll(now)
 	case leavingMsg:
 		c.leaving = true
 		c.hailAll(now)
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -72,6 +72,7 @@
 		s := c.shelves[k]
 		h.Known = append(h.Known, &wire.Known{Kind: string(k), Through: s.Through(), AgeMillis: age(now, s.At())})
 	}
+	h.Suspects = c.r.suspectNews()
 	if near {
 		c.r.mu.Lock()
 		for id, n := range c.r.spread.Own() {
@@ -112,6 +113,7 @@
 		c.share()
 	}
 	c.underWay(now, h)
+	c.r.heardOfLosses(h.Suspects)
 	if c.keeper != nil {
 		c.heats.add(h.Name, h)
 	}
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -16,6 +16,7 @@
 	"gopkg.in/tomb.v2"
 
 	"catkinstep/core/process/crew"
+	"catkinstep/core/request/crash"
 	"catkinstep/core/request/retry"
 	"catkinstep/core/request/spread"
 	"catkinstep/core/version/fleet"
@@ -47,6 +48,10 @@
 	mu      sync.Mutex // guards what follows, shared by requests
 	spread  *spread.Spread
 	budgets map[string]*retry.Budget
+	// suspects are requests that servers were lost with.
+	suspects   *crash.Suspects
+	suspicions []suspicion
+
 	bounds  setup.Settings // those that can be reloaded
 	daemons int
 	heat    map[heatKey]heatCount
@@ -73,7 +78,7 @@
 func New(s setup.Settings, st Store, sp Speech, opts ...Option) *Router {
 	r := &Router{
 		settings: s, store: st, speech: sp, log: slog.Default(),
-		hold: defaultHold, now: clock.Now, bounds: s, daemons: 1, inbox: make(chan any, inboxSize), budgets: map[string]*retry.Budget{}, heat: map[heatKey]heatCount{},
+		hold: defaultHold, now: clock.Now, bounds: s, daemons: 1, inbox: make(chan any, inboxSize), budgets: map[string]*retry.Budget{}, suspects: crash.New(crashBound, crashKeep), heat: map[heatKey]heatCount{},
 		self: crew.Member{Name: s.Name, Address: s.Mesh, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixMicro())},
 	}
 	for _, o := range opts {
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -25,6 +25,7 @@
 	key      int // -1 where the service has no keys
 	deadline time.Time
 	need     spread.Need
+	print    uint64 // the same for each try of the same content
 	attempts int
 	began    time.Time // of the present attempt
 	maybeRan bool
@@ -43,6 +44,10 @@
 	if bad != nil {
 		return *bad
 	}
+	o.print = fingerprint(o)
+	if r.crashes(o) {
+		return r.refuse(id, o.route.Name, "servers were lost each time it ran", crashKeep/4)
+	}
 	r.count(o)
 	reply := r.attempt(ctx, o)
 	r.meters.observe(reply.Status, time.Since(q.Read))
@@ -184,8 +189,12 @@
 // judge decides what an attempt's end means for the caller.
 func (r *Router) judge(ctx context.Context, o *order, v fleet.Server, c spread.Choice, a *link.Answer, err error) (caller.Reply, bool) {
 	notRun := err != nil && link.NotRun(err) || err == nil && a.NotRun
+	if link.KindOf(err) == link.Unsure {
+		r.lost(o, v.ID)
+	}
 	switch {
 	case err == nil && !a.NotRun && r.isAnswer(a):
+		r.answered(o)
 		if a.Status < http.StatusInternalServerError || !r.mayRepeat(ctx, o, false) {
 			if a.Status >= http.StatusInternalServerError {
 				r.logAttempt(o, v, c, a, nil, "passed on")
--- /dev/null
+++ b/io/process/router/suspect.go
@@ -0,0 +1,97 @@
+package router
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"catkinstep/core/connection/wire"
+)
+
+const (
+	// crashBound is how many servers a request may be lost with before it is
+	// refused: one may be chance, three in a row without an answer hardly are.
+	crashBound = 3
+	// crashKeep is how long that is remembered; a server is back after seconds.
+	crashKeep = time.Minute
+	// crashTell is how long a loss is told to the other daemons, with every word:
+	// such a request comes again at any of them.
+	crashTell = 1500 * time.Millisecond
+	// crashTold bounds the losses that are told at once.
+	crashTold = 32
+)
+
+// suspicion is a loss that the other daemons are told of.
+type suspicion struct {
+	at      time.Time
+	suspect *wire.Suspect
+}
+
+// fingerprint is the same for each try of the same content, whatever its id.
+func fingerprint(o *order) uint64 {
+	d := xxhash.New()
+	for _, s := range []string{o.Method, o.Host, o.RequestURI} {
+		_, _ = d.WriteString(s) // a hash takes everything
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(o.Body)
+	return d.Sum64()
+}
+
+// lost notes that a server broke off while a request ran there.
+func (r *Router) lost(o *order, server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if !r.suspects.Lost(now, o.print, server) {
+		return
+	}
+	if len(r.suspicions) < crashTold {
+		r.suspicions = append(r.suspicions, suspicion{at: now, suspect: &wire.Suspect{Fingerprint: o.print, Servers: []string{server}}})
+	}
+	if r.suspects.Refused(now, o.print) {
+		go r.post(suspectMsg{}) // not to wait under the lock
+	}
+}
+
+// answered ends a suspicion: a request that crashes servers is never answered.
+func (r *Router) answered(o *order) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.suspects.Answered(o.print)
+}
+
+// crashes tells whether a request is refused for the servers lost with it.
+func (r *Router) crashes(o *order) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.suspects.Refused(time.Now(), o.print)
+}
+
+// suspectNews lists the losses of the last moments.
+func (r *Router) suspectNews() []*wire.Suspect {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now, left := time.Now(), r.suspicions[:0]
+	var out []*wire.Suspect
+	for _, s := range r.suspicions {
+		if now.Sub(s.at) < crashTell {
+			left = append(left, s)
+			out = append(out, s.suspect)
+		}
+	}
+	r.suspicions = left
+	return out
+}
+
+// heardOfLosses takes in what another daemon found.
+func (r *Router) heardOfLosses(suspects []*wire.Suspect) {
+	if len(suspects) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range suspects {
+		r.suspects.Lost(time.Now(), s.Fingerprint, s.Servers...)
+	}
+}
