--- a/core/version/grant/call.go
+++ b/core/version/grant/call.go
@@ -21,6 +21,22 @@
 	Unsure
 )
 
+// String names the result.
+func (r Result) String() string {
+	switch r {
+	case Done:
+		return "done"
+	case Fenced:
+		return "fenced"
+	case Ended:
+		return "ended"
+	case NotSent:
+		return "notSent"
+	default:
+		return "unsure"
+	}
+}
+
 // Call asks a server to hold a range, or to let go of it once its running work
 // has ended.
 type Call struct {
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -223,6 +223,7 @@
 			continue
 		}
 		c.r.current.Store(s.withConfig(next))
+		c.r.meters.set("config.version", next.Version)
 		c.r.log.Info("config: in force", "version", next.Version, "revision", it.Revision, "routes", len(next.Routes))
 	}
 }
@@ -365,4 +366,5 @@
 		c.r.log.Info("keys: new leader", "epoch", t.Epoch, "leader", t.Leader.Daemon)
 	}
 	c.r.current.Store(s.withTable(t))
+	c.r.meters.set("keys.epoch", t.Epoch)
 }
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -143,6 +143,7 @@
 	}
 	w.turn.Unlock()
 	m.At = r.now()
+	r.meters.add("grants." + m.Result.String())
 	r.post(keeperMsg{msg: m})
 }
 
@@ -152,6 +153,7 @@
 		w := r.links.get(linkKey{address: cmd.Address, id: cmd.Holder.Server, born: cmd.Holder.Born, use: forReleases})
 		m.Result, m.Handover = r.order(w, cmd.Holder, r.speech.Release(cmd.Call), releaseTimeout)
 	}
+	r.meters.add("releases." + m.Result.String())
 	r.post(keeperMsg{msg: m})
 }
 
@@ -179,6 +181,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), storeTimeout)
 	defer cancel()
+	r.meters.add("store.save.tables")
 	item, err := r.store.Save(ctx, news.Tables, tableName, value, revision)
 	if item.Revision > 0 {
 		r.post(deltaMsg{delta: news.Delta{Kind: news.Tables, Items: []news.Item{item}}})
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -57,7 +57,7 @@
 	heat    map[heatKey]heatCount
 	random  *rand.Rand
 
-	meters meters
+	meters *meters
 }
 
 type heatKey struct {
@@ -78,7 +78,7 @@
 func New(s setup.Settings, st Store, sp Speech, opts ...Option) *Router {
 	r := &Router{
 		settings: s, store: st, speech: sp, log: slog.Default(),
-		hold: defaultHold, now: clock.Now, bounds: s, daemons: 1, inbox: make(chan any, inboxSize), budgets: map[string]*retry.Budget{}, suspects: crash.New(crashBound, crashKeep), heat: map[heatKey]heatCount{},
+		hold: defaultHold, now: clock.Now, meters: newMeters(), bounds: s, daemons: 1, inbox: make(chan any, inboxSize), budgets: map[string]*retry.Budget{}, suspects: crash.New(crashBound, crashKeep), heat: map[heatKey]heatCount{},
 		self: crew.Member{Name: s.Name, Address: s.Mesh, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixMicro())},
 	}
 	for _, o := range opts {
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"catkinstep/core/process/keeper"
@@ -16,6 +17,15 @@
 	"catkinstep/io/connection/link"
 )
 
+// Reasons of refusals beside those of package spread, as logs and counters name
+// them.
+const (
+	reasonNoConfig = "noConfiguration"
+	reasonCrashes  = "crashesServers"
+	reasonNotHeld  = "serverNotHoldingOrFull"
+	reasonFailed   = "attemptFailed"
+)
+
 // order is one caller's request on its way.
 type order struct {
 	caller.Request
@@ -38,7 +48,7 @@
 	s := r.current.Load()
 	id := q.Header.Get(r.speech.Names().ID)
 	if !s.configured {
-		return r.refuse(id, "", "no configuration yet", notReadyRetry)
+		return r.refuse(id, "", reasonNoConfig, notReadyRetry)
 	}
 	o, bad := r.understand(s, q, id)
 	if bad != nil {
@@ -46,7 +56,7 @@
 	}
 	o.print = fingerprint(o)
 	if r.crashes(o) {
-		return r.refuse(id, o.route.Name, "servers were lost each time it ran", crashKeep/4)
+		return r.refuse(id, o.route.Name, reasonCrashes, crashKeep/4)
 	}
 	r.count(o)
 	reply := r.attempt(ctx, o)
@@ -206,14 +216,14 @@
 		o.maybeRan = true
 	}
 	if notRun && o.key >= 0 && err == nil {
-		return r.giveUp(o, "server does not hold the key or is full", movingRetry), false
+		return r.giveUp(o, reasonNotHeld, movingRetry), false
 	}
 	if r.mayRepeat(ctx, o, notRun) && r.spend(o) {
 		r.logAttempt(o, v, c, a, err, "sent again")
 		return caller.Reply{}, true
 	}
 	r.logAttempt(o, v, c, a, err, "given up")
-	return r.giveUp(o, "attempt failed", c.RetryAfter), false
+	return r.giveUp(o, reasonFailed, c.RetryAfter), false
 }
 
 // isAnswer tells a server's own answer from what something else wrote.
@@ -253,6 +263,7 @@
 
 func (r *Router) refuse(id, route, reason string, after time.Duration) caller.Reply {
 	after = max(after, minRetry)
+	r.meters.add("refused." + reason)
 	r.log.Info("request: refused, not run", "id", id, "route", route, "reason", reason, "retryAfter", after.String())
 	h := http.Header{"Retry-After": {strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}}
 	return caller.Reply{Status: http.StatusServiceUnavailable, Header: h}
@@ -318,6 +329,7 @@
 	if a != nil {
 		status = a.Status
 	}
+	r.meters.add("attempts." + strings.ReplaceAll(then, " ", ""))
 	r.log.Info("request: attempt failed", "id", o.id, "route", o.route.Name, "key", o.key, "attempt", o.attempts, "server", v.ID,
 		"expected", c.Expected.String(), "left", time.Until(o.deadline).String(), "status", status, "err", err, "then", then)
 }
--- a/io/process/router/side.go
+++ b/io/process/router/side.go
@@ -2,11 +2,9 @@
 
 import (
 	"errors"
-	"expvar"
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -54,25 +52,8 @@
 	return nil
 }
 
-func (r *Router) answerMetrics(w http.ResponseWriter, req bunrouter.Request) error {
-	expvar.Handler().ServeHTTP(w, req.Request)
-	return nil
-}
-
-// meters count how requests ended.
-type meters struct {
-	answered atomic.Int64 // 2xx to 4xx of a server
-	refused  atomic.Int64 // 503, not run
-	failed   atomic.Int64 // all else
-}
-
-func (m *meters) observe(status int, _ time.Duration) {
-	switch {
-	case status < http.StatusInternalServerError:
-		m.answered.Add(1)
-	case status == http.StatusServiceUnavailable:
-		m.refused.Add(1)
-	default:
-		m.failed.Add(1)
-	}
+func (r *Router) answerMetrics(w http.ResponseWriter, _ bunrouter.Request) error {
+	w.Header().Set("Content-Type", "application/json")
+	_, err := io.WriteString(w, r.meters.vars.String())
+	return err
 }
