Refusals and failures name what they were decided by

Cause: a refusal's line had its reason and no grounds: an operator could not tell a full server from a wrong estimate. Change: service, key, server, expected time, aim, time left, attempts, versions of configuration and table.

--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -100,7 +100,7 @@
 		}
 		v, c := r.choose(o)
 		if c.Refused() {
-			return r.giveUp(o, string(c.Reason), c.RetryAfter)
+			return r.giveUp(o, c, string(c.Reason), c.RetryAfter)
 		}
 		o.attempts++
 		a, err := r.send(ctx, o, v)
@@ -216,14 +216,14 @@
 		o.maybeRan = true
 	}
 	if notRun && o.key >= 0 && err == nil {
-		return r.giveUp(o, reasonNotHeld, movingRetry), false
+		return r.giveUp(o, c, reasonNotHeld, movingRetry), false
 	}
 	if r.mayRepeat(ctx, o, notRun) && r.spend(o) {
 		r.logAttempt(o, v, c, a, err, "sent again")
 		return caller.Reply{}, true
 	}
 	r.logAttempt(o, v, c, a, err, "given up")
-	return r.giveUp(o, reasonFailed, c.RetryAfter), false
+	return r.giveUp(o, c, reasonFailed, c.RetryAfter), false
 }
 
 // isAnswer tells a server's own answer from what something else wrote.
@@ -247,24 +247,32 @@
 
 // giveUp tells the caller at once. 503 says that the request did not run, and
 // when to come back; 502 and 504 say nothing of that.
-func (r *Router) giveUp(o *order, reason string, after time.Duration) caller.Reply {
+func (r *Router) giveUp(o *order, c spread.Choice, reason string, after time.Duration) caller.Reply {
 	if o.held != nil {
 		return r.answer(o.held)
 	}
 	if !o.maybeRan {
-		return r.refuse(o.id, o.route.Name, reason, after)
+		return r.refuse(o.id, o.route.Name, reason, after, r.grounds(o, c)...)
 	}
 	status := http.StatusBadGateway
 	if !time.Now().Before(o.deadline) {
 		status = http.StatusGatewayTimeout
 	}
+	r.log.Info("request: given up, may have run", append([]any{"id", o.id, "route", o.route.Name, "reason", reason, "status", status}, r.grounds(o, c)...)...)
 	return *r.plain(status)
 }
 
-func (r *Router) refuse(id, route, reason string, after time.Duration) caller.Reply {
+// grounds are what a decision about a request was made by, with its versions.
+func (r *Router) grounds(o *order, c spread.Choice) []any {
+	s := r.current.Load()
+	return []any{"service", o.service.Name, "key", o.key, "server", c.Server.ID, "expected", c.Expected.String(), "aim", o.route.Aim.String(),
+		"left", time.Until(o.deadline).String(), "attempts", o.attempts, "config", s.config.Version, "epoch", s.table.Epoch, "seq", s.table.Seq}
+}
+
+func (r *Router) refuse(id, route, reason string, after time.Duration, grounds ...any) caller.Reply {
 	after = max(after, minRetry)
 	r.meters.add("refused." + reason)
-	r.log.Info("request: refused, not run", "id", id, "route", route, "reason", reason, "retryAfter", after.String())
+	r.log.Info("request: refused, not run", append([]any{"id", id, "route", route, "reason", reason, "retryAfter", after.String()}, grounds...)...)
 	h := http.Header{"Retry-After": {strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}}
 	return caller.Reply{Status: http.StatusServiceUnavailable, Header: h}
 }
