--- /dev/null
+++ b/io/process/router/control_test.go
@@ -0,0 +1,119 @@
+package router
+
+import (
+	"encoding/json"
+	"log/slog"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"catkinstep/core/connection/names"
+	"catkinstep/core/process/crew"
+	"catkinstep/core/version/config"
+	"catkinstep/core/version/fleet"
+	"catkinstep/core/version/grant"
+	"catkinstep/core/version/news"
+	"catkinstep/io/connection/link"
+	"catkinstep/io/process/setup"
+)
+
+// mute is a Speech of nobody.
+type mute struct{}
+
+func (mute) Names() names.Names                         { return names.Default() }
+func (mute) Grant(grant.Call) link.Request              { return link.Request{} }
+func (mute) Release(grant.Call) link.Request            { return link.Request{} }
+func (mute) Result(*link.Answer) (grant.Result, string) { return grant.Unsure, "" }
+
+var t0 = time.Unix(5000, 0)
+
+func second(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+
+// still makes a router whose control state is driven by hand.
+func still() *Router {
+	r := New(setup.Settings{Name: "d", DataCentre: "x", RetryShare: 0.2, RetryBurst: 56, ColdFactor: 1.5, ColdSlack: 5}, nil, mute{},
+		WithLogger(slog.New(slog.DiscardHandler)))
+	r.control = newControl(r, t0)
+	return r
+}
+
+func entryOf(id string, revision uint64) news.Item {
+	v, _ := json.Marshal(fleet.Server{ID: id, Address: id, Service: "s", DataCentre: "x", Slots: 3, Born: 1})
+	return news.Item{Name: id, Revision: revision, Value: v}
+}
+
+func (r *Router) serversAt(at time.Time, through uint64, items ...news.Item) {
+	r.control.update(at, deltaMsg{delta: news.Delta{Kind: news.Servers, Items: items, Through: through, At: at}})
+}
+
+func (r *Router) lists(id string) bool {
+	_, ok := r.current.Load().fleet.Find(id)
+	return ok
+}
+
+// A server leaves without a word: its entry goes. Shortly before, a call to the
+// store had failed, or the store had forgotten its history. That was taken for
+// an outage in which entries lapse, and the server got requests for 2.4 s more.
+func TestLeaversAreNotLapses(t *testing.T) {
+	Convey("Without a long gap in the news a vanished entry is gone at once", t, func() {
+		r := still()
+		r.serversAt(second(1), 10, entryOf("a", 5), entryOf("b", 6))
+		r.serversAt(second(3.3), 20)
+		r.serversAt(second(3.6), 30, news.Item{Name: "a", Revision: 25, Removed: true})
+		So(r.lists("a"), ShouldBeFalse)
+		So(r.lists("b"), ShouldBeTrue)
+	})
+}
+
+// The store is away for longer than entries last. On its return they are gone,
+// although their servers live; dropping them would leave nobody to serve.
+func TestLapsedEntriesAreKeptForAMoment(t *testing.T) {
+	Convey("They stay for two seconds from the store's return, not from later losses", t, func() {
+		r := still()
+		r.serversAt(second(1), 10, entryOf("a", 5), entryOf("b", 6), entryOf("c", 7))
+		r.serversAt(second(6), 30, news.Item{Name: "a", Revision: 25, Removed: true}, news.Item{Name: "b", Revision: 26, Removed: true})
+		So(r.lists("a"), ShouldBeTrue)
+		r.serversAt(second(7), 40, entryOf("b", 35))
+		r.control.expire(second(8.3))
+		So(r.lists("a"), ShouldBeFalse)
+		So(r.lists("b"), ShouldBeTrue)
+		r.serversAt(second(8.4), 50, news.Item{Name: "c", Revision: 45, Removed: true})
+		So(r.lists("c"), ShouldBeFalse)
+	})
+}
+
+// Configurations come by the store and by daemons, in any order, and one of them
+// is odd. The newest that can be used is in force, and none before it comes back.
+func TestConfigurationsNeverRevert(t *testing.T) {
+	Convey("Older and unusable ones change nothing", t, func() {
+		r := still()
+		put := func(revision, version uint64, service string) {
+			v, _ := json.Marshal(config.Config{Version: version, Services: []config.Service{{Name: "s"}},
+				Routes: []config.Route{{Name: "r", Host: "h", Prefix: "/", Parts: []config.Part{{Service: service, Weight: 1}}}}})
+			r.control.update(t0, deltaMsg{delta: news.Delta{Kind: news.Config, Through: revision,
+				Items: []news.Item{{Name: "main", Revision: revision, Value: v}}}})
+		}
+		put(10, 4, "s")
+		put(12, 3, "s")
+		So(r.current.Load().config.Version, ShouldEqual, 4)
+		put(14, 6, "nowhere")
+		So(r.current.Load().config.Version, ShouldEqual, 4)
+		put(16, 7, "s")
+		So(r.current.Load().config.Version, ShouldEqual, 7)
+	})
+}
+
+// Retries are bounded over all daemons, which cannot ask each other for each.
+func TestRetriesAreShared(t *testing.T) {
+	Convey("All daemons' bursts together stay under the site's", t, func() {
+		r := still()
+		So(r.burst(), ShouldEqual, 1)
+		for _, name := range []string{"e", "f", "g", "h"} {
+			r.control.crew.Met(crew.Member{Name: name, Address: name})
+		}
+		r.control.share()
+		So(5*r.burst(), ShouldBeLessThan, 56)
+		So(r.burst(), ShouldBeGreaterThan, 1)
+	})
+}
