--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -34,6 +34,9 @@
 	// range although it released it: such a grant may be applied late. Zero after
 	// a newer fence was confirmed, since older ones are refused from then on.
 	unsure time.Time
+	// shut is set once a grant that was to shut out unanswered ones got no answer
+	// itself: another would only lengthen the wait.
+	shut bool
 	// next is until when Next may already hold the range: the leader before may
 	// have granted it before it was replaced. Zero for intents of this leader.
 	next time.Time
--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -66,7 +66,7 @@
 // move states the intent; nothing happens until it is stored.
 func (k *Keeper) move(s *share, sp *span, to grant.Holder, reason string) {
 	k.seq++
-	sp.Next, sp.step, sp.intent = to, saving, k.seq
+	sp.Next, sp.step, sp.intent, sp.shut = to, saving, k.seq, false
 	k.dirty = true
 	k.note(NoteCmd{Text: "range is to move", Service: s.service, From: sp.From, To: sp.To,
 		Holder: sp.Holder, Next: sp.Next, Fence: sp.Fence, Reason: reason})
@@ -83,12 +83,20 @@
 	if sp.Holder.Server == "" {
 		return
 	}
-	switch sp.step {
-	case releasing:
+	switch {
+	case sp.step == releasing && now.Before(sp.unsure) && !sp.shut && sp.next.IsZero():
+		// A grant without an answer may still be carried out after a release. One
+		// with a newer fence shuts it out first. Not so in a move that the leader
+		// before began: it may have granted the next holder, and this would give
+		// the keys back to the old one beside it.
+		sp.busy, sp.Fence = true, k.mint()
+		k.cmds = append(k.cmds, GrantCmd{Service: s.service, Holder: sp.Holder, Before: now.Add(sendWithin),
+			Call: grant.Call{Address: sp.Holder.Address, From: sp.From, To: sp.To, Fence: sp.Fence, Hold: k.hold}})
+	case sp.step == releasing:
 		sp.busy = true
 		k.cmds = append(k.cmds, ReleaseCmd{Service: s.service, Holder: sp.Holder, Before: now.Add(sendWithin),
 			Call: grant.Call{Address: sp.Holder.Address, From: sp.From, To: sp.To, Fence: k.mint()}})
-	case held, saving, granting:
+	default:
 		sp.busy = true
 		k.cmds = append(k.cmds, GrantCmd{Renewal: sp.renewal, Service: s.service, Holder: sp.Holder, Before: now.Add(sendWithin),
 			Call: grant.Call{Address: sp.Holder.Address, From: sp.From, To: sp.To, Fence: sp.Fence, Hold: k.hold, Handover: sp.handover}})
@@ -137,7 +145,7 @@
 	case grant.Unsure:
 		// The next try bears a new fence: its answer shuts this one out.
 		sp.unsure = later(sp.unsure, k.runsOut(m.At))
-		sp.Fence, sp.due = k.mint(), now.Add(retryCall)
+		sp.Fence, sp.due, sp.shut = k.mint(), now.Add(retryCall), sp.step == releasing
 	case grant.NotSent:
 		sp.Fence, sp.due = k.mint(), now.Add(retryCall)
 		if m.Cmd.Renewal {
@@ -152,6 +160,10 @@
 	// from now on: only this one counts.
 	sp.until, sp.unsure = k.runsOut(m.At), time.Time{}
 	sp.due = now.Add(k.hold / renewShare)
+	if sp.step == releasing {
+		sp.due = now
+		return
+	}
 	sp.handover = ""
 	if sp.step != granting {
 		return
--- a/io/process/router/control_test.go
+++ b/io/process/router/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"net"
 	"testing"
 	"time"
 
@@ -117,3 +118,17 @@
 		So(r.burst(), ShouldBeGreaterThan, 1)
 	})
 }
+
+// A cut refuses connections in the name of a server that lives and is reached by
+// others. Taken for the end of its life, its keys would go to a second holder.
+func TestRefusedConnectionEndsNoLife(t *testing.T) {
+	Convey("A refused call was not sent, and proves nothing more", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		So(l.Close(), ShouldBeNil)
+		r := still()
+		w := r.links.get(linkKey{address: l.Addr().String(), id: "a", use: forGrants})
+		got, _ := r.order(w, grant.Holder{Server: "a"}, link.Request{Method: "POST", Target: "/", Host: "a", Control: true}, time.Second)
+		So(got, ShouldEqual, grant.NotSent)
+	})
+}
