--- a/io/process/router/control_test.go
+++ b/io/process/router/control_test.go
@@ -119,6 +119,13 @@
 	})
 }
 
+func TestHoldStaysWithinTheSitesBound(t *testing.T) {
+	Convey("A site that allows shorter grants gets them", t, func() {
+		r := New(setup.Settings{Name: "d", HoldMost: 2 * time.Second}, nil, mute{})
+		So(r.hold, ShouldEqual, 2*time.Second)
+	})
+}
+
 // A cut refuses connections in the name of a server that lives and is reached by
 // others. Taken for the end of its life, its keys would go to a second holder.
 func TestRefusedConnectionEndsNoLife(t *testing.T) {
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -84,6 +84,9 @@
 	for _, o := range opts {
 		o(r)
 	}
+	if s.HoldMost > 0 {
+		r.hold = min(r.hold, s.HoldMost)
+	}
 	r.links.names = sp.Names()
 	r.random = rand.New(rand.NewPCG(r.self.Incarnation, 23))
 	r.spread = spread.New(r.self.Incarnation, r.limits(1, 0))
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -13,6 +13,7 @@
 	"catkinstep/core/request/spread"
 	"catkinstep/core/version/config"
 	"catkinstep/core/version/fleet"
+	"catkinstep/core/version/grant"
 	"catkinstep/io/connection/caller"
 	"catkinstep/io/connection/link"
 )
@@ -43,8 +44,14 @@
 	held *link.Answer
 }
 
-// serve answers one request.
+// serve answers one request and counts how it ended.
 func (r *Router) serve(ctx context.Context, q caller.Request) caller.Reply {
+	reply := r.handle(ctx, q)
+	r.meters.observe(reply.Status, time.Since(q.Read))
+	return reply
+}
+
+func (r *Router) handle(ctx context.Context, q caller.Request) caller.Reply {
 	s := r.current.Load()
 	id := q.Header.Get(r.speech.Names().ID)
 	if !s.configured {
@@ -59,9 +66,7 @@
 		return r.refuse(id, o.route.Name, reasonCrashes, crashKeep/4)
 	}
 	r.count(o)
-	reply := r.attempt(ctx, o)
-	r.meters.observe(reply.Status, time.Since(q.Read))
-	return reply
+	return r.attempt(ctx, o)
 }
 
 // understand finds what a request is about and how long it may take.
@@ -81,7 +86,7 @@
 	}
 	if o.service.Keyed {
 		key, err := strconv.Atoi(q.Header.Get(r.speech.Names().Key))
-		if err != nil || key < 0 || key > 65535 {
+		if err != nil || key < 0 || key > grant.LastKey {
 			r.log.Info("request: no key", "id", id, "route", route.Name, "key", q.Header.Get(r.speech.Names().Key))
 			return nil, r.plain(http.StatusBadRequest)
 		}
