--- a/io/process/logs/logs.go
+++ b/io/process/logs/logs.go
@@ -29,13 +29,23 @@
 type Writer struct {
 	queue   chan []byte
 	done    chan struct{}
+	now     func() time.Time
 	dropped atomic.Int64
 	total   atomic.Int64
 }
 
+// Option changes a Writer that New makes.
+type Option func(*Writer)
+
+// WithClock sets the clock by which the lines of a second are counted.
+func WithClock(now func() time.Time) Option { return func(l *Writer) { l.now = now } }
+
 // New returns a Writer that passes lines on to w.
-func New(w io.Writer) *Writer {
-	l := &Writer{queue: make(chan []byte, lines), done: make(chan struct{})}
+func New(w io.Writer, opts ...Option) *Writer {
+	l := &Writer{queue: make(chan []byte, lines), done: make(chan struct{}), now: time.Now}
+	for _, o := range opts {
+		o(l)
+	}
 	go l.run(w)
 	return l
 }
@@ -63,9 +73,9 @@
 
 func (l *Writer) run(w io.Writer) {
 	defer close(l.done)
-	window, count := time.Now(), 0
+	window, count := l.now(), 0
 	for line := range l.queue {
-		now := time.Now()
+		now := l.now()
 		if now.Sub(window) >= time.Second {
 			window, count = now, 0
 			l.confess(w)
