A connection whose answer is on its way out is not idle

Ruled out: the test's own counting, which only showed it. Change: a connection counts as busy until its answer is written; a test with an answer that the caller is slow to read, which fails without it.

--- a/io/connection/caller/caller_test.go
+++ b/io/connection/caller/caller_test.go
@@ -175,6 +175,21 @@
 		So(ctx.Err(), ShouldBeNil)
 		So(s.Running(), ShouldEqual, 0)
 	})
+	Convey("A connection whose answer is on its way out is not idle", t, func() {
+		const large = 16 << 20 // more than the system takes without a reader
+		s, address := start(t, func(context.Context, Request) Reply {
+			return Reply{Status: 200, Header: http.Header{}, Body: make([]byte, large)}
+		})
+		c := dial(address)
+		defer c.Close() //nolint:errcheck // a test's client
+		c.get("/1")
+		_, err := c.r.Peek(1)
+		So(err, ShouldBeNil)
+		s.Stop()
+		So(s.closeIdle(), ShouldEqual, 1)
+		_, body := c.answer()
+		So(len(body), ShouldEqual, large)
+	})
 	Convey("An idle connection is closed only at the end", t, func() {
 		s, address := start(t, echo)
 		c := dial(address)
--- a/io/connection/caller/conn.go
+++ b/io/connection/caller/conn.go
@@ -25,6 +25,10 @@
 
 	mu      sync.Mutex
 	pending int
+	// sending is set while an answer is on its way out: the connection is not
+	// idle then although nothing is pending any more, and closing it would cut
+	// the answer.
+	sending bool
 	closing bool // nothing that is read from now on is handled
 }
 
@@ -194,6 +198,7 @@
 			broken = c.send(j, last) != nil
 		}
 		c.server.running.Add(-1)
+		c.sent()
 		if broken {
 			c.cancel()
 		}
@@ -210,6 +215,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
+	c.sending = true
 	if j.last || c.server.stopping.Load() && c.pending == 0 {
 		c.closing = true
 		return true
@@ -217,6 +223,13 @@
 	return false
 }
 
+// sent ends what answered began.
+func (c *conn) sent() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sending = false
+}
+
 // drain lets the last answer reach the caller: closing with unread bytes would
 // reset the connection and lose it.
 func (c *conn) drain() {
@@ -236,7 +249,7 @@
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending > 0 {
+	if c.pending > 0 || c.sending {
 		return false
 	}
 	c.closing = true
