After a stop no request is taken behind another

Ruled out: new connections (the listener was closed by then). Change: after the stop a connection takes one request at a time, whose answer announces the close; what is sent behind it is unread, and callers send it again.

--- a/io/connection/caller/caller_test.go
+++ b/io/connection/caller/caller_test.go
@@ -175,6 +175,29 @@
 		So(ctx.Err(), ShouldBeNil)
 		So(s.Running(), ShouldEqual, 0)
 	})
+	Convey("After the stop no request is taken behind another", t, func() {
+		let := make(chan struct{})
+		var began atomic.Int32
+		s, address := start(t, func(ctx context.Context, r Request) Reply {
+			began.Add(1)
+			<-let
+			return echo(ctx, r)
+		})
+		c := dial(address)
+		defer c.Close() //nolint:errcheck // a test's client
+		c.get("/1")
+		for began.Load() < 1 {
+			time.Sleep(time.Millisecond)
+		}
+		s.Stop()
+		c.get("/2")
+		time.Sleep(50 * time.Millisecond)
+		close(let)
+		resp, body := c.answer()
+		So(body, ShouldEqual, "/1")
+		So(resp.Close, ShouldBeTrue)
+		So(began.Load(), ShouldEqual, 1)
+	})
 	Convey("A connection whose answer is on its way out is not idle", t, func() {
 		const large = 16 << 20 // more than the system takes without a reader
 		s, address := start(t, func(context.Context, Request) Reply {
--- a/io/connection/caller/conn.go
+++ b/io/connection/caller/conn.go
@@ -84,11 +84,14 @@
 	j.reply = c.server.handler(c.ctx, r)
 }
 
-// admit counts a request that was read, unless the close was announced.
+// admit counts a request that was read, unless the close was announced. After a
+// stop none is taken behind another: a caller that always sends ahead would
+// keep the connection busy until the process ends, and lose its last requests.
 func (c *conn) admit() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.closing || c.server.stopping.Load() && c.pending > 0 {
+		c.closing = true
 		return false
 	}
 	c.pending++
