--- a/core/process/keeper/fuzz_test.go
+++ b/core/process/keeper/fuzz_test.go
@@ -57,6 +57,12 @@
 	for seed := range uint64(60) {
 		play(t, seed)
 	}
+	// These showed faults beyond the first sixty. The world draws more kinds of
+	// faults since, so that they play otherwise now; story_test.go holds the orders
+	// of events that they had shown.
+	for _, seed := range []uint64{473, 502} {
+		play(t, seed)
+	}
 	rapid.Check(t, func(t *rapid.T) { play(t, rapid.Uint64().Draw(t, "seed")) })
 }
 
