Lines between daemons end by their connection; calls without an answer drop them

The stack dump of the daemon that kept the processor: after "router: stopped" one goroutine read a yamux stream to learn of its caller's leaving. When a session is ended, yamux wakes such readers at once but lets them end only once its own reader has noticed; until then they run without a pause. On one processor whose time does not pass that reader never gets to run.

Ruled out: our own loops (none was runnable in the dump), the store's watches.

Change: a line is a session with its connection, and only ever ends by the connection; the goroutine that waited for a caller's leaving is gone (no call takes long any more), yamux's keep-alive is off, since it ends sessions the other way: a call without an answer in time drops its line instead, and accepted connections have the system's keep-alive.

--- /dev/null
+++ b/io/connection/mesh/line.go
@@ -0,0 +1,55 @@
+package mesh
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+const (
+	// writeWithin bounds how long a stream's bytes wait to be written.
+	writeWithin = 2 * time.Second
+	// closeWithin bounds how long a stream waits for the other side's end.
+	closeWithin = 5 * time.Second
+)
+
+// line is one session and the connection below it.
+//
+// A session is only ever ended by closing its connection. Where yamux ends a
+// session itself, readers of its streams run without a pause until its own
+// reader has noticed, and on a host with one processor it may not get to: a
+// daemon that stopped kept the processor to itself that way, and never ended.
+// With the connection closed first, that reader is the one that ends the rest.
+// yamux's own keep-alive would end sessions the other way, so it is off: a call
+// that gets no answer in time drops its line, and the next one opens another.
+type line struct {
+	*yamux.Session
+	conn net.Conn
+}
+
+func newLine(conn net.Conn, open func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*line, error) {
+	s, err := open(conn, config())
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &line{Session: s, conn: conn}, nil
+}
+
+// Close ends the line and all its streams.
+func (l *line) Close() error {
+	err := l.conn.Close()
+	<-l.CloseChan()
+	return err
+}
+
+func config() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.EnableKeepAlive = false
+	c.ConnectionWriteTimeout = writeWithin
+	c.StreamCloseTimeout = closeWithin
+	c.LogOutput = io.Discard
+	return c
+}
--- a/io/connection/mesh/mesh.go
+++ b/io/connection/mesh/mesh.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +26,10 @@
 	maxMessage = 4 << 20
 )
 
+// keepAlive ends accepted connections whose other end is gone without a word,
+// as after a cut or a loss of power: nobody calls on them that could notice.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 10 * time.Second, Interval: 3 * time.Second, Count: 3}
+
 // Handler answers a call. It must not keep the call after it returned.
 type Handler func(ctx context.Context, call *wire.Call) *wire.Reply
 
@@ -32,19 +38,20 @@
 	tomb     tomb.Tomb
 	listener net.Listener
 	handler  Handler
-	pool     pool[*yamux.Session]
+	pool     pool[*line]
 
 	mu       sync.Mutex
-	accepted map[*yamux.Session]bool
+	accepted map[*line]bool
 }
 
 // Listen opens the address for calls of other daemons.
 func Listen(address string, handler Handler) (*Mesh, error) {
-	l, err := net.Listen("tcp", address)
+	c := net.ListenConfig{KeepAliveConfig: keepAlive}
+	l, err := c.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: Local, Err: err}
 	}
-	m := &Mesh{listener: l, handler: handler, accepted: map[*yamux.Session]bool{}}
+	m := &Mesh{listener: l, handler: handler, accepted: map[*line]bool{}}
 	m.pool.open = m.dial
 	m.tomb.Go(m.accept)
 	return m, nil
@@ -52,26 +59,25 @@
 
 // Call sends a call and waits for its reply until the context ends.
 func (m *Mesh) Call(ctx context.Context, address string, call *wire.Call) (*wire.Reply, error) {
-	session, err := m.pool.get(ctx, address)
+	l, err := m.pool.get(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	stream, err := session.OpenStream()
+	stream, err := l.OpenStream()
 	if err != nil {
-		m.pool.drop(address, session)
+		m.pool.drop(address, l)
 		return nil, &Error{Op: "call", Kind: NotSent, Err: err}
 	}
 	defer stream.Close() //nolint:errcheck // the reply is here, or there is none
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if _, err := protodelim.MarshalTo(stream, call); err != nil {
+		m.pool.drop(address, l)
 		return nil, &Error{Op: "call", Kind: Unsure, Err: err}
 	}
 	reply := &wire.Reply{}
 	if err := read(stream, reply); err != nil {
-		if session.IsClosed() {
-			m.pool.drop(address, session)
-		}
+		m.pool.drop(address, l)
 		return nil, &Error{Op: "call", Kind: Unsure, Err: errors.Join(err, ctx.Err())}
 	}
 	if reply.Error != "" {
@@ -86,14 +92,15 @@
 	_ = m.listener.Close()
 	m.pool.close()
 	m.mu.Lock()
-	for s := range m.accepted {
-		_ = s.Close()
-	}
+	accepted := slices.Collect(maps.Keys(m.accepted))
 	m.mu.Unlock()
+	for _, l := range accepted {
+		_ = l.Close()
+	}
 	return m.tomb.Wait()
 }
 
-func (m *Mesh) dial(ctx context.Context, address string) (*yamux.Session, error) {
+func (m *Mesh) dial(ctx context.Context, address string) (*line, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
@@ -104,11 +111,11 @@
 		}
 		return nil, &Error{Op: "dial", Kind: kind, Err: err}
 	}
-	s, err := yamux.Client(conn, config())
+	l, err := newLine(conn, yamux.Client)
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: NotSent, Err: err}
 	}
-	return s, nil
+	return l, nil
 }
 
 func (m *Mesh) accept() error {
@@ -120,46 +127,43 @@
 			}
 			return &Error{Op: "accept", Kind: Local, Err: err}
 		}
-		s, err := yamux.Server(conn, config())
+		l, err := newLine(conn, yamux.Server)
 		if err != nil {
 			continue
 		}
 		m.mu.Lock()
-		m.accepted[s] = true
+		m.accepted[l] = true
 		m.mu.Unlock()
-		m.tomb.Go(func() error { return m.serve(s) })
+		m.tomb.Go(func() error { return m.serve(l) })
 	}
 }
 
-func (m *Mesh) serve(s *yamux.Session) error {
+// serve answers the calls of one line. Who drops the line stops waiting: its
+// calls' contexts end with it.
+func (m *Mesh) serve(l *line) error {
+	ctx, cancel := context.WithCancel(m.tomb.Context(context.Background()))
 	defer func() {
+		cancel()
 		m.mu.Lock()
-		delete(m.accepted, s)
+		delete(m.accepted, l)
 		m.mu.Unlock()
-		_ = s.Close()
+		_ = l.Close()
 	}()
 	for {
-		stream, err := s.AcceptStream()
+		stream, err := l.AcceptStream()
 		if err != nil {
-			return nil // the other side has gone, or we close
+			return nil //nolint:nilerr // the other side has gone, or we close
 		}
-		m.tomb.Go(func() error { return m.answer(stream) })
+		m.tomb.Go(func() error { return m.answer(ctx, stream) })
 	}
 }
 
-func (m *Mesh) answer(stream *yamux.Stream) error {
+func (m *Mesh) answer(ctx context.Context, stream *yamux.Stream) error {
 	defer stream.Close() //nolint:errcheck // the caller sees a missing reply
 	call := &wire.Call{}
 	if err := read(stream, call); err != nil {
-		return nil
+		return nil //nolint:nilerr // half a call has no answer
 	}
-	ctx, cancel := context.WithCancel(m.tomb.Context(context.Background()))
-	defer cancel()
-	go func() {
-		// The caller's end closes when it stops waiting; its order should stop too.
-		_, _ = io.Copy(io.Discard, stream)
-		cancel()
-	}()
 	_, _ = protodelim.MarshalTo(stream, m.handler(ctx, call))
 	return nil
 }
@@ -167,13 +171,3 @@
 func read(r io.Reader, m proto.Message) error {
 	return protodelim.UnmarshalOptions{MaxSize: maxMessage}.UnmarshalFrom(bufio.NewReaderSize(r, 1024), m)
 }
-
-func config() *yamux.Config {
-	c := yamux.DefaultConfig()
-	c.EnableKeepAlive = true
-	c.KeepAliveInterval = 2 * time.Second
-	c.ConnectionWriteTimeout = 2 * time.Second
-	c.StreamCloseTimeout = 5 * time.Second
-	c.LogOutput = io.Discard
-	return c
-}
--- a/io/connection/mesh/mesh_test.go
+++ b/io/connection/mesh/mesh_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"io"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
+
 	. "github.com/smartystreets/goconvey/convey"
 
 	"catkinstep/core/connection/wire"
@@ -67,3 +72,75 @@
 		}
 	}
 }
+
+// order notes which of a line's two ends was closed first.
+type order struct {
+	net.Conn
+	first atomic.Bool // the connection, before the session
+	line  *line
+}
+
+func (o *order) Close() error {
+	if o.line != nil {
+		select {
+		case <-o.line.CloseChan():
+		default:
+			o.first.Store(true)
+		}
+	}
+	return o.Conn.Close()
+}
+
+// A daemon stops while calls wait for their replies. Had the session been ended
+// before its connection, the waiting readers would take the whole processor of
+// their host, and the daemon would never end.
+func TestLineEndsByItsConnection(t *testing.T) {
+	Convey("The connection closes first, and waiting readers end", t, func() {
+		near, far := net.Pipe()
+		defer far.Close() //nolint:errcheck // the test is over
+		o := &order{Conn: near}
+		l, err := newLine(o, yamux.Client)
+		So(err, ShouldBeNil)
+		o.line = l
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		stream, err := l.OpenStream()
+		So(err, ShouldBeNil)
+		ended := make(chan error, 1)
+		go func() {
+			_, err := stream.Read(make([]byte, 1))
+			ended <- err
+		}()
+		So(l.Close(), ShouldBeNil)
+		So(<-ended, ShouldNotBeNil)
+		So(o.first.Load(), ShouldBeTrue)
+		So(l.IsClosed(), ShouldBeTrue)
+	})
+}
+
+// A connection falls silent: it neither breaks nor answers. The call that finds
+// out drops it, and the next one is answered on another.
+func TestSilentLineIsDropped(t *testing.T) {
+	Convey("The next call opens a new line", t, func() {
+		var answers atomic.Bool
+		b := listen(func(ctx context.Context, _ *wire.Call) *wire.Reply {
+			if !answers.Load() {
+				<-ctx.Done()
+			}
+			return status("b")
+		})
+		defer b.Close() //nolint:errcheck // the test is over
+		a := listen(nil)
+		defer a.Close() //nolint:errcheck // the test is over
+		call := &wire.Call{Kind: &wire.Call_Status{Status: &wire.Status{}}}
+		first, err := a.pool.get(context.Background(), b.address())
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+		defer cancel()
+		_, err = a.Call(ctx, b.address(), call)
+		So(Is(err, Unsure), ShouldBeTrue)
+		So(first.IsClosed(), ShouldBeTrue)
+		answers.Store(true)
+		_, err = a.Call(context.Background(), b.address(), call)
+		So(err, ShouldBeNil)
+	})
+}
