Two heads speak for each data centre, in place of words between all pairs

With 91 daemons all pairs of a data centre talked four times a second, all pairs beyond it every four seconds, and each change was told by the leader to everybody: over 7,000 words a second against 2,300 requests, on hosts with 0.16 of a core.

Ruled out: words to random neighbours (a leader's freshness would reach daemons by chance, and false alarms make a new leader grant everything anew); longer pauses for all (news of changes and loads would be as late at 9 daemons as at 91).

Change: two daemons of each data centre, on its strongest hosts, are its heads (core/process/crew head.go). Others talk to them only and are told what all have under way, added up; heads talk to the leader and to other heads, pass changes on at once, and add up counts of keys for the leader. The pause between rounds grows with the data centre, so that a head hears some 40 words a second whatever its size. Entries whose servers only count down their cold seconds hurry nobody.

--- a/core/process/crew/crew.go
+++ b/core/process/crew/crew.go
@@ -1,8 +1,6 @@
 package crew
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"catkinstep/core/version/grant"
@@ -28,7 +26,8 @@
 	// farSilentAfter is the same for daemons of other data centres, which speak
 	// every four seconds unless they lead.
 	farSilentAfter = 9 * time.Second
-	// forgetAfter drops daemons that were not heard of any more.
+	// forgetAfter drops daemons that were not heard of any more, and that a call
+	// did not find.
 	forgetAfter = 30 * time.Second
 )
 
@@ -38,6 +37,8 @@
 	Address     string `json:"address"`
 	DataCentre  string `json:"dataCentre"`
 	Incarnation uint64 `json:"incarnation"`
+	// Strength is the host's share of a processor; 0 where it is not known.
+	Strength float64 `json:"strength,omitempty"`
 }
 
 // Word is what a daemon says of itself.
@@ -55,6 +56,8 @@
 	Word
 	heard time.Time
 	gone  bool
+	// missed is when a call last got no answer, since it was last heard.
+	missed time.Time
 }
 
 // Crew is the state; one goroutine owns it.
@@ -119,36 +122,28 @@
 	}
 }
 
-// Reach says which daemons to talk to.
-type Reach int
+// Missed notes that a call to a daemon's address got no answer.
+func (c *Crew) Missed(now time.Time, address string) {
+	for _, p := range c.peers {
+		if p.Address == address {
+			p.missed = now
+		}
+	}
+}
 
-// Reaches of a word.
-const (
-	// Near are the daemons of the own data centre.
-	Near Reach = iota
-	// Later are those of other data centres that come after this one by name:
-	// each pair talks once, since an answer says as much as a question.
-	Later
-	// Far are all those of other data centres.
-	Far
-)
+// HeardOf takes in another daemon's word of when it heard of a third one.
+func (c *Crew) HeardOf(name string, incarnation uint64, at time.Time) {
+	if p := c.peers[name]; p != nil && p.Incarnation == incarnation && at.After(p.heard) {
+		p.heard, p.gone = at, false
+	}
+}
 
-// Addresses lists whom to talk to, the lost ones too, so that they are found
-// again after a cut.
-func (c *Crew) Addresses(now time.Time, reach Reach) []string {
-	var out []string
-	for name, p := range c.peers {
-		if !p.heard.IsZero() && now.Sub(p.heard) > forgetAfter {
-			delete(c.peers, name)
-			continue
-		}
-		near := p.DataCentre == c.self.DataCentre
-		if near == (reach == Near) && (reach != Later || name > c.self.Name) {
-			out = append(out, p.Address)
-		}
+// HeardAt is when a daemon was last heard, of itself or by others.
+func (c *Crew) HeardAt(name string) time.Time {
+	if p := c.peers[name]; p != nil {
+		return p.heard
 	}
-	slices.Sort(out)
-	return out
+	return time.Time{}
 }
 
 // AddressOf finds a daemon by name; "" when it is not known.
@@ -176,12 +171,14 @@
 
 // Reads tells whether this daemon should read the platform for the others: the
 // news it has is old, and no other daemon of its data centre would come first.
-// current is when the news was last known to be in force.
+// current is when the news was last known to be in force. Daemons that are not
+// heads get their news a round of words later than heads, and wait for that.
 func (c *Crew) Reads(now, current time.Time, leading bool) bool {
-	if leading || now.Sub(current) > staleAfter+time.Duration(c.rank(now, true))*rankStep {
-		return true
+	wait := staleAfter + time.Duration(c.rank(now, true))*rankStep
+	if !c.IsHead(now) {
+		wait += c.Pace() * memberRounds
 	}
-	return false
+	return leading || now.Sub(current) > wait
 }
 
 // GivesWay tells whether a leader should let another lead, since the platform
@@ -213,6 +210,9 @@
 		c.missed, c.missedSince = l, since
 	}
 	wait := time.Duration(c.rank(now, false)) * rankStep
+	if !c.IsHead(now) {
+		wait += c.Pace() * memberRounds
+	}
 	return now.Sub(c.missedSince) >= wait && now.Sub(c.stored) < outAfter, ended
 }
 
@@ -273,7 +273,7 @@
 		if now.Sub(p.Stored) > silentAfter && now.Sub(c.since) > silentAfter {
 			continue
 		}
-		if cmp.Compare(p.Name, c.self.Name) < 0 {
+		if before(p.Member, c.self) < 0 {
 			n++
 		}
 	}
--- /dev/null
+++ b/core/process/crew/head.go
@@ -0,0 +1,151 @@
+package crew
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// headsOfPlace is how many daemons of a data centre speak for it. Every other
+	// one tells them what it knows and asks them for the rest, so that a data
+	// centre of n daemons has 2n talks in a round in place of n*n: with 91 daemons
+	// all pairs took more of the small hosts than requests did. Two, so that the
+	// loss of one is not noticed.
+	headsOfPlace = 2
+	// paceLeast is the shortest pause between two rounds of words, and paceEach
+	// what each daemon of the data centre adds to it: a head hears about 40 words a
+	// second however many there are.
+	paceLeast = 250 * time.Millisecond
+	paceEach  = 25 * time.Millisecond
+	// memberRounds is how many rounds later than heads the others learn of changes
+	// at the latest: their own round, and one that was lost.
+	memberRounds = 2
+	// missedFor is how long a daemon that did not answer a call counts as lost
+	// before it may be called as a head again.
+	missedFor = 5 * time.Second
+)
+
+// Pace is the pause between two rounds of words within the data centre.
+func (c *Crew) Pace() time.Duration {
+	n := 1
+	for _, p := range c.peers {
+		if p.DataCentre == c.self.DataCentre {
+			n++
+		}
+	}
+	return max(paceLeast, time.Duration(n)*paceEach)
+}
+
+// IsHead tells whether this daemon speaks for its data centre.
+func (c *Crew) IsHead(now time.Time) bool {
+	return slices.ContainsFunc(c.heads(now, c.self.DataCentre), func(m Member) bool { return m.Name == c.self.Name })
+}
+
+// Heads lists the other daemons that speak for this one's data centre.
+func (c *Crew) Heads(now time.Time) []string {
+	return c.addresses(c.heads(now, c.self.DataCentre))
+}
+
+// FarHeads lists the daemons that speak for other data centres.
+func (c *Crew) FarHeads(now time.Time) []string {
+	var out []Member
+	for _, place := range c.places() {
+		if place != c.self.DataCentre {
+			out = append(out, c.heads(now, place)...)
+		}
+	}
+	return c.addresses(out)
+}
+
+// LaterHeads lists those of them that come after this daemon by name: each pair
+// talks once, since an answer says as much as a question.
+func (c *Crew) LaterHeads(now time.Time) []string {
+	later := map[string]bool{}
+	for name, p := range c.peers {
+		later[p.Address] = name > c.self.Name
+	}
+	return slices.DeleteFunc(c.FarHeads(now), func(address string) bool { return !later[address] })
+}
+
+// Near lists all other daemons of the data centre, the lost ones too, so that
+// they are found again after a cut.
+func (c *Crew) Near(now time.Time) []string {
+	c.forget(now)
+	var out []Member
+	for _, p := range c.peers {
+		if p.DataCentre == c.self.DataCentre {
+			out = append(out, p.Member)
+		}
+	}
+	return c.addresses(out)
+}
+
+// All lists all other daemons.
+func (c *Crew) All(now time.Time) []string {
+	c.forget(now)
+	var out []Member
+	for _, p := range c.peers {
+		out = append(out, p.Member)
+	}
+	return c.addresses(out)
+}
+
+// heads are the strongest daemons of a data centre that are not known to be
+// lost, by name among equals. Strong hosts bear the words of the others best.
+func (c *Crew) heads(now time.Time, place string) []Member {
+	var all []Member
+	if place == c.self.DataCentre {
+		all = append(all, c.self)
+	}
+	for _, p := range c.peers {
+		if p.DataCentre == place && !c.isLost(now, p) {
+			all = append(all, p.Member)
+		}
+	}
+	slices.SortFunc(all, before)
+	return all[:min(headsOfPlace, len(all))]
+}
+
+// before orders daemons by who should speak, read and lead first.
+func before(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Strength, a.Strength), cmp.Compare(a.Name, b.Name))
+}
+
+// isLost tells whether a daemon is known not to answer. One that was never
+// called is not.
+func (c *Crew) isLost(now time.Time, p *peer) bool {
+	return p.gone || p.Leaving || !p.missed.IsZero() && now.Sub(p.missed) < missedFor
+}
+
+// forget drops daemons that were neither heard nor found for a while.
+func (c *Crew) forget(now time.Time) {
+	for name, p := range c.peers {
+		if (p.gone || !p.missed.IsZero()) && !p.heard.IsZero() && now.Sub(p.heard) > forgetAfter {
+			delete(c.peers, name)
+		}
+	}
+}
+
+func (c *Crew) places() []string {
+	var out []string
+	for _, p := range c.peers {
+		if !slices.Contains(out, p.DataCentre) {
+			out = append(out, p.DataCentre)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// addresses lists others' addresses, each once and in order.
+func (c *Crew) addresses(members []Member) []string {
+	var out []string
+	for _, m := range members {
+		if m.Name != c.self.Name {
+			out = append(out, m.Address)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
--- a/core/request/spread/options.go
+++ b/core/request/spread/options.go
@@ -16,6 +16,9 @@
 	// reportFades is how fast a report of a server's load loses its weight: about
 	// the time that a request runs, after which the queue is another one.
 	reportFades = 400 * time.Millisecond
+	// wordCounts is how long another daemon's word of its requests counts: until
+	// the next one should have come, in a data centre of twenty daemons.
+	wordCounts = 2 * reportFades
 	// slowest and fastest bound a server's factor, so that one odd answer does
 	// not rule it in or out for long.
 	slowest = 25.0
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -238,6 +238,31 @@
 	s.others[daemon] = word{at: now, under: at}
 }
 
+// Around notes what all other daemons of the data centre have under way together,
+// in place of what each of them said.
+func (s *Spread) Around(now time.Time, at map[string]int) {
+	clear(s.others)
+	s.others[allOthers] = word{at: now, under: at}
+}
+
+// allOthers stands for every other daemon; none has this name.
+const allOthers = ""
+
+// Summed returns what this daemon and the others that told it have under way, a
+// named one apart.
+func (s *Spread) Summed(now time.Time, apart string) map[string]int {
+	out := s.Own()
+	for name, w := range s.others {
+		if name == apart || name == allOthers || now.Sub(w.at) >= wordCounts {
+			continue
+		}
+		for id, n := range w.under {
+			out[id] += n
+		}
+	}
+	return out
+}
+
 // Own returns what this daemon has under way, by server.
 func (s *Spread) Own() map[string]int {
 	out := map[string]int{}
@@ -307,7 +332,7 @@
 	reported := st.reported * fade(now.Sub(st.at))
 	others := 0.0
 	for _, w := range s.others {
-		if now.Sub(w.at) < 2*reportFades {
+		if now.Sub(w.at) < wordCounts {
 			others += float64(w.under[id])
 		}
 	}
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -46,9 +46,11 @@
 		reply chan status
 	}
 	refusedMsg struct{ address string }
-	calledMsg  struct{ address string }
-	keeperMsg  struct{ msg keeper.Msg }
-	leadMsg    struct {
+	// missedMsg says that a daemon did not answer.
+	missedMsg struct{ address string }
+	calledMsg struct{ address string }
+	keeperMsg struct{ msg keeper.Msg }
+	leadMsg   struct {
 		table, before grant.Table
 		revision      uint64
 	}
@@ -72,12 +74,16 @@
 	// returned is when news of the servers last came after an outage of it.
 	returned time.Time
 	lapsed   map[string]lapse
-	hailed   map[crew.Reach]time.Time
+	paces    paces
 	calling  map[string]bool
 	fetching map[string]bool
 	heated   time.Time
-	heats    *heats
-	started  time.Time
+	// told are paces of servers that others of the data centre told this head of.
+	told []*wire.Pace
+	// led is set once this daemon has led: the next leader waits for its word.
+	led     bool
+	heats   *heats
+	started time.Time
 }
 
 // lapse is a server whose entry vanished around an outage of the store.
@@ -89,7 +95,7 @@
 func newControl(r *Router, now time.Time) *control {
 	c := &control{
 		r: r, shelves: map[news.Kind]*news.Shelf{}, known: map[news.Kind]*atomic.Uint64{},
-		crew: crew.New(r.self, now), lapsed: map[string]lapse{}, hailed: map[crew.Reach]time.Time{},
+		crew: crew.New(r.self, now), lapsed: map[string]lapse{},
 		calling: map[string]bool{}, fetching: map[string]bool{}, heated: now, heats: newHeats(), started: now, seeds: r.settings.Seeds,
 	}
 	for _, k := range news.Kinds {
@@ -116,11 +122,15 @@
 	case fetchedMsg:
 		delete(c.fetching, m.kind)
 	case tableMsg:
-		c.tableIs(now, m.table)
+		if c.tableIs(now, m.table) {
+			c.spreadNews(now, false)
+		}
 	case calledMsg:
 		delete(c.calling, m.address)
 	case refusedMsg:
 		c.crew.Refused(m.address)
+	case missedMsg:
+		c.crew.Missed(now, m.address)
 	case keeperMsg:
 		c.keep(now, m.msg)
 	case leadMsg:
@@ -130,7 +140,7 @@
 	case leadFailMsg:
 		c.taking = false
 	case suspectMsg:
-		c.hailAll(now)
+		c.spreadNews(now, true)
 	case statusMsg:
 		m.reply <- c.status(now)
 	case leavingMsg:
@@ -183,11 +193,12 @@
 	if len(changed) == 0 {
 		return
 	}
+	urgent := m.delta.Kind != news.Daemons
 	switch m.delta.Kind {
 	case news.Config:
 		c.configIs(changed)
 	case news.Servers:
-		c.serversAre(now, changed)
+		urgent = c.serversAre(now, changed)
 	case news.Outs:
 		c.outsAre(changed)
 	case news.Daemons:
@@ -195,8 +206,8 @@
 	case news.Tables:
 		c.storedTableIs(now, changed)
 	}
-	if m.fromStore && m.delta.Kind != news.Daemons {
-		c.hailAll(now)
+	if urgent {
+		c.spreadNews(now, m.fromStore)
 	}
 }
 
@@ -235,11 +246,14 @@
 	}
 }
 
-func (c *control) serversAre(now time.Time, changed []news.Item) {
+// serversAre takes in changed entries, and tells whether others should learn of
+// them at once: a cold server's count of its seconds can wait for the next round.
+func (c *control) serversAre(now time.Time, changed []news.Item) (urgent bool) {
 	old := c.r.current.Load().fleet
 	for _, it := range changed {
 		v, had := old.Find(it.Name)
 		if it.Removed {
+			urgent = true
 			c.r.log.Info("servers: gone", "server", it.Name, "revision", it.Revision, "sinceOutage", sinceText(now, c.returned))
 			if until := c.returned.Add(lapseGrace); had && !v.Draining && now.Before(until) {
 				c.lapsed[it.Name] = lapse{server: v, until: until}
@@ -253,11 +267,13 @@
 		}
 		c.r.heardCold(next)
 		if !had || v.Born != next.Born || v.Draining != next.Draining || v.Address != next.Address {
+			urgent = true
 			c.r.log.Info("servers: changed", "server", next.ID, "address", next.Address, "service", next.Service,
 				"dataCentre", next.DataCentre, "born", next.Born, "draining", next.Draining, "cold", next.Cold.String(), "revision", it.Revision)
 		}
 	}
 	c.rebuild()
+	return urgent
 }
 
 func sinceText(now, at time.Time) string {
@@ -361,18 +377,20 @@
 	}
 }
 
-// tableIs takes in a table that may be newer than the one in force.
-func (c *control) tableIs(now time.Time, t grant.Table) {
+// tableIs takes in a table that may be newer than the one in force, and tells
+// whether it is.
+func (c *control) tableIs(now time.Time, t grant.Table) bool {
 	s := c.r.current.Load()
 	if c.keeper != nil && t.Epoch > c.keeper.Table().Epoch {
 		c.keep(now, keeper.CurrentMsg{Epoch: t.Epoch, At: now})
 	}
 	if !t.Newer(s.table) {
-		return
+		return false
 	}
 	if t.Epoch != s.table.Epoch {
 		c.r.log.Info("keys: new leader", "epoch", t.Epoch, "leader", t.Leader.Daemon)
 	}
 	c.r.current.Store(s.withTable(t))
 	c.r.meters.set("keys.epoch", t.Epoch)
+	return true
 }
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -15,74 +15,105 @@
 // tableKind is asked for to get the published table.
 const tableKind = "published"
 
-// hail tells the other daemons what is known here, each at its pace.
+// hail tells the other daemons what is known here. A daemon talks to the heads
+// of its data centre; heads also talk to those of others and to the leader, and
+// look for the lost.
 func (c *control) hail(now time.Time) {
-	if c.due(now, crew.Near, hailNear) {
-		c.hailSome(now, c.crew.Addresses(now, crew.Near), true)
-		c.sendHeat(now)
+	head := c.crew.IsHead(now)
+	if c.due(now, &c.paces.near, c.crew.Pace()) {
+		c.hailSome(now, c.crew.Heads(now))
+		c.sendHeat(now, head)
 	}
-	if c.due(now, crew.Later, hailLater) {
-		c.hailSome(now, c.crew.Addresses(now, crew.Later), false)
+	if c.crew.Count() == 1 && c.due(now, &c.paces.seeds, hailFar) {
+		c.hailSome(now, c.seeds)
 	}
-	if !c.due(now, crew.Far, hailFar) {
+	if !head && !c.led {
 		return
 	}
-	if leader := c.crew.AddressOf(c.r.current.Load().table.Leader.Daemon); leader != "" {
-		c.hailSome(now, []string{leader}, false)
+	if c.due(now, &c.paces.leader, hailFar) {
+		if leader := c.crew.AddressOf(c.r.current.Load().table.Leader.Daemon); leader != "" {
+			c.hailSome(now, []string{leader})
+		}
 	}
-	if c.crew.Count() == 1 {
-		c.hailSome(now, c.seeds, false)
+	if head && c.due(now, &c.paces.far, hailLater) {
+		c.hailSome(now, c.crew.LaterHeads(now))
+		c.hailSome(now, c.crew.Near(now))
 	}
 }
 
+// paces are when words of each kind last went out.
+type paces struct{ near, leader, far, seeds time.Time }
+
 // due tells whether it is time for a kind of word, and notes it.
-func (c *control) due(now time.Time, reach crew.Reach, pace time.Duration) bool {
-	if now.Sub(c.hailed[reach]) < pace {
+func (c *control) due(now time.Time, last *time.Time, pace time.Duration) bool {
+	if now.Sub(*last) < pace {
 		return false
 	}
-	c.hailed[reach] = now
+	*last = now
 	return true
 }
 
-// hailAll tells everybody at once, after a change.
-func (c *control) hailAll(now time.Time) {
-	c.hailSome(now, c.crew.Addresses(now, crew.Near), true)
-	c.hailSome(now, c.crew.Addresses(now, crew.Far), false)
+// spreadNews passes a change on at once. Who read it from the store, or made it,
+// tells all heads and its own data centre; a head that was told tells its own.
+func (c *control) spreadNews(now time.Time, first bool) {
+	if first || c.crew.IsHead(now) {
+		c.hailSome(now, c.crew.Near(now))
+	}
+	if first {
+		c.hailSome(now, c.crew.FarHeads(now))
+	}
 }
 
-func (c *control) hailSome(now time.Time, addresses []string, near bool) {
+// hailAll tells everybody at once; only for what is rare and cannot wait.
+func (c *control) hailAll(now time.Time) { c.hailSome(now, c.crew.All(now)) }
+
+func (c *control) hailSome(now time.Time, addresses []string) {
 	for _, a := range addresses {
 		if a == c.r.self.Address || c.calling[a] {
 			continue
 		}
 		c.calling[a] = true
-		h := c.word(now, near)
+		h := c.word(now, "")
 		go c.r.sendHail(a, h)
 	}
 }
 
-// word is what this daemon says.
-func (c *control) word(now time.Time, near bool) *wire.Hail {
+// word is what this daemon says. In answer to another of the data centre a head
+// adds up what all the rest have under way, so that it need not ask them.
+func (c *control) word(now time.Time, asker string) *wire.Hail {
 	t := c.r.current.Load().table
 	h := &wire.Hail{
-		Name: c.r.self.Name, Address: c.r.self.Address, DataCentre: c.r.self.DataCentre, Incarnation: c.r.self.Incarnation,
+		Name: c.r.self.Name, Address: c.r.self.Address, DataCentre: c.r.self.DataCentre, Incarnation: c.r.self.Incarnation, Strength: c.r.self.Strength,
 		Leaving: c.leaving || c.keeper != nil && c.crew.GivesWay(now), StoredAgeMillis: age(now, c.crew.LastStored()), Epoch: t.Epoch, Seq: t.Seq,
+		Leader: t.Leader.Daemon, LeaderIncarnation: t.Leader.Incarnation, LeaderAgeMillis: c.leaderAge(now, t.Leader),
 	}
 	for _, k := range news.Kinds {
 		s := c.shelves[k]
 		h.Known = append(h.Known, &wire.Known{Kind: string(k), Through: s.Through(), AgeMillis: age(now, s.At())})
 	}
 	h.Suspects = c.r.suspectNews()
-	if near {
-		c.r.mu.Lock()
-		for id, n := range c.r.spread.Own() {
-			h.UnderWay = append(h.UnderWay, &wire.UnderWay{Server: id, Requests: uint32(n)})
-		}
-		c.r.mu.Unlock()
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	at := c.r.spread.Own()
+	if asker != "" && c.crew.IsHead(now) {
+		at, h.Summed = c.r.spread.Summed(now, asker), true
+	}
+	for id, n := range at {
+		h.UnderWay = append(h.UnderWay, &wire.UnderWay{Server: id, Requests: uint32(n)})
 	}
 	return h
 }
 
+func (c *control) leaderAge(now time.Time, l grant.Leader) int64 {
+	if l.Daemon == c.r.self.Name {
+		if l.Incarnation == c.r.self.Incarnation {
+			return 0
+		}
+		return -1
+	}
+	return age(now, c.crew.HeardAt(l.Daemon))
+}
+
 func (r *Router) sendHail(address string, h *wire.Hail) {
 	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), meshTimeout)
 	defer cancel()
@@ -93,6 +124,7 @@
 		if errors.As(err, &e) && e.Kind == mesh.Refused {
 			r.post(refusedMsg{address: address})
 		}
+		r.post(missedMsg{address: address})
 		return
 	}
 	if reply.GetHail() != nil {
@@ -104,19 +136,26 @@
 func (c *control) heard(now time.Time, m hailMsg) {
 	h := m.hail
 	if m.reply != nil {
-		m.reply <- c.word(now, h.DataCentre == c.r.self.DataCentre)
+		asker := ""
+		if h.DataCentre == c.r.self.DataCentre {
+			asker = h.Name
+		}
+		m.reply <- c.word(now, asker)
 	}
 	before := c.crew.Count()
-	c.crew.Heard(now, crew.Member{Name: h.Name, Address: h.Address, DataCentre: h.DataCentre, Incarnation: h.Incarnation},
+	c.crew.Heard(now, crew.Member{Name: h.Name, Address: h.Address, DataCentre: h.DataCentre, Incarnation: h.Incarnation, Strength: h.Strength},
 		crew.Word{Leaving: h.Leaving, Stored: ago(now, h.StoredAgeMillis), Epoch: h.Epoch})
+	if h.Leader != h.Name && h.LeaderAgeMillis >= 0 {
+		c.crew.HeardOf(h.Leader, h.LeaderIncarnation, ago(now, h.LeaderAgeMillis))
+	}
 	if c.crew.Count() != before {
 		c.share()
 	}
 	c.underWay(now, h)
-	c.r.heardOfLosses(h.Suspects)
-	if c.keeper != nil {
-		c.heats.add(h.Name, h)
+	if c.r.heardOfLosses(h.Suspects) {
+		c.spreadNews(now, false)
 	}
+	c.takeHeat(now, h)
 	t := c.r.current.Load().table
 	if (grant.Table{Epoch: h.Epoch, Seq: h.Seq}).Newer(t) {
 		c.fetch(h.Address, tableKind, 0)
@@ -136,9 +175,10 @@
 	}
 }
 
-// underWay sums what the other daemons of this data centre have at servers.
+// underWay takes in what others of this data centre have at servers. A head has
+// each one's own word and needs no sum of another head.
 func (c *control) underWay(now time.Time, h *wire.Hail) {
-	if h.DataCentre != c.r.self.DataCentre || h.Name == c.r.self.Name {
+	if h.DataCentre != c.r.self.DataCentre || h.Name == c.r.self.Name || h.Summed && c.crew.IsHead(now) {
 		return
 	}
 	at := map[string]int{}
@@ -147,6 +187,10 @@
 	}
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
+	if h.Summed {
+		c.r.spread.Around(now, at)
+		return
+	}
 	c.r.spread.Others(now, h.Name, at)
 }
 
@@ -255,27 +299,56 @@
 	return &wire.Reply{Error: "not answered"}
 }
 
-// sendHeat tells the leader which keys were asked for and how slow servers
-// were, once a second.
-func (c *control) sendHeat(now time.Time) {
+// sendHeat passes on which keys were asked for and how slow servers were, once a
+// second: to a head of the data centre, and from there to the leader, who gets
+// one word for each head and not for each daemon.
+func (c *control) sendHeat(now time.Time, head bool) {
 	if now.Sub(c.heated) < heatEvery {
 		return
 	}
 	c.heated = now
-	h := c.word(now, false)
-	h.Heat, h.Paces = c.r.takeHeat()
+	h := c.word(now, "")
+	h.Heat, h.Paces = c.r.takeHeat(c.told)
+	c.told = nil
 	if c.keeper != nil {
 		c.heats.add(h.Name, h)
 		return
 	}
-	leader := c.r.current.Load().table.Leader
-	if address := c.crew.AddressOf(leader.Daemon); address != "" && len(h.Heat) > 0 {
-		go c.r.sendHail(address, h)
+	to := c.crew.AddressOf(c.r.current.Load().table.Leader.Daemon)
+	if heads := c.crew.Heads(now); !head && len(heads) > 0 {
+		to = heads[0]
+	}
+	if to != "" && len(h.Heat) > 0 {
+		go c.r.sendHail(to, h)
 	}
 }
 
-// takeHeat returns the counts since it last did.
-func (r *Router) takeHeat() ([]*wire.Heat, []*wire.Pace) {
+// takeHeat takes in another daemon's counts: the leader for good, a head to pass
+// them on with its own.
+func (c *control) takeHeat(now time.Time, h *wire.Hail) {
+	switch {
+	case c.keeper != nil:
+		c.heats.add(h.Name, h)
+	case len(h.Heat) > 0 && h.DataCentre == c.r.self.DataCentre && c.crew.IsHead(now):
+		c.r.addHeat(h.Heat)
+		c.told = append(c.told, h.Paces...)
+	}
+}
+
+// addHeat counts another daemon's requests with this one's.
+func (r *Router) addHeat(heat []*wire.Heat) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, x := range heat {
+		k := heatKey{service: x.Service, bucket: x.Bucket}
+		n := r.heat[k]
+		r.heat[k] = heatCount{requests: n.requests + x.Requests, work: n.work + time.Duration(x.WorkMillis)*time.Millisecond}
+	}
+}
+
+// takeHeat returns the counts since it last did, and how slow servers were found
+// to be, here and by others that told this daemon.
+func (r *Router) takeHeat(told []*wire.Pace) ([]*wire.Heat, []*wire.Pace) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var heat []*wire.Heat
@@ -287,12 +360,19 @@
 	for _, s := range r.current.Load().keyed() {
 		keyed[s] = true
 	}
-	var paces []*wire.Pace
+	sums := map[string]pace{}
+	for _, p := range told {
+		sums[p.Server] = sums[p.Server].with(float64(p.Factor), float64(p.Answers))
+	}
 	for _, p := range r.spread.Paces() {
 		if v, ok := r.current.Load().fleet.Find(p.Server); ok && keyed[v.Service] {
-			paces = append(paces, &wire.Pace{Server: p.Server, Factor: float32(p.Factor), Answers: uint32(p.Answers)})
+			sums[p.Server] = sums[p.Server].with(p.Factor, float64(p.Answers))
 		}
 	}
+	var paces []*wire.Pace
+	for server, p := range sums {
+		paces = append(paces, &wire.Pace{Server: server, Factor: float32(p.factor / p.answers), Answers: uint32(p.answers)})
+	}
 	return heat, paces
 }
 
--- a/io/process/router/heats.go
+++ b/io/process/router/heats.go
@@ -35,8 +35,14 @@
 	requests  float64
 }
 
+// pace sums up findings of how slow a server is: the factors, each weighted by
+// the answers that it was learnt from, and those answers.
 type pace struct{ factor, answers float64 }
 
+func (p pace) with(factor, answers float64) pace {
+	return pace{factor: p.factor + factor*answers, answers: p.answers + answers}
+}
+
 func newHeats() *heats {
 	return &heats{services: map[string]*heat{}, paces: map[string]map[string]pace{}}
 }
@@ -51,7 +57,7 @@
 	}
 	by := map[string]pace{}
 	for _, p := range hail.Paces {
-		by[p.Server] = pace{factor: float64(p.Factor), answers: float64(p.Answers)}
+		by[p.Server] = pace{}.with(float64(p.Factor), float64(p.Answers))
 	}
 	h.paces[daemon] = by
 }
@@ -107,7 +113,7 @@
 	for _, by := range h.paces {
 		for server, p := range by {
 			sum := sums[server]
-			sums[server] = pace{factor: sum.factor + p.factor*p.answers, answers: sum.answers + p.answers}
+			sums[server] = pace{factor: sum.factor + p.factor, answers: sum.answers + p.answers}
 		}
 	}
 	out := map[string]float64{}
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -63,7 +63,7 @@
 // lead begins a leadership.
 func (c *control) lead(now time.Time, m leadMsg) {
 	c.taking = false
-	c.before = m.before.Leader
+	c.before, c.led = m.before.Leader, true
 	c.crew.Stored(now)
 	c.keeper = keeper.New(now, m.table, m.revision, keeper.WithHold(c.r.hold))
 	c.heats = newHeats()
@@ -122,7 +122,7 @@
 		go c.r.readKept()
 	case keeper.PublishCmd:
 		c.tableIs(now, cmd.Table)
-		c.hailAll(now)
+		c.spreadNews(now, true)
 	case keeper.ResignCmd:
 		c.r.log.Info("keys: no longer leading", "reason", cmd.Reason)
 		c.keeper = nil
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -17,10 +17,9 @@
 const (
 	// tickEvery paces the control loop; it bounds how late a renewal or a move is.
 	tickEvery = 50 * time.Millisecond
-	// hailNear, hailFar and hailLater pace the words between daemons: within a
-	// data centre they carry the requests under way; to a leader elsewhere they
-	// show that it lives; the rest of the bytes between data centres are saved.
-	hailNear  = 250 * time.Millisecond
+	// hailFar and hailLater pace words across data centres: to the leader, which
+	// shows that it lives, and between heads; bytes between data centres are saved.
+	// Those within one are paced by package crew.
 	hailFar   = 500 * time.Millisecond
 	hailLater = 4 * time.Second
 	// meshTimeout bounds one call between daemons.
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -83,7 +83,7 @@
 	r := &Router{
 		settings: s, store: st, speech: sp, log: slog.Default(),
 		hold: defaultHold, now: clock.Now, meters: newMeters(), bounds: s, daemons: 1, inbox: make(chan any, inboxSize), running: make(chan struct{}), budgets: map[string]*retry.Budget{}, suspects: crash.New(crashBound, crashKeep), heat: map[heatKey]heatCount{},
-		self: crew.Member{Name: s.Name, Address: s.Mesh, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixMicro())},
+		self: crew.Member{Name: s.Name, Address: s.Mesh, DataCentre: s.DataCentre, Strength: s.Strength, Incarnation: uint64(time.Now().UnixMicro())},
 	}
 	for _, o := range opts {
 		o(r)
--- a/io/process/router/status.go
+++ b/io/process/router/status.go
@@ -10,7 +10,6 @@
 
 	"catkinstep/core/connection/wire"
 	"catkinstep/core/process/burn"
-	"catkinstep/core/process/crew"
 )
 
 // Status is what the fleet has in force.
@@ -113,7 +112,7 @@
 	}
 	own := &wire.StatusReply{Daemon: c.r.self.Name, DataCentre: c.r.self.DataCentre, Leader: s.table.Leader.Daemon,
 		StoredAgeMillis: age(now, newest), Config: s.config.Version, Stopping: c.leaving, Counters: counters}
-	return status{own: own, others: append(c.crew.Addresses(now, crew.Near), c.crew.Addresses(now, crew.Far)...)}
+	return status{own: own, others: c.crew.All(now)}
 }
 
 // Ready tells whether callers should be sent here.
--- a/io/process/router/suspect.go
+++ b/io/process/router/suspect.go
@@ -84,14 +84,23 @@
 	return out
 }
 
-// heardOfLosses takes in what another daemon found.
-func (r *Router) heardOfLosses(suspects []*wire.Suspect) {
+// heardOfLosses takes in what another daemon found, and passes on what is new. It
+// tells whether a request is refused by it from now on.
+func (r *Router) heardOfLosses(suspects []*wire.Suspect) (refused bool) {
 	if len(suspects) == 0 {
-		return
+		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
 	for _, s := range suspects {
-		r.suspects.Lost(time.Now(), s.Fingerprint, s.Servers...)
+		if !r.suspects.Lost(now, s.Fingerprint, s.Servers...) {
+			continue
+		}
+		if len(r.suspicions) < crashTold {
+			r.suspicions = append(r.suspicions, suspicion{at: now, suspect: s})
+		}
+		refused = refused || r.suspects.Refused(now, s.Fingerprint)
 	}
+	return refused
 }
--- a/io/process/setup/setup.go
+++ b/io/process/setup/setup.go
@@ -38,6 +38,8 @@
 	// Name tells the daemon apart from others; its host keeps it.
 	Name       string
 	DataCentre string
+	// Strength is the host's share of a processor; 0 where it is not known.
+	Strength float64
 	// Callers, Ready, Mesh and Metrics are the addresses to listen at; Ready and
 	// Metrics may be empty where others serve them.
 	Callers string
