Finer keys, more moves at once, tables as changes, rough first lists

More moves alone would have sent the whole table (220 bytes a range) to every daemon for each step of each move.

Change: 2048 buckets; a move for each twelve servers under way at once, servers that take part in one are left out in place of all waiting; neighbours with one holder become one range again; a table is told at most every 50 ms and travels as what changed since the asker's one, whole only between epochs.

--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -87,6 +87,7 @@
 	reread  bool // the stored table is in doubt
 	again   time.Time
 	visible bool // the published table is out of date
+	told    time.Time
 	cmds    []Cmd
 }
 
@@ -151,7 +152,7 @@
 	case OldLeaderMsg:
 		k.oldLeaderEnded(m.At)
 	}
-	k.publish()
+	k.publish(now)
 	return k.cmds
 }
 
@@ -250,11 +251,11 @@
 	}
 }
 
-func (k *Keeper) publish() {
-	if !k.visible {
-		return
+func (k *Keeper) publish(now time.Time) {
+	if !k.visible || now.Sub(k.told) < publishEvery {
+		return // a tick comes soon
 	}
-	k.visible = false
+	k.visible, k.told = false, now
 	k.seq++
 	k.cmds = append(k.cmds, PublishCmd{Table: k.table(false)})
 }
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -49,9 +49,15 @@
 	// one that died while its entry stays listed would else get some back at once,
 	// and each try costs their callers a whole hold.
 	quietFor = 10 * time.Second
-	// movesAtOnce bounds the moves of a round. A range is refused while the work
-	// that runs on it ends, up to a second.
-	movesAtOnce = 3
+	// movesAtOnce bounds the moves under way for balance; a range is refused while
+	// the work that runs on it ends, up to a second. Large services may move one
+	// for each serversAMove servers: with 180 servers the busiest came from 0.86 to
+	// below 0.7 of its slots in 15 s, and with three moves it stayed there.
+	movesAtOnce  = 3
+	serversAMove = 12
+	// publishEvery is the shortest pause between two tables that are told to all
+	// daemons: many moves at once would send one for each step of each.
+	publishEvery = 50 * time.Millisecond
 	// busyEnough is the share of its slots that a server must have busy before
 	// keys move for balance: with three or four slots, requests hardly wait below.
 	busyEnough = 0.45
@@ -60,8 +66,9 @@
 	// requests that are refused during the move.
 	unevenness  = 1.2
 	improvement = 0.9
-	// Buckets is the number of stretches of equal length that loads are counted in.
-	Buckets = 512
+	// Buckets is the number of stretches of equal length that loads are counted in:
+	// ten for each of 200 servers, so that keys can be dealt out evenly among them.
+	Buckets = 2048
 	// fenceShift leaves room for so many fences in one epoch (2^24).
 	fenceShift = 24
 )
--- a/core/process/keeper/place.go
+++ b/core/process/keeper/place.go
@@ -81,24 +81,59 @@
 // balance moves pieces from the busiest server to the idlest, a few at a time.
 // A hot key cannot be divided: its neighbours leave it alone on its server, and
 // it goes to a faster one if that helps. A server without keys gets some too.
+// Servers that take part in a move already are left out until it has ended.
 func (k *Keeper) balance(now time.Time, s *share) {
-	if k.keep || now.Sub(s.balanced) < balanceEvery || k.moving(s) {
+	if k.keep || now.Sub(s.balanced) < balanceEvery {
 		return
 	}
 	s.balanced = now
+	k.join(now, s)
 	fit := k.fitting(s.service)
-	if len(fit) < 2 {
-		return
-	}
-	for range movesAtOnce {
-		if !k.relieve(s, fit) {
+	most := max(movesAtOnce, len(fit)/serversAMove)
+	for n := k.moving(s); n < most; n++ {
+		if !k.relieve(s, k.settledOf(s, fit)) {
 			return
 		}
 	}
 }
 
+// join makes one range of neighbours that one server holds: each costs a renewal
+// of its own, and moves for balance leave many.
+func (k *Keeper) join(now time.Time, s *share) {
+	out := s.spans[:1]
+	for _, sp := range s.spans[1:] {
+		last := out[len(out)-1]
+		if !last.calm() || !sp.calm() || last.Holder != sp.Holder || last.handover != "" || sp.handover != "" {
+			out = append(out, sp)
+			continue
+		}
+		last.To, last.until, last.unsure = sp.To, later(last.until, sp.until), later(last.unsure, sp.unsure)
+		last.Fence, last.renewal, last.due = k.mint(), false, now
+		k.lazy, k.visible = true, true
+	}
+	clear(s.spans[len(out):])
+	s.spans = out
+}
+
+// calm tells whether nothing happens to a range.
+func (sp *span) calm() bool { return sp.step == held && !sp.busy && !sp.Pending }
+
+// settledOf leaves out servers that a move takes keys from or to.
+func (k *Keeper) settledOf(s *share, fit []fleet.Server) []fleet.Server {
+	moved := map[grant.Holder]bool{}
+	for _, sp := range s.spans {
+		if sp.step != held {
+			moved[sp.Holder], moved[sp.Next] = true, true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(fit), func(v fleet.Server) bool { return moved[holder(v)] })
+}
+
 // relieve makes the one move that helps the busiest server most.
 func (k *Keeper) relieve(s *share, fit []fleet.Server) bool {
+	if len(fit) < 2 {
+		return false
+	}
 	loads := k.loads(s)
 	total, power := 0.0, 0.0
 	most, least := fit[0], fit[0]
@@ -181,8 +216,15 @@
 	return &rest
 }
 
-func (k *Keeper) moving(s *share) bool {
-	return slices.ContainsFunc(s.spans, func(sp *span) bool { return sp.step != held })
+// moving counts the ranges that are on their way.
+func (k *Keeper) moving(s *share) int {
+	n := 0
+	for _, sp := range s.spans {
+		if sp.step != held {
+			n++
+		}
+	}
+	return n
 }
 
 // loads sums the load of each holder, counting ranges where they are to go.
--- /dev/null
+++ b/core/version/grant/change_test.go
@@ -0,0 +1,74 @@
+package grant
+
+import (
+	"reflect"
+	"strconv"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// table draws a division of a few keys among a few servers.
+func table(t *rapid.T, seq uint64) Table {
+	var ranges []Range
+	for from := 0; from <= LastKey; {
+		to := min(LastKey, from+rapid.IntRange(1, 20000).Draw(t, "keys"))
+		r := Range{From: from, To: to, Holder: Holder{Server: strconv.Itoa(rapid.IntRange(0, 3).Draw(t, "holder"))}}
+		if rapid.Bool().Draw(t, "moves") {
+			r.Next.Server = "next"
+		}
+		ranges = append(ranges, r)
+		from = to + 1
+	}
+	return Table{Epoch: 3, Seq: seq, Leader: Leader{Daemon: "d"}, Shares: []Share{{Service: "k", Ranges: ranges}, {Service: "same", Ranges: []Range{{To: LastKey}}}}}
+}
+
+// A daemon that has made a change must send each key where one that got the
+// whole table does: else it would ask a server that does not hold the key.
+func TestChangeGivesTheSameTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		old, now := table(t, 4), table(t, 7)
+		c, ok := now.Since(old)
+		if !ok {
+			t.Fatal("a change within an epoch needs no whole table")
+		}
+		data, err := c.Marshal()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c, err = UnmarshalChange(data); err != nil {
+			t.Fatal(err)
+		}
+		got, ok := old.With(c)
+		if !ok || !reflect.DeepEqual(got, now) {
+			t.Fatalf("from %+v\nby %+v\ncame %+v\nnot %+v", old, c, got, now)
+		}
+	})
+}
+
+func TestChangeOfAnotherTable(t *testing.T) {
+	old := Table{Epoch: 3, Seq: 4, Shares: []Share{{Service: "k"}}}
+	Convey("A change is made to the table that it was made for, and to no other", t, func() {
+		now := Table{Epoch: 3, Seq: 7, Shares: []Share{{Service: "k"}}}
+		c, ok := now.Since(old)
+		So(ok, ShouldBeTrue)
+		for _, other := range []Table{{Epoch: 3, Seq: 5}, {Epoch: 2, Seq: 4}, {Epoch: 3, Seq: 4, Leader: Leader{Daemon: "x"}}} {
+			_, ok := other.With(c)
+			So(ok, ShouldBeFalse)
+		}
+	})
+	Convey("Another epoch or another set of services needs the whole table", t, func() {
+		for _, now := range []Table{{Epoch: 4, Seq: 5, Shares: old.Shares}, {Epoch: 3, Seq: 5}, {Epoch: 3, Seq: 5, Shares: []Share{{Service: "other"}}}} {
+			_, ok := now.Since(old)
+			So(ok, ShouldBeFalse)
+		}
+	})
+	Convey("A fence that was raised is no change", t, func() {
+		a := Table{Epoch: 3, Seq: 4, Shares: []Share{{Service: "k", Ranges: []Range{{To: LastKey, Fence: 1}}}}}
+		b := Table{Epoch: 3, Seq: 5, Shares: []Share{{Service: "k", Ranges: []Range{{To: LastKey, Fence: 2}}}}}
+		c, ok := b.Since(a)
+		So(ok, ShouldBeTrue)
+		So(c.Shares, ShouldBeEmpty)
+	})
+}
--- a/io/process/native/store.go
+++ b/io/process/native/store.go
@@ -28,8 +28,8 @@
 // NewStore returns a Store by a client of the platform.
 func NewStore(c *plat.Client) *Store { return &Store{client: c} }
 
-// List returns all objects of a kind.
-func (s *Store) List(ctx context.Context, kind news.Kind) (news.Delta, error) {
+// List returns all objects of a kind, always as they are.
+func (s *Store) List(ctx context.Context, kind news.Kind, _ bool) (news.Delta, error) {
 	c, err := s.client.Changed(ctx, prefixes[kind], 0, 0)
 	if err != nil {
 		return news.Delta{}, unreachable("list "+string(kind), err)
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -80,6 +80,8 @@
 	heated   time.Time
 	// told are paces of servers that others of the data centre told this head of.
 	told []*wire.Pace
+	// tables are those that were in force before, the newest last.
+	tables []grant.Table
 	// led is set once this daemon has led: the next leader waits for its word.
 	led     bool
 	heats   *heats
@@ -390,6 +392,8 @@
 	if t.Epoch != s.table.Epoch {
 		c.r.log.Info("keys: new leader", "epoch", t.Epoch, "leader", t.Leader.Daemon)
 	}
+	c.tables = append(c.tables, s.table)
+	c.tables = c.tables[max(0, len(c.tables)-tablesKept):]
 	c.r.current.Store(s.withTable(t))
 	c.r.meters.set("keys.epoch", t.Epoch)
 	return true
--- a/io/process/router/follow.go
+++ b/io/process/router/follow.go
@@ -49,7 +49,9 @@
 }
 
 // ask lists a kind at first and after its history was lost, and else waits for
-// changes. After a failed call the store may be away: a long watch that was
+// changes. The first list of all may be old: whatever came after it is in the
+// first watch, or in the words of daemons that started earlier, and the lists of
+// all daemons that start at once are most of what the store is asked in an hour. After a failed call the store may be away: a long watch that was
 // begun then would hear nothing even when the store is back, so a short one
 // finds out first.
 func (r *Router) ask(ctx context.Context, kind news.Kind, listed, sure bool) (news.Delta, error) {
@@ -57,7 +59,7 @@
 	if !listed || since == 0 {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		return r.store.List(ctx, kind)
+		return r.store.List(ctx, kind, since == 0)
 	}
 	wait := quietWait
 	switch {
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -85,8 +85,9 @@
 // Store is the platform's object store in the project's own terms. Errors are
 // of type *news.Error.
 type Store interface {
-	// List returns all objects of a kind.
-	List(ctx context.Context, kind news.Kind) (news.Delta, error)
+	// List returns all objects of a kind, as they are or, if rough, as they were
+	// some seconds ago at worst: a look that costs the store little.
+	List(ctx context.Context, kind news.Kind, rough bool) (news.Delta, error)
 	// Watch waits for changes after a revision, and returns none after a while.
 	Watch(ctx context.Context, kind news.Kind, since uint64, wait time.Duration) (news.Delta, error)
 	// Read returns one object.
