A daemon reads the store for others only once it is its turn

Cause: each daemon began as a reader, and after its first lists asked for changes of all five kinds until its first tick: up to 455 calls more on a site of 91, at full price. A kind that is not known at all is listed in any case.

--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -103,7 +103,6 @@
 	for _, k := range news.Kinds {
 		c.shelves[k], c.known[k] = news.NewShelf(k), &atomic.Uint64{}
 	}
-	c.reads.Store(true)
 	return c
 }
 
