--- a/core/process/crew/crew.go
+++ b/core/process/crew/crew.go
@@ -73,6 +73,11 @@
 	// missed is the leader that is missed, and since when.
 	missed      grant.Leader
 	missedSince time.Time
+	// spoken are the heads of each data centre as they were at a moment; they are
+	// asked for many times in one.
+	spoken   map[string][]Member
+	spokenAt time.Time
+	near     int // daemons of the own data centre, this one included; 0 if not counted
 }
 
 // New returns a Crew that has heard of nobody.
@@ -97,6 +102,7 @@
 	p := c.peers[m.Name]
 	if p == nil || p.Incarnation < m.Incarnation {
 		c.peers[m.Name] = &peer{Member: m}
+		c.changed()
 	}
 }
 
@@ -109,6 +115,7 @@
 		return // delayed word of a life that has ended
 	}
 	c.peers[m.Name] = &peer{Member: m, Word: w, heard: now}
+	c.changed()
 }
 
 // Refused notes that connections to a daemon's address are refused. Its process
@@ -118,6 +125,7 @@
 	for _, p := range c.peers {
 		if p.Address == address {
 			p.gone = true
+			c.changed()
 		}
 	}
 }
@@ -127,6 +135,7 @@
 	for _, p := range c.peers {
 		if p.Address == address {
 			p.missed = now
+			c.changed()
 		}
 	}
 }
@@ -135,9 +144,13 @@
 func (c *Crew) HeardOf(name string, incarnation uint64, at time.Time) {
 	if p := c.peers[name]; p != nil && p.Incarnation == incarnation && at.After(p.heard) {
 		p.heard, p.gone = at, false
+		c.changed()
 	}
 }
 
+// changed makes what was worked out from the peers void.
+func (c *Crew) changed() { c.spoken, c.near = nil, 0 }
+
 // HeardAt is when a daemon was last heard, of itself or by others.
 func (c *Crew) HeardAt(name string) time.Time {
 	if p := c.peers[name]; p != nil {
--- a/core/process/crew/head.go
+++ b/core/process/crew/head.go
@@ -28,13 +28,15 @@
 
 // Pace is the pause between two rounds of words within the data centre.
 func (c *Crew) Pace() time.Duration {
-	n := 1
-	for _, p := range c.peers {
-		if p.DataCentre == c.self.DataCentre {
-			n++
+	if c.near == 0 {
+		c.near = 1
+		for _, p := range c.peers {
+			if p.DataCentre == c.self.DataCentre {
+				c.near++
+			}
 		}
 	}
-	return max(paceLeast, time.Duration(n)*paceEach)
+	return max(paceLeast, time.Duration(c.near)*paceEach)
 }
 
 // IsHead tells whether this daemon speaks for its data centre.
@@ -94,6 +96,17 @@
 // heads are the strongest daemons of a data centre that are not known to be
 // lost, by name among equals. Strong hosts bear the words of the others best.
 func (c *Crew) heads(now time.Time, place string) []Member {
+	if c.spoken == nil || !c.spokenAt.Equal(now) {
+		c.spoken, c.spokenAt = map[string][]Member{}, now
+	}
+	if have, ok := c.spoken[place]; ok {
+		return have
+	}
+	c.spoken[place] = c.findHeads(now, place)
+	return c.spoken[place]
+}
+
+func (c *Crew) findHeads(now time.Time, place string) []Member {
 	var all []Member
 	if place == c.self.DataCentre {
 		all = append(all, c.self)
@@ -123,6 +136,7 @@
 	for name, p := range c.peers {
 		if (p.gone || !p.missed.IsZero()) && !p.heard.IsZero() && now.Sub(p.heard) > forgetAfter {
 			delete(c.peers, name)
+			c.changed()
 		}
 	}
 }
--- a/core/request/spread/options.go
+++ b/core/request/spread/options.go
@@ -19,6 +19,9 @@
 	// wordCounts is how long another daemon's word of its requests counts: until
 	// the next one should have come, in a data centre of twenty daemons.
 	wordCounts = 2 * reportFades
+	// freeFactor is how slow a near server with a free slot may be for far ones not
+	// to be looked at: servers of one service differ by up to three times.
+	freeFactor = 1.6
 	// slowest and fastest bound a server's factor, so that one odd answer does
 	// not rule it in or out for long.
 	slowest = 25.0
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -43,6 +43,9 @@
 	Expected   time.Duration
 	Reason     Reason
 	RetryAfter time.Duration
+	// free means that a slot is thought to be free, and the server not slower than
+	// most.
+	free bool
 }
 
 // Refused tells whether there is no server.
@@ -111,19 +114,27 @@
 func (s *Spread) Limit(l Limits) { s.limits = l }
 
 // Choose returns the server with the least expected time. Servers in other data
-// centres cost extra, failing ones are rarely asked.
+// centres cost extra, failing ones are rarely asked. Where a near server has a
+// free slot the far ones are not looked at: with hundreds of servers that look
+// took more than all else that a request costs.
 func (s *Spread) Choose(now time.Time, n Need, servers []fleet.Server) Choice {
 	best := Choice{Reason: None, RetryAfter: 4 * retryAtLeast}
 	bestCost := 0.0
-	for _, v := range servers {
-		if v.Draining || tried(n, v.ID) {
-			continue
-		}
-		c, cost := s.weigh(now, n, v)
-		if best.Reason == None || better(c, cost, best, bestCost) {
-			best, bestCost = c, cost
+	look := func(near bool) {
+		for _, v := range servers {
+			if (v.DataCentre == n.Near) != near || v.Draining || tried(n, v.ID) {
+				continue
+			}
+			c, cost := s.weigh(now, n, v)
+			if best.Reason == None || better(c, cost, best, bestCost) {
+				best, bestCost = c, cost
+			}
 		}
 	}
+	look(true)
+	if best.Refused() || !best.free {
+		look(false)
+	}
 	return best
 }
 
@@ -156,7 +167,7 @@
 	if v.DataCentre != n.Near {
 		cost += farPerKilobyte.Seconds() * s.kind(n).size
 	}
-	c := Choice{Server: v, Expected: expected}
+	c := Choice{Server: v, Expected: expected, free: ahead < float64(v.Slots) && factor < freeFactor}
 	c.Reason = s.objection(now, n, v, st, expected, ahead)
 	if c.Refused() {
 		c.RetryAfter = s.retryAfter(n, expected)
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -82,6 +84,13 @@
 	told []*wire.Pace
 	// tables are those that were in force before, the newest last.
 	tables []grant.Table
+	// stored is the stored table, read once for each change: a large one takes a
+	// millisecond, and it is asked for twenty times a second. storedAt is its
+	// revision.
+	stored   grant.Table
+	storedAt uint64
+	// servers are the entries in force, by id.
+	servers map[string]fleet.Server
 	// led is set once this daemon has led: the next leader waits for its word.
 	led     bool
 	heats   *heats
@@ -98,7 +107,7 @@
 	c := &control{
 		r: r, shelves: map[news.Kind]*news.Shelf{}, known: map[news.Kind]*atomic.Uint64{},
 		crew: crew.New(r.self, now), lapsed: map[string]lapse{},
-		calling: map[string]bool{}, fetching: map[string]bool{}, heated: now, heats: newHeats(), started: now, seeds: r.settings.Seeds,
+		servers: map[string]fleet.Server{}, calling: map[string]bool{}, fetching: map[string]bool{}, heated: now, heats: newHeats(), started: now, seeds: r.settings.Seeds,
 	}
 	for _, k := range news.Kinds {
 		c.shelves[k], c.known[k] = news.NewShelf(k), &atomic.Uint64{}
@@ -255,6 +264,7 @@
 		v, had := old.Find(it.Name)
 		if it.Removed {
 			urgent = true
+			delete(c.servers, it.Name)
 			c.r.log.Info("servers: gone", "server", it.Name, "revision", it.Revision, "sinceOutage", sinceText(now, c.returned))
 			if until := c.returned.Add(lapseGrace); had && !v.Draining && now.Before(until) {
 				c.lapsed[it.Name] = lapse{server: v, until: until}
@@ -263,9 +273,12 @@
 		}
 		delete(c.lapsed, it.Name)
 		var next fleet.Server
-		if json.Unmarshal(it.Value, &next) != nil {
+		if err := json.Unmarshal(it.Value, &next); err != nil {
+			c.r.log.Warn("servers: entry not usable", "server", it.Name, "revision", it.Revision, "err", err)
+			delete(c.servers, it.Name)
 			continue
 		}
+		c.servers[it.Name] = next
 		c.r.heardCold(next)
 		if !had || v.Born != next.Born || v.Draining != next.Draining || v.Address != next.Address {
 			urgent = true
@@ -313,13 +326,7 @@
 
 // rebuild makes the snapshot's list of servers anew.
 func (c *control) rebuild() {
-	var servers []fleet.Server
-	for _, it := range c.shelves[news.Servers].List() {
-		var v fleet.Server
-		if json.Unmarshal(it.Value, &v) == nil {
-			servers = append(servers, v)
-		}
-	}
+	servers := slices.Collect(maps.Values(c.servers))
 	for _, l := range c.lapsed {
 		servers = append(servers, l.server)
 	}
@@ -369,11 +376,20 @@
 
 func (c *control) storedTableIs(now time.Time, changed []news.Item) {
 	for _, it := range changed {
+		if it.Name != tableName {
+			continue
+		}
 		t, err := grant.Unmarshal(it.Value)
 		if err != nil || it.Removed {
+			// What is written next is conditional on this revision all the same.
 			c.r.log.Warn("keys: stored table not usable", "revision", it.Revision, "err", err)
+			c.stored, c.storedAt = grant.Table{}, it.Revision
+			if it.Removed {
+				c.storedAt = 0
+			}
 			continue
 		}
+		c.stored, c.storedAt = t, it.Revision
 		c.tableIs(now, t)
 	}
 }
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -19,7 +19,7 @@
 	if c.keeper != nil || c.taking || c.leaving || c.through(news.Tables) == 0 || len(c.r.current.Load().keyed()) == 0 {
 		return
 	}
-	stored, revision := c.storedTable()
+	stored, revision := c.stored, c.storedAt
 	try, _ := c.crew.MayLead(now, stored.Leader)
 	if !try {
 		return
@@ -31,18 +31,6 @@
 	go c.r.takeLead(next, stored, revision)
 }
 
-func (c *control) storedTable() (grant.Table, uint64) {
-	it, ok := c.shelves[news.Tables].Get(tableName)
-	if !ok {
-		return grant.Table{}, 0
-	}
-	t, err := grant.Unmarshal(it.Value)
-	if err != nil {
-		return grant.Table{}, it.Revision
-	}
-	return t, it.Revision
-}
-
 // takeLead writes the table under a new epoch, if it is still the one that the
 // decision was made on.
 func (r *Router) takeLead(next, before grant.Table, revision uint64) {
@@ -75,7 +63,7 @@
 // lookAfter lets the keeper act on what is known now.
 func (c *control) lookAfter(now time.Time) {
 	c.tellFleet(now)
-	c.keep(now, keeper.CurrentMsg{Epoch: c.storedEpoch(), At: c.shelves[news.Tables].At()})
+	c.keep(now, keeper.CurrentMsg{Epoch: c.stored.Epoch, At: c.shelves[news.Tables].At()})
 	if c.keeper != nil && c.crew.GaveWay(c.before, c.keeper.Table().Epoch) {
 		c.keep(now, keeper.OldLeaderMsg{At: now})
 	}
@@ -87,11 +75,6 @@
 	c.keep(now, keeper.TickMsg{})
 }
 
-func (c *control) storedEpoch() uint64 {
-	t, _ := c.storedTable()
-	return t.Epoch
-}
-
 func (c *control) tellFleet(now time.Time) {
 	s := c.r.current.Load()
 	c.keep(now, keeper.FleetMsg{Fleet: s.fleet, Keyed: s.keyed(), Out: s.out, Keep: s.config.KeepKeys})
