Large answers between daemons are compressed, and hold up nothing for good

Some 600 KB in our form went to each host with a link of 10 Mbit/s beside its requests, 17 times from one head; fetches ended at 0.7 s, and a call that timed out behind one dropped the line that it came on.

Ruled out: the store (heads had it within half a second of its ack), the leader's words.

Change: answers from 4 KB on are compressed (compress/flate; repetitive ones to a tenth or less), a fetch may take 3 s, and a call without an answer drops its line only if nothing came in the second half of its wait. Routes are looked up by host, not one after the other among thousands.

A test of this change hung for ten minutes (the line was kept although the other side had stopped answering after its first bytes): that is why only the second half of the wait counts.

--- a/core/version/config/config.go
+++ b/core/version/config/config.go
@@ -20,6 +20,8 @@
 	RetryShare float64 `json:"retryShare,omitempty"`
 	// KeepKeys leaves busy servers their keys: fewer moves, longer tails.
 	KeepKeys bool `json:"keepKeys,omitempty"`
+	// hosts lists the routes of each host, by its name in lower case.
+	hosts map[string][]int
 }
 
 // Limits bound what a caller may send.
@@ -86,12 +88,14 @@
 
 // Match finds the route with the longest prefix of a path at a host.
 func (c Config) Match(host, path, method string) (Route, bool) {
-	host = bare(host)
+	host = strings.ToLower(bare(host))
 	best := -1
-	for i := range c.Routes {
-		r := &c.Routes[i]
-		if r.takes(host, path, method) && (best < 0 || r.before(&c.Routes[best])) {
-			best = i
+	for _, routes := range [][]int{c.hosts[host], c.hosts[AnyHost]} {
+		for _, i := range routes {
+			r := &c.Routes[i]
+			if r.takes(path, method) && (best < 0 || r.before(&c.Routes[best])) {
+				best = i
+			}
 		}
 	}
 	if best < 0 {
@@ -100,11 +104,22 @@
 	return c.Routes[best], true
 }
 
+// WithIndex returns the configuration ready for Match, which finds nothing
+// without: some have thousands of routes, and each request looks for its own.
+func (c Config) WithIndex() Config {
+	c.hosts = map[string][]int{}
+	for i := range c.Routes {
+		host := strings.ToLower(c.Routes[i].Host)
+		c.hosts[host] = append(c.hosts[host], i)
+	}
+	return c
+}
+
 // AnyHost is the Host of a route that answers to every name.
 const AnyHost = "*"
 
-func (r *Route) takes(host, path, method string) bool {
-	if r.Host != AnyHost && !strings.EqualFold(r.Host, host) || !strings.HasPrefix(path, r.Prefix) {
+func (r *Route) takes(path, method string) bool {
+	if !strings.HasPrefix(path, r.Prefix) {
 		return false
 	}
 	return len(r.Methods) == 0 || slices.ContainsFunc(r.Methods, func(m string) bool { return strings.EqualFold(m, method) })
--- a/core/version/config/config_test.go
+++ b/core/version/config/config_test.go
@@ -8,7 +8,7 @@
 )
 
 func sample() Config {
-	return Config{Version: 7,
+	c := Config{Version: 7,
 		Routes: []Route{
 			{Name: "all", Host: "a.example", Prefix: "/", Parts: []Part{{Service: "s", Weight: 1}}},
 			{Name: "deep", Host: "a.example", Prefix: "/x/y/", Parts: []Part{{Service: "s", Weight: 90}, {Service: "t", Weight: 10}}},
@@ -16,6 +16,7 @@
 		},
 		Services: []Service{{Name: "s"}, {Name: "t", Keyed: true}},
 	}
+	return c.WithIndex()
 }
 
 func TestMatch(t *testing.T) {
@@ -46,12 +47,12 @@
 		rest := Route{Name: "rest", Host: AnyHost, Prefix: "/s/"}
 		for _, c := range []Config{{Routes: []Route{lookups, rest}}, {Routes: []Route{rest, lookups}}} {
 			for _, v := range []struct{ method, name string }{{"GET", "lookups"}, {"head", "lookups"}, {"POST", "rest"}, {"DELETE", "rest"}} {
-				r, ok := c.Match("whatever:80", "/s/x", v.method)
+				r, ok := c.WithIndex().Match("whatever:80", "/s/x", v.method)
 				So(ok, ShouldBeTrue)
 				So(r.Name, ShouldEqual, v.name)
 			}
 		}
-		_, ok := Config{Routes: []Route{lookups}}.Match("h", "/s/x", "POST")
+		_, ok := Config{Routes: []Route{lookups}}.WithIndex().Match("h", "/s/x", "POST")
 		So(ok, ShouldBeFalse)
 	})
 }
--- a/io/connection/mesh/line.go
+++ b/io/connection/mesh/line.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -23,13 +24,35 @@
 // daemon that stopped kept the processor to itself that way, and never ended.
 // With the connection closed first, that reader is the one that ends the rest.
 // yamux's own keep-alive would end sessions the other way, so it is off: a call
-// that gets no answer in time drops its line, and the next one opens another.
+// that gets no answer in time drops a line on which nothing came meanwhile, and
+// the next one opens another.
 type line struct {
 	*yamux.Session
-	conn net.Conn
+	conn *heardConn
 }
 
-func newLine(conn net.Conn, open func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*line, error) {
+// heardConn notes when bytes last came.
+type heardConn struct {
+	net.Conn
+	heard atomic.Int64 // nanoseconds since 1970
+}
+
+// Read implements net.Conn.
+func (c *heardConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// silentSince tells whether nothing came on the line after a time. A call that
+// waits behind a large answer on a narrow link is no reason to drop the line, and
+// the answer with it.
+func (l *line) silentSince(at time.Time) bool { return l.conn.heard.Load() < at.UnixNano() }
+
+func newLine(nc net.Conn, open func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*line, error) {
+	conn := &heardConn{Conn: nc}
 	s, err := open(conn, config())
 	if err != nil {
 		_ = conn.Close()
--- a/io/connection/mesh/mesh.go
+++ b/io/connection/mesh/mesh.go
@@ -59,6 +59,7 @@
 
 // Call sends a call and waits for its reply until the context ends.
 func (m *Mesh) Call(ctx context.Context, address string, call *wire.Call) (*wire.Reply, error) {
+	began := time.Now()
 	l, err := m.pool.get(ctx, address)
 	if err != nil {
 		return nil, err
@@ -77,9 +78,14 @@
 	}
 	reply := &wire.Reply{}
 	if err := read(stream, reply); err != nil {
-		m.pool.drop(address, l)
+		if l.IsClosed() || l.silentSince(began.Add(time.Since(began)/2)) {
+			m.pool.drop(address, l) // bytes that came early in the wait prove little
+		}
 		return nil, &Error{Op: "call", Kind: Unsure, Err: errors.Join(err, ctx.Err())}
 	}
+	if reply, err = unpack(reply); err != nil {
+		return nil, &Error{Op: "call", Kind: Remote, Err: err}
+	}
 	if reply.Error != "" {
 		return nil, &Error{Op: "call", Kind: Remote, Err: errors.New(reply.Error)}
 	}
@@ -164,7 +170,7 @@
 	if err := read(stream, call); err != nil {
 		return nil //nolint:nilerr // half a call has no answer
 	}
-	_, _ = protodelim.MarshalTo(stream, m.handler(ctx, call))
+	_, _ = protodelim.MarshalTo(stream, pack(m.handler(ctx, call)))
 	return nil
 }
 
--- a/io/connection/mesh/mesh_test.go
+++ b/io/connection/mesh/mesh_test.go
@@ -1,9 +1,11 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/hashicorp/yamux"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
 
 	"catkinstep/core/connection/wire"
 )
@@ -117,6 +120,47 @@
 	})
 }
 
+// A large configuration goes to a host with a narrow link. Its bytes hold up the
+// words behind it for longer than those may take; were the line dropped for that,
+// the configuration would never arrive.
+func TestLargeAnswers(t *testing.T) {
+	item := func(n int) *wire.Delta {
+		return &wire.Delta{Items: []*wire.Item{{Name: "main", Value: bytes.Repeat([]byte("/route-of-some-service/"), n)}}}
+	}
+	Convey("They come whole, and much smaller on the way", t, func() {
+		b := listen(func(context.Context, *wire.Call) *wire.Reply { return &wire.Reply{Delta: item(30000)} })
+		defer b.Close() //nolint:errcheck // the test is over
+		a := listen(nil)
+		defer a.Close() //nolint:errcheck // the test is over
+		r, err := a.Call(context.Background(), b.address(), &wire.Call{Kind: &wire.Call_Fetch{Fetch: &wire.Fetch{}}})
+		So(err, ShouldBeNil)
+		So(proto.Equal(r.Delta, item(30000)), ShouldBeTrue)
+		packed := pack(&wire.Reply{Delta: item(30000)})
+		So(proto.Size(packed), ShouldBeLessThan, proto.Size(r)/10)
+		So(pack(&wire.Reply{Delta: item(1)}).Packed, ShouldBeEmpty)
+	})
+	Convey("One that unfolds beyond all bounds is refused", t, func() {
+		r := &wire.Reply{Error: strings.Repeat("x", maxMessage+1)}
+		_, err := unpack(pack(r))
+		So(err, ShouldEqual, errTooLarge)
+	})
+	Convey("A line on which bytes come is kept when a call behind them times out", t, func() {
+		near, far := net.Pipe()
+		defer far.Close() //nolint:errcheck // the test is over
+		l, err := newLine(near, yamux.Client)
+		So(err, ShouldBeNil)
+		defer l.Close() //nolint:errcheck // the test is over
+		began := time.Now()
+		So(l.silentSince(began), ShouldBeTrue)
+		_, err = far.Write([]byte{0})
+		So(err, ShouldBeNil)
+		for l.silentSince(began) {
+			time.Sleep(time.Millisecond)
+		}
+		So(l.IsClosed(), ShouldBeFalse)
+	})
+}
+
 // A connection falls silent: it neither breaks nor answers. The call that finds
 // out drops it, and the next one is answered on another.
 func TestSilentLineIsDropped(t *testing.T) {
--- /dev/null
+++ b/io/connection/mesh/pack.go
@@ -0,0 +1,56 @@
+package mesh
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+
+	"catkinstep/core/connection/wire"
+)
+
+// packLeast is the size, in bytes, from which answers are compressed. A large
+// configuration of 600 KB took seconds to reach the hosts with links of 10 Mbit/s,
+// each from the same head, and calls behind it timed out; its names repeat, so
+// that a tenth of it is sent. Smaller answers are not worth the processor time.
+const packLeast = 4 << 10
+
+// pack compresses a large answer. One that cannot be compressed goes as it is.
+func pack(r *wire.Reply) *wire.Reply {
+	if proto.Size(r) < packLeast {
+		return r
+	}
+	data, err := proto.Marshal(r)
+	if err != nil {
+		return r // the writer will say so
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return r
+	}
+	if _, err := w.Write(data); err != nil || w.Close() != nil {
+		return r
+	}
+	return &wire.Reply{Packed: b.Bytes()}
+}
+
+var errTooLarge = errors.New("the answer is too large")
+
+// unpack is the answer inside a compressed one.
+func unpack(r *wire.Reply) (*wire.Reply, error) {
+	if len(r.Packed) == 0 {
+		return r, nil
+	}
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.Packed)), maxMessage+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > maxMessage {
+		return nil, errTooLarge
+	}
+	out := &wire.Reply{}
+	return out, proto.Unmarshal(data, out)
+}
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -249,7 +249,7 @@
 			c.r.log.Warn("config: not usable, the last one stays in force", "version", next.Version, "err", err)
 			continue
 		}
-		c.r.current.Store(s.withConfig(next))
+		c.r.current.Store(s.withConfig(next.WithIndex()))
 		c.share()
 		c.r.meters.set("config.version", next.Version)
 		c.r.log.Info("config: in force", "version", next.Version, "revision", it.Revision, "routes", len(next.Routes))
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -205,7 +205,7 @@
 
 func (r *Router) sendFetch(address string, f *wire.Fetch) {
 	defer r.post(fetchedMsg{kind: f.Kind})
-	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), meshTimeout)
+	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), fetchTimeout)
 	defer cancel()
 	asked := r.now()
 	reply, err := r.call(ctx, address, &wire.Call{Kind: &wire.Call_Fetch{Fetch: f}})
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -24,6 +24,9 @@
 	hailLater = 4 * time.Second
 	// meshTimeout bounds one call between daemons.
 	meshTimeout = 700 * time.Millisecond
+	// fetchTimeout bounds a fetch: a large configuration shares a narrow link with
+	// requests.
+	fetchTimeout = 3 * time.Second
 	// serverPace is the pause between two reads of the servers' changes, which
 	// come many times a second. A leaving server must be known within two seconds.
 	serverPace = 300 * time.Millisecond
