--- a/io/connection/mesh/mesh.go
+++ b/io/connection/mesh/mesh.go
@@ -158,7 +158,7 @@
 	for {
 		stream, err := l.AcceptStream()
 		if err != nil {
-			return nil //nolint:nilerr // the other side has gone, or we close
+			return nil // the other side has gone, or we close
 		}
 		m.tomb.Go(func() error { return m.answer(ctx, stream) })
 	}
@@ -168,7 +168,7 @@
 	defer stream.Close() //nolint:errcheck // the caller sees a missing reply
 	call := &wire.Call{}
 	if err := read(stream, call); err != nil {
-		return nil //nolint:nilerr // half a call has no answer
+		return nil // half a call has no answer
 	}
 	_, _ = protodelim.MarshalTo(stream, pack(m.handler(ctx, call)))
 	return nil
--- a/io/standin/oracle/doc.go
+++ b/io/standin/oracle/doc.go
@@ -1,5 +1,5 @@
 // Package oracle judges a run by what callers were told and what backend
-// servers did. It knows nothing of leases, tokens or dispatchers: servers say
+// servers did. It knows nothing of leases or grants: servers say
 // which request ran when, callers say what they were told, the operator says
 // what was taken out, and the oracle finds what cannot all be true.
 //
--- a/io/standin/stage/stage.go
+++ b/io/standin/stage/stage.go
@@ -184,7 +184,7 @@
 	return nil
 }
 
-// Ready applies the site and waits until every shard has an owner that can be
+// Ready applies the site and waits until every key has a holder that can be
 // sent to, as an operator's first minute would go.
 func (r *Stage) Ready(ctx context.Context) error {
 	data, err := r.plan.Site.Marshal()
@@ -200,7 +200,7 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	return errors.New("stage: the shards did not get owners in time")
+	return errors.New("stage: the keys did not get holders in time")
 }
 
 func (r *Stage) settled() bool {
