Words across data centres leave out what is under way

Cause: since heads speak, every word named the servers that its sender has requests at, 20 bytes each, also where nobody uses it: to the leader twice a second and to other heads. Only words within a data centre carry it now, and a word without it does not count as one of no requests.

--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -21,23 +21,23 @@
 func (c *control) hail(now time.Time) {
 	head := c.crew.IsHead(now)
 	if c.due(now, &c.paces.near, c.crew.Pace()) {
-		c.hailSome(now, c.crew.Heads(now))
+		c.hailSome(now, c.crew.Heads(now), true)
 		c.sendHeat(now, head)
 	}
 	if c.crew.Count() == 1 && c.due(now, &c.paces.seeds, hailFar) {
-		c.hailSome(now, c.seeds)
+		c.hailSome(now, c.seeds, false)
 	}
 	if !head && !c.led {
 		return
 	}
 	if c.due(now, &c.paces.leader, hailFar) {
 		if leader := c.crew.AddressOf(c.r.current.Load().table.Leader.Daemon); leader != "" {
-			c.hailSome(now, []string{leader})
+			c.hailSome(now, []string{leader}, false)
 		}
 	}
 	if head && c.due(now, &c.paces.far, hailLater) {
-		c.hailSome(now, c.crew.LaterHeads(now))
-		c.hailSome(now, c.crew.Near(now))
+		c.hailSome(now, c.crew.LaterHeads(now), false)
+		c.hailSome(now, c.crew.Near(now), true)
 	}
 }
 
@@ -57,30 +57,33 @@
 // tells all heads and its own data centre; a head that was told tells its own.
 func (c *control) spreadNews(now time.Time, first bool) {
 	if first || c.crew.IsHead(now) {
-		c.hailSome(now, c.crew.Near(now))
+		c.hailSome(now, c.crew.Near(now), true)
 	}
 	if first {
-		c.hailSome(now, c.crew.FarHeads(now))
+		c.hailSome(now, c.crew.FarHeads(now), false)
 	}
 }
 
 // hailAll tells everybody at once; only for what is rare and cannot wait.
-func (c *control) hailAll(now time.Time) { c.hailSome(now, c.crew.All(now)) }
+func (c *control) hailAll(now time.Time) { c.hailSome(now, c.crew.All(now), false) }
 
-func (c *control) hailSome(now time.Time, addresses []string) {
+// hailSome tells some; near ones also learn what this daemon has under way.
+func (c *control) hailSome(now time.Time, addresses []string, near bool) {
 	for _, a := range addresses {
 		if a == c.r.self.Address || c.calling[a] {
 			continue
 		}
 		c.calling[a] = true
-		h := c.word(now, "")
+		h := c.word(now)
+		if near {
+			c.tellWork(now, h, "")
+		}
 		go c.r.sendHail(a, h)
 	}
 }
 
-// word is what this daemon says. In answer to another of the data centre a head
-// adds up what all the rest have under way, so that it need not ask them.
-func (c *control) word(now time.Time, asker string) *wire.Hail {
+// word is what this daemon says to everybody.
+func (c *control) word(now time.Time) *wire.Hail {
 	t := c.r.current.Load().table
 	h := &wire.Hail{
 		Name: c.r.self.Name, Address: c.r.self.Address, DataCentre: c.r.self.DataCentre, Incarnation: c.r.self.Incarnation, Strength: c.r.self.Strength,
@@ -92,16 +95,23 @@
 		h.Known = append(h.Known, &wire.Known{Kind: string(k), Through: s.Through(), AgeMillis: age(now, s.At())})
 	}
 	h.Suspects = c.r.suspectNews()
+	return h
+}
+
+// tellWork adds what this daemon has under way, for others of its data centre. To
+// one that asks, a head adds up what all the rest have, so that it need not ask
+// them.
+func (c *control) tellWork(now time.Time, h *wire.Hail, asker string) {
+	head := c.crew.IsHead(now)
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
 	at := c.r.spread.Own()
-	if asker != "" && c.crew.IsHead(now) {
+	if asker != "" && head {
 		at, h.Summed = c.r.spread.Summed(now, asker), true
 	}
 	for id, n := range at {
 		h.UnderWay = append(h.UnderWay, &wire.UnderWay{Server: id, Requests: uint32(n)})
 	}
-	return h
 }
 
 func (c *control) leaderAge(now time.Time, l grant.Leader) int64 {
@@ -136,11 +146,11 @@
 func (c *control) heard(now time.Time, m hailMsg) {
 	h := m.hail
 	if m.reply != nil {
-		asker := ""
+		reply := c.word(now)
 		if h.DataCentre == c.r.self.DataCentre {
-			asker = h.Name
+			c.tellWork(now, reply, h.Name)
 		}
-		m.reply <- c.word(now, asker)
+		m.reply <- reply
 	}
 	before := c.crew.Count()
 	c.crew.Heard(now, crew.Member{Name: h.Name, Address: h.Address, DataCentre: h.DataCentre, Incarnation: h.Incarnation, Strength: h.Strength},
@@ -181,6 +191,9 @@
 	if h.DataCentre != c.r.self.DataCentre || h.Name == c.r.self.Name || h.Summed && c.crew.IsHead(now) {
 		return
 	}
+	if len(h.UnderWay) == 0 && !h.Summed {
+		return // a word that tells nothing of it; older ones lose their weight soon
+	}
 	at := map[string]int{}
 	for _, u := range h.UnderWay {
 		at[u.Server] = int(u.Requests)
@@ -347,7 +360,7 @@
 		return
 	}
 	c.heated = now
-	h := c.word(now, "")
+	h := c.word(now)
 	h.Heat, h.Paces = c.r.takeHeat(c.told)
 	c.told = nil
 	if c.keeper != nil {
