--- a/core/process/keeper/world_test.go
+++ b/core/process/keeper/world_test.go
@@ -127,12 +127,15 @@
 func (w *world) check() {
 	// An eighth of the buckets at each step, other ones each time: moves last
 	// longer than that.
+	var alive []*server
+	for _, v := range w.servers {
+		if v.alive {
+			alive = append(alive, v)
+		}
+	}
 	for b := int(w.now.UnixMilli()/10) % 8; b < Buckets; b += 8 {
 		holders, busy := 0, 0
-		for _, v := range w.servers {
-			if !v.alive {
-				continue
-			}
+		for _, v := range alive {
 			if v.until[b].After(w.now) {
 				holders++
 			} else if v.work[b].After(w.now) {
