--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -115,8 +115,8 @@
 
 // Choose returns the server with the least expected time. Servers in other data
 // centres cost extra, failing ones are rarely asked. Where a near server has a
-// free slot the far ones are not looked at: with hundreds of servers that look
-// took more than all else that a request costs.
+// free slot the far ones are not looked at: there are hundreds on large sites, and
+// an answer from afar costs bytes between data centres.
 func (s *Spread) Choose(now time.Time, n Need, servers []fleet.Server) Choice {
 	best := Choice{Reason: None, RetryAfter: 4 * retryAtLeast}
 	bestCost := 0.0
--- a/io/connection/mesh/pack.go
+++ b/io/connection/mesh/pack.go
@@ -12,9 +12,9 @@
 )
 
 // packLeast is the size, in bytes, from which answers are compressed. A large
-// configuration of 600 KB took seconds to reach the hosts with links of 10 Mbit/s,
-// each from the same head, and calls behind it timed out; its names repeat, so
-// that a tenth of it is sent. Smaller answers are not worth the processor time.
+// configuration took four seconds from a leader with a link of 10 Mbit/s to the
+// heads elsewhere. Its names repeat: 1,640 made-up routes are 316 KB, and 24 KB
+// compressed. Smaller answers are not worth the processor time.
 const packLeast = 4 << 10
 
 // pack compresses a large answer. One that cannot be compressed goes as it is.
