--- a/core/process/crew/head.go
+++ b/core/process/crew/head.go
@@ -10,8 +10,9 @@
 	// headsOfPlace is how many daemons of a data centre speak for it. Every other
 	// one tells them what it knows and asks them for the rest, so that a data
 	// centre of n daemons has 2n talks in a round in place of n*n: with 91 daemons
-	// all pairs took more of the small hosts than requests did. Two, so that the
-	// loss of one is not noticed.
+	// and all pairs a calm day took 218 processor seconds, with heads 110 (finer
+	// keys and tables as changes among that). Two, so that the loss of one is not
+	// noticed.
 	headsOfPlace = 2
 	// paceLeast is the shortest pause between two rounds of words, and paceEach
 	// what each daemon of the data centre adds to it: a head hears about 40 words a
