Servers' own word of their pace decides where work goes

Cause: a server reports with each answer how long work takes there now, over the usual time. The router read the first three figures of that report only and learned each server's speed from the time of answers, mixed with waiting and with what else ran on its host.

Change: the lasting pace is the mean of what the server says; its last word counts beside it and fades within 200 ms. What a kind of request takes is learned at the pace that the server told.

--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -68,6 +68,9 @@
 	Running, Waiting, Slots int
 	// Bytes is the size of the answer's body.
 	Bytes int
+	// Pace is how long work takes at the server now, over the time at one of usual
+	// speed; 0 where it does not say.
+	Pace float64
 }
 
 type kind struct {
@@ -83,6 +86,7 @@
 	at       time.Time
 	factor   float64 // its time over the usual one
 	answers  int     // that the factor was learnt from
+	tempo    tempo
 	failing  float64
 	pause    time.Time
 	cold     bucket
@@ -226,6 +230,10 @@
 	if r != nil {
 		st.reported = max(0, float64(r.Running+r.Waiting-st.own-1))
 		st.at = now
+		if r.Pace > 0 {
+			st.tempo.told(now, r.Pace)
+			st.factor = st.tempo.lasting
+		}
 	}
 	switch o {
 	case Answered:
@@ -355,6 +363,9 @@
 // could be learnt from.
 func (s *Spread) factorOf(now time.Time, st *state, usual float64) float64 {
 	f := st.factor
+	if st.tempo.known() {
+		f = st.tempo.expected(now)
+	}
 	if len(st.running) > 0 && usual > 0 {
 		f = max(f, now.Sub(st.running[0]).Seconds()/usual/2)
 	}
@@ -371,12 +382,19 @@
 	}
 	k := s.kind(n)
 	t := took.Seconds()
-	st.factor += learn * (t/k.usual - st.factor)
-	st.factor = max(fastest, min(slowest, st.factor))
+	factor := 0.0
+	if r != nil {
+		factor = r.Pace
+	}
+	if factor <= 0 {
+		st.factor += learn * (t/k.usual - st.factor)
+		st.factor = max(fastest, min(slowest, st.factor))
+		factor = st.factor
+	}
 	st.answers = min(st.answers+1, paceMemory)
 	k.known++
 	weight := max(learn/4, 1/float64(k.known+1))
-	k.usual += weight * (t/st.factor - k.usual)
+	k.usual += weight * (t/factor - k.usual)
 	k.usual = max(0.001, k.usual)
 }
 
--- /dev/null
+++ b/core/request/spread/tempo.go
@@ -0,0 +1,41 @@
+package spread
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// spellFades is how fast a server's word of its present pace loses its weight:
+	// what its neighbours on the same host do changes a few times a second.
+	spellFades = 200 * time.Millisecond
+	// tempoLearn is the least weight of one word in the lasting pace.
+	tempoLearn = 0.05
+)
+
+// tempo is how long work takes at a server, over the time at one of usual speed,
+// by the server's own word: what can be expected in the long run, and what it
+// said last. A server that shares its host is slow by spells, and one that has
+// just said so is best left alone for a moment.
+type tempo struct {
+	lasting float64
+	last    float64
+	at      time.Time
+	words   int
+}
+
+// known tells whether the server ever said how fast it is.
+func (t *tempo) known() bool { return t.words > 0 }
+
+// told takes in the server's word.
+func (t *tempo) told(now time.Time, pace float64) {
+	t.words++
+	t.lasting += max(tempoLearn, 1/float64(t.words)) * (pace - t.lasting)
+	t.last, t.at = pace, now
+}
+
+// expected is the pace of work that begins now.
+func (t *tempo) expected(now time.Time) float64 {
+	fresh := math.Exp(-float64(now.Sub(t.at)) / float64(spellFades))
+	return t.lasting + fresh*(t.last-t.lasting)
+}
--- /dev/null
+++ b/core/request/spread/tempo_test.go
@@ -0,0 +1,65 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// told plays an answered request after which the server says how fast it is now.
+func told(s *Spread, now time.Time, i int, took time.Duration, pace float64) {
+	v, n := servers(i + 1)[i], need(now)
+	s.Begin(now, v, n)
+	s.End(now.Add(took), v, n, now, Answered, &Report{Slots: 4, Pace: pace})
+}
+
+// Servers share their hosts with others and are three times slower for a fifth of
+// a second at a time. A caller whose request is sent to one that has just said so
+// waits three times as long, while the one beside it is idle. A moment later the
+// word says nothing any more, and work is spread as before.
+func TestSpellsOfSlowness(t *testing.T) {
+	start := func() (*Spread, time.Time) {
+		s, now := fresh(), t0
+		for range 20 {
+			for i := range 2 {
+				told(s, now, i, 100*time.Millisecond, 1)
+			}
+			now = now.Add(time.Second)
+		}
+		told(s, now, 0, 100*time.Millisecond, 3)
+		return s, now.Add(100 * time.Millisecond)
+	}
+	first := func(s *Spread, now time.Time) (n int) {
+		for range 100 {
+			if s.Choose(now, need(now), servers(2)).Server.ID == "s0" {
+				n++
+			}
+		}
+		return n
+	}
+	Convey("A server that has just said that it is slow is left alone", t, func() {
+		s, now := start()
+		So(first(s, now), ShouldEqual, 0)
+	})
+	Convey("Two seconds later it is expected to be about as fast as the other", t, func() {
+		s, now := start()
+		now = now.Add(2 * time.Second)
+		spell, other := s.Judge(now, need(now), servers(2)[0]).Expected, s.Judge(now, need(now), servers(2)[1]).Expected
+		So(float64(spell), ShouldBeBetween, 0.9*float64(other), 1.15*float64(other))
+	})
+}
+
+// Keys of one kind of request are held by slow servers only. What the request
+// takes at a server of usual speed must not be learned from them as if they were
+// usual, or a fast server looks as slow as they are.
+func TestUsualTimeIsThatOfAUsualServer(t *testing.T) {
+	Convey("The server's own pace tells work from slowness", t, func() {
+		s, now := fresh(), t0
+		for range 100 {
+			told(s, now, 0, 150*time.Millisecond, 1.5)
+			now = now.Add(time.Second)
+		}
+		So(s.Usual(need(now)), ShouldAlmostEqual, 100*time.Millisecond, 5*time.Millisecond)
+	})
+}
--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -63,6 +63,9 @@
 	Running, Waiting, Slots int
 	// Bytes is the size of the answer's body.
 	Bytes int
+	// Pace is how long work takes at the server now, over the usual time; 0 where
+	// it does not say.
+	Pace float64
 }
 
 // Do writes a request once and reads its whole answer. The context's end closes
@@ -215,7 +218,8 @@
 	_ = c.Close()
 }
 
-// parseLoad reads running, waiting and slots; nil when there is no such report.
+// parseLoad reads running, waiting and slots, and the pace in percent where the
+// server adds it; nil when there is no such report.
 func parseLoad(s string) *Load {
 	parts := strings.Split(s, ",")
 	if len(parts) < 3 {
@@ -229,7 +233,13 @@
 		}
 		n[i] = v
 	}
-	return &Load{Running: n[0], Waiting: n[1], Slots: n[2]}
+	l := &Load{Running: n[0], Waiting: n[1], Slots: n[2]}
+	if len(parts) > len(n) {
+		if pace, err := strconv.ParseFloat(strings.TrimSpace(parts[len(n)]), 64); err == nil && pace > 0 {
+			l.Pace = pace / 100
+		}
+	}
+	return l
 }
 
 func keepAliveTimeout(s string) (time.Duration, bool) {
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -206,7 +206,7 @@
 	if a == nil || a.Load == nil {
 		return nil
 	}
-	return &spread.Report{Running: a.Load.Running, Waiting: a.Load.Waiting, Slots: a.Load.Slots, Bytes: a.Load.Bytes}
+	return &spread.Report{Running: a.Load.Running, Waiting: a.Load.Waiting, Slots: a.Load.Slots, Bytes: a.Load.Bytes, Pace: a.Load.Pace}
 }
 
 func outcome(ctx context.Context, a *link.Answer, err error) spread.Outcome {
