Keys move by the requests that are lost, within a second of a change

In the first four seconds of traffic 769 lookups were refused by overloaded holders: the lasting rates grew from nought by 8% a second, so that the leader saw a fraction of the load. Servers of one service differ by three times in speed and were filled to the same share of their slots, at which the slow ones answer a fifth late.

Change: core/process/queue estimates what a server loses at a rate (slots, pace, aim, refusal, cold limit); the keeper makes the move that saves most requests for as long as a load lasts, less those refused meanwhile, and may move one hot bucket out of a range's middle. core/process/rate (out of io) averages the first windows alike; windows and rounds last half a second.

Tests: TestManyServersAreEvenedOut keeps its bound, counts as the leader does (its own smoothing is gone), and must lose fewer requests than if all were as busy.

--- /dev/null
+++ b/core/process/keeper/balance.go
@@ -0,0 +1,249 @@
+package keeper
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"catkinstep/core/process/queue"
+	"catkinstep/core/version/fleet"
+	"catkinstep/core/version/grant"
+)
+
+// scale weighs the servers of one service by the requests that they are expected
+// not to answer within their aim.
+type scale struct {
+	share  *share
+	loads  map[grant.Holder]float64
+	queues map[string]queue.Server // by server
+}
+
+func (k *Keeper) scaleOf(s *share) scale {
+	return scale{share: s, loads: k.loads(s), queues: map[string]queue.Server{}}
+}
+
+// lost is how many requests a second a server loses if its load changes by so
+// many slots.
+func (sc scale) lost(v fleet.Server, change float64) float64 {
+	q, ok := sc.queues[v.ID]
+	if !ok {
+		q = sc.share.queueOf(v)
+		sc.queues[v.ID] = q
+	}
+	return q.Lost(sc.share.rate(max(0, sc.loads[holder(v)]+change)))
+}
+
+// rate is how many requests a second keep so many slots of usual speed busy.
+func (s *share) rate(load float64) float64 {
+	if s.each <= 0 {
+		return 0 // no request was counted yet
+	}
+	return load / s.each
+}
+
+// queueOf is a server as package queue sees it.
+func (s *share) queueOf(v fleet.Server) queue.Server {
+	most := 0.0
+	if v.Cold > 0 {
+		most = s.coldRate
+	}
+	return queue.New(v.Slots, s.each*s.factor(v), s.aim.Seconds(), most)
+}
+
+// factor is how slow a server is; 1 where that is not known.
+func (s *share) factor(v fleet.Server) float64 {
+	if f := s.factors[v.ID]; f > 0 {
+		return f
+	}
+	return 1
+}
+
+// roomiest is the fitting server that loses least by a range.
+func (k *Keeper) roomiest(s *share, sp *span) (grant.Holder, bool) {
+	sc, load := k.scaleOf(s), k.load(s, sp.From, sp.To)
+	best, least, found := fleet.Server{}, 0.0, false
+	for _, v := range k.fitting(s.service) {
+		if holder(v) == sp.Holder {
+			continue
+		}
+		more := sc.lost(v, load) - sc.lost(v, 0)
+		if !found || more < least-sameLoss || more < least+sameLoss && s.busy(sc.loads, v) < s.busy(sc.loads, best) {
+			best, least, found = v, more, true
+		}
+	}
+	return holder(best), found
+}
+
+// power is how many slots of usual speed a server has.
+func (s *share) power(v fleet.Server) float64 { return float64(max(1, v.Slots)) / s.factor(v) }
+
+// busy is the share of a server's slots that its keys keep busy.
+func (s *share) busy(loads map[grant.Holder]float64, v fleet.Server) float64 {
+	return loads[holder(v)] / s.power(v)
+}
+
+// balance moves pieces to where fewer of their requests are lost, a few at a time:
+// keys that became hot to a fast server of their own, other keys away from it, and
+// from slow servers so much that they still answer in time. A server without keys
+// gets some too. Servers that take part in a move already are left out until it
+// has ended.
+func (k *Keeper) balance(now time.Time, s *share) {
+	if k.keep || now.Sub(s.balanced) < balanceEvery {
+		return
+	}
+	s.balanced = now
+	k.join(now, s)
+	fit := k.fitting(s.service)
+	most := max(movesAtOnce, len(fit)/serversAMove)
+	furnish := now.Sub(s.furnished) >= furnishEvery
+	if furnish {
+		s.furnished = now
+	}
+	for n := k.moving(s); n < most; n++ {
+		settled := k.settledOf(s, fit)
+		if furnish && k.furnish(s, settled) {
+			continue
+		}
+		if !k.relieve(s, settled) {
+			return
+		}
+	}
+}
+
+// join makes one range of neighbours that one server holds: each costs a renewal
+// of its own, and moves for balance leave many.
+func (k *Keeper) join(now time.Time, s *share) {
+	out := s.spans[:1]
+	for _, sp := range s.spans[1:] {
+		last := out[len(out)-1]
+		if !last.calm() || !sp.calm() || last.Holder != sp.Holder || last.handover != "" || sp.handover != "" {
+			out = append(out, sp)
+			continue
+		}
+		last.To, last.until = sp.To, later(last.until, sp.until)
+		last.Fence, last.renewal, last.due = k.mint(), false, now
+		k.lazy, k.visible = true, true
+	}
+	clear(s.spans[len(out):])
+	s.spans = out
+}
+
+// calm tells whether nothing happens to a range.
+func (sp *span) calm() bool { return sp.step == held && !sp.busy && !sp.Pending }
+
+// settledOf leaves out servers that a move takes keys from or to.
+func (k *Keeper) settledOf(s *share, fit []fleet.Server) []fleet.Server {
+	moved := map[grant.Holder]bool{}
+	for _, sp := range s.spans {
+		if sp.step != held {
+			moved[sp.Holder], moved[sp.Next] = true, true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(fit), func(v fleet.Server) bool { return moved[holder(v)] })
+}
+
+// relieve makes the one move that helps most.
+func (k *Keeper) relieve(s *share, fit []fleet.Server) bool {
+	if len(fit) < 2 {
+		return false
+	}
+	sc := k.scaleOf(s)
+	if s.each <= 0 {
+		return false
+	}
+	best := noPiece
+	to := sc.leastBurdened(fit)
+	for _, from := range sc.mostLosing(fit) {
+		if sc.lost(from, 0)*loadLasts.Seconds() <= moveCosts {
+			break // no move could save enough there, nor at the rest
+		}
+		for _, p := range k.pieces(s, from, sc.loads[holder(from)]) {
+			best = sc.bestTarget(from, to, p, best)
+		}
+	}
+	if best.at < 0 {
+		return false
+	}
+	k.move(s, s.split(best), holder(best.target), "balance")
+	return true
+}
+
+// bestTarget returns a piece with the server that it helps most to move it to, or
+// the best one so far.
+func (sc scale) bestTarget(from fleet.Server, to []fleet.Server, p, best piece) piece {
+	saved := sc.lost(from, 0) - sc.lost(from, -p.load)
+	for _, v := range to {
+		if v.ID == from.ID {
+			continue
+		}
+		p.target, p.worth = v, sc.share.worth(saved-(sc.lost(v, p.load)-sc.lost(v, 0)), p)
+		if p.worth > best.worth {
+			best = p
+		}
+	}
+	return best
+}
+
+// worth is how many requests a move saves while loads stay as they are, less those
+// that are refused while the keys are on their way.
+func (s *share) worth(saved float64, p piece) float64 {
+	return saved*loadLasts.Seconds() - s.rate(p.load)*moveTakes.Seconds() - moveCosts
+}
+
+// mostLosing lists the servers that lose most.
+func (sc scale) mostLosing(fit []fleet.Server) []fleet.Server {
+	return firstBy(fit, func(v fleet.Server) float64 { return -sc.lost(v, 0) })
+}
+
+// leastBurdened lists the servers that lose least by a share of the load more.
+func (sc scale) leastBurdened(fit []fleet.Server) []fleet.Server {
+	total := 0.0
+	for _, v := range fit {
+		total += sc.loads[holder(v)]
+	}
+	part := total / float64(4*len(fit))
+	return firstBy(fit, func(v fleet.Server) float64 { return sc.lost(v, part) - sc.lost(v, 0) })
+}
+
+// firstBy lists the few servers with the least value, ties in order.
+func firstBy(fit []fleet.Server, value func(fleet.Server) float64) []fleet.Server {
+	type valued struct {
+		fleet.Server
+		value float64
+	}
+	all := make([]valued, 0, len(fit))
+	for _, v := range fit {
+		all = append(all, valued{v, value(v)})
+	}
+	slices.SortStableFunc(all, func(a, b valued) int { return cmp.Compare(a.value, b.value) })
+	out := make([]fleet.Server, 0, candidates)
+	for _, v := range all[:min(candidates, len(all))] {
+		out = append(out, v.Server)
+	}
+	return out
+}
+
+// furnish gives a server without keys the piece after which the busier of the two
+// servers is least busy, from the busiest one.
+func (k *Keeper) furnish(s *share, fit []fleet.Server) bool {
+	sc := k.scaleOf(s)
+	bare := slices.IndexFunc(fit, func(v fleet.Server) bool { return sc.loads[holder(v)] == 0 })
+	if len(fit) < 2 || bare < 0 {
+		return false
+	}
+	to := fit[bare]
+	from := slices.MaxFunc(fit, func(a, b fleet.Server) int { return cmp.Compare(s.busy(sc.loads, a), s.busy(sc.loads, b)) })
+	have := sc.loads[holder(from)]
+	best := noPiece
+	best.worth = -have / s.power(from)
+	for _, p := range k.pieces(s, from, have) {
+		if p.worth = -max((have-p.load)/s.power(from), p.load/s.power(to)); p.worth > best.worth {
+			best = p
+		}
+	}
+	if best.at < 0 {
+		return false
+	}
+	k.move(s, s.split(best), holder(to), "server without keys")
+	return true
+}
--- a/core/process/keeper/load_test.go
+++ b/core/process/keeper/load_test.go
@@ -9,6 +9,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"catkinstep/core/process/queue"
+	"catkinstep/core/process/rate"
 	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/grant"
 )
@@ -19,21 +21,21 @@
 	random *rand.Rand
 	rates  [Buckets]float64 // requests a second
 	work   float64          // slot seconds of a request at a server of usual speed
-	slow   [Buckets]float64 // as the leader smooths its counts
+	meter  *rate.Meter
 	speeds map[string]float64
 	slots  float64
 }
 
 // newLoad spreads requests over the keys with a skew, neighbours alike.
-func newLoad(servers int, rate, work, skew float64) (*load, []fleet.Server) {
-	l := &load{random: rand.New(rand.NewPCG(3, 9)), work: work, speeds: map[string]float64{}, slots: 4}
+func newLoad(servers int, perSecond, work, skew float64) (*load, []fleet.Server) {
+	l := &load{random: rand.New(rand.NewPCG(3, 9)), work: work, meter: rate.New(Buckets), speeds: map[string]float64{}, slots: 4}
 	total, weights := 0.0, [Buckets]float64{}
 	for i := range weights {
 		weights[i] = math.Pow(float64((i*7)%Buckets/16+1), -skew)
 		total += weights[i]
 	}
 	for i := range weights {
-		l.rates[i] = rate * weights[i] / total
+		l.rates[i] = perSecond * weights[i] / total
 	}
 	var list []fleet.Server
 	for i := range servers {
@@ -44,20 +46,31 @@
 	return l, list
 }
 
-// second counts one second of requests.
-func (l *load) second() LoadMsg {
-	m := LoadMsg{Service: oneService, Work: make([]float64, Buckets), Factors: map[string]float64{}}
+// count plays some time of requests, and returns what the leader makes of them.
+func (l *load) count(now time.Time, d time.Duration) LoadMsg {
 	for i, r := range l.rates {
-		n := math.Max(0, r+math.Sqrt(r)*l.random.NormFloat64())
-		l.slow[i] += 0.08 * (n - l.slow[i])
-		m.Work[i] = l.slow[i] * l.work
+		n := chance(l.random, r*d.Seconds())
+		work := time.Duration(float64(n) * l.work * float64(time.Second))
+		l.meter.Add(oneService, i, n, work, aimOverWork*work)
 	}
-	for id, f := range l.speeds {
-		m.Factors[id] = f
+	m := LoadMsg{Service: oneService, Factors: l.speeds}
+	for _, load := range l.meter.Roll(now) {
+		m.Work, m.Each, m.Aim = load.Slots, load.Each.Seconds(), load.Aim
 	}
 	return m
 }
 
+// chance draws how many requests come where so many are expected.
+func chance(r *rand.Rand, expected float64) (n int) {
+	for t := r.ExpFloat64(); t < expected; t += r.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// aimOverWork is how much longer than its work a request may take.
+const aimOverWork = 3
+
 // busiest is the true share of its slots that the busiest server has busy, and
 // mean that of all of them together.
 func (l *load) busiest(t grant.Table) (most, mean float64) {
@@ -78,6 +91,24 @@
 	return most, work / power
 }
 
+// lost is how many requests a second are not answered in time, by the true rates,
+// and even how many if all servers had the same share of their slots busy.
+func (l *load) lost(t grant.Table) (lost, even float64) {
+	_, mean := l.busiest(t)
+	rates := map[string]float64{}
+	for _, r := range t.Shares[0].Ranges {
+		for b := Bucket(r.From); b <= Bucket(r.To); b++ {
+			rates[r.Holder.Server] += l.rates[b]
+		}
+	}
+	for id, f := range l.speeds {
+		q := queue.New(int(l.slots), l.work*f, aimOverWork*l.work, 0)
+		lost += q.Lost(rates[id])
+		even += q.Lost(mean * l.slots / (l.work * f))
+	}
+	return lost, even
+}
+
 // A large service starts with its keys dealt out by their number. Some servers
 // get twice what they can run and refuse half of it, while others idle. A few
 // moves a round, and none while any other key moves, left it so for minutes.
@@ -93,17 +124,77 @@
 			s.k.shares = nil
 			s.fleet(list...)
 			s.tell(OldLeaderMsg{At: s.now})
-			for range v.seconds {
-				s.tell(l.second())
-				s.pass(time.Second, always(grant.Done), always(grant.Done))
-			}
+			l.pass(s, time.Duration(v.seconds)*time.Second)
 			most, mean := l.busiest(s.k.Table())
-			t.Logf("%d servers: the busiest has %.2f of its slots busy, all together %.2f", v.servers, most, mean)
+			lost, even := l.lost(s.k.Table())
+			t.Logf("%d servers: the busiest has %.2f of its slots busy, all together %.2f; %.2f requests a second are lost, %.2f if all were as busy",
+				v.servers, most, mean, lost, even)
 			So(most, ShouldBeLessThan, 1.6*mean)
+			So(lost, ShouldBeLessThan, even)
 		})
 	}
 }
 
+// pass plays requests and lets the leader act on what it counts.
+func (l *load) pass(s *story, d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.tell(l.count(s.now, time.Second/2))
+		s.pass(time.Second/2, always(grant.Done), always(grant.Done))
+	}
+}
+
+// started is a service of 13 servers whose keys have found their places.
+func started(perSecond float64) (*load, []fleet.Server, *story) {
+	l, list := newLoad(13, perSecond, 0.09, 0.37)
+	s := begin(grant.Range{}, WithHold(3500*time.Millisecond))
+	s.k.shares = nil
+	s.fleet(list...)
+	s.tell(OldLeaderMsg{At: s.now})
+	l.pass(s, 15*time.Second)
+	return l, list, s
+}
+
+// Everybody asks for one thing for five seconds. Its holder is one of the slow
+// servers, which can run a third of that, and refuses the rest together with all
+// its other keys. Counts that take seconds to reach the leader and to be believed
+// move the key when nobody asks for it any more.
+func TestHotKeyGetsAFastServer(t *testing.T) {
+	Convey("Within two seconds a fast server has it, and hardly anything else is lost", t, func() {
+		l, _, s := started(200)
+		hot := 0
+		for b := range Buckets {
+			if g, _ := s.k.Table().Owner(oneService, b*bucketKeys); l.speeds[g.Holder.Server] == 1.4 {
+				hot = b
+			}
+		}
+		l.rates[hot] = 65
+		stays, _ := l.lost(s.k.Table())
+		l.pass(s, 2*time.Second)
+		g, _ := s.k.Table().Owner(oneService, hot*bucketKeys)
+		So(l.speeds[g.Holder.Server], ShouldEqual, 0.6)
+		lost, _ := l.lost(s.k.Table())
+		t.Logf("%.1f requests a second would be lost where the key was, %.1f are", stays, lost)
+		So(lost, ShouldBeLessThan, stays/2)
+	})
+}
+
+// Half of the servers are gone at once and the rest can hardly bear the load.
+// Where a key more is thought to cost least at a server that is overloaded anyhow,
+// all of the lost servers' keys are given to one, whose callers are all refused.
+func TestKeysOfLostServersAreShared(t *testing.T) {
+	Convey("No server gets much more than the others", t, func() {
+		l, list, s := started(250)
+		for _, v := range list[7:] {
+			delete(l.speeds, v.ID)
+		}
+		s.fleet(list[:7]...)
+		s.pass(10*time.Second, always(grant.Done), always(grant.Done))
+		most, mean := l.busiest(s.k.Table())
+		t.Logf("the busiest has %.2f of its slots busy, all together %.2f", most, mean)
+		So(most, ShouldBeLessThan, 1.6*mean)
+	})
+}
+
 // Two neighbouring ranges have one holder, and a renewal of one of them is still
 // on its way. Were they made one range now, nobody would wait for that call any
 // more: the server could hold those keys from it for longer than the leader
@@ -130,7 +221,7 @@
 	})
 	Convey("A range on its way to another server stays apart", t, func() {
 		s := start()
-		s.pass(500*time.Millisecond, always(grant.Done), always(grant.Done))
+		s.pass(balanceEvery/2, always(grant.Done), always(grant.Done))
 		s.k.shares[0].spans[0].step = releasing
 		s.k.balanceNow(s.now)
 		So(ranges(s), ShouldEqual, 2)
--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -32,6 +32,12 @@
 	Work []float64
 	// Factors are servers' times over the usual ones, by id; 1 where unknown.
 	Factors map[string]float64
+	// Each is what one request takes at a server of usual speed, in seconds.
+	Each float64
+	// Aim is within what time requests should be answered.
+	Aim time.Duration
+	// ColdRate is how many requests a second a cold server bears.
+	ColdRate float64
 }
 
 // GrantedMsg is the end of a GrantCmd.
--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -16,7 +16,7 @@
 	if reason == "" {
 		return
 	}
-	to, ok := k.roomiest(s, sp.Holder)
+	to, ok := k.roomiest(s, sp)
 	if !ok {
 		return
 	}
@@ -104,16 +104,15 @@
 	if sp.Holder.Server == "" {
 		return
 	}
-	switch {
-	case sp.step == releasing:
+	if sp.step == releasing {
 		sp.busy = true
 		k.cmds = append(k.cmds, ReleaseCmd{Service: s.service, Holder: sp.Holder, Before: now.Add(sendWithin),
 			Call: grant.Call{Address: sp.Holder.Address, From: sp.From, To: sp.To, Fence: k.mint()}})
-	default:
-		sp.busy = true
-		k.cmds = append(k.cmds, GrantCmd{Renewal: sp.renewal, Service: s.service, Holder: sp.Holder, Before: now.Add(sendWithin),
-			Call: grant.Call{Address: sp.Holder.Address, From: sp.From, To: sp.To, Fence: sp.Fence, Hold: k.hold, Handover: sp.handover}})
+		return
 	}
+	sp.busy = true
+	k.cmds = append(k.cmds, GrantCmd{Renewal: sp.renewal, Service: s.service, Holder: sp.Holder, Before: now.Add(sendWithin),
+		Call: grant.Call{Address: sp.Holder.Address, From: sp.From, To: sp.To, Fence: sp.Fence, Hold: k.hold, Handover: sp.handover}})
 }
 
 // free tells whether the holder can no longer run anything on the range.
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -43,8 +43,25 @@
 	// rereadAfter paces reads after a save or read without an answer.
 	rereadAfter = 400 * time.Millisecond
 	// balanceEvery is the pause between two rounds of moves for balance of one
-	// service: the counts that they are decided by are a second old.
-	balanceEvery = 1500 * time.Millisecond
+	// service: the counts that they are decided by change as often.
+	balanceEvery = 500 * time.Millisecond
+	// furnishEvery is the pause between two rounds in which servers without keys get
+	// some: that can wait for a loss that is in sight.
+	furnishEvery = 1500 * time.Millisecond
+	// loadLasts is how long a load is taken to stay as it was counted: a key is hot
+	// for a few seconds, and one of them has passed when that is known.
+	loadLasts = 8 * time.Second
+	// moveTakes is how long requests are refused while their keys move: until the
+	// work that runs on them has ended.
+	moveTakes = 200 * time.Millisecond
+	// moveCosts is what a move must save at least, in requests.
+	moveCosts = 1.0
+	// candidates is how many servers are weighed on either side of a move.
+	candidates = 4
+	// hotShare is the part of a server's load from which a bucket may leave alone.
+	hotShare = 0.05
+	// sameLoss is the difference in lost requests a second that says nothing.
+	sameLoss = 0.05
 	// quietFor is how long a server that did not answer a call gets no further keys:
 	// one that died while its entry stays listed would else get some back at once,
 	// and each try costs their callers a whole hold.
@@ -58,14 +75,6 @@
 	// publishEvery is the shortest pause between two tables that are told to all
 	// daemons: many moves at once would send one for each step of each.
 	publishEvery = 50 * time.Millisecond
-	// busyEnough is the share of its slots that a server must have busy before
-	// keys move for balance: with three or four slots, requests hardly wait below.
-	busyEnough = 0.45
-	// unevenness is how far above the mean a server must be, and improvement how
-	// much a move must lower the busier of the two: less does not pay for the
-	// requests that are refused during the move.
-	unevenness  = 1.2
-	improvement = 0.9
 	// Buckets is the number of stretches of equal length that loads are counted in:
 	// ten for each of 200 servers, so that keys can be dealt out evenly among them.
 	Buckets = 2048
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -394,8 +394,7 @@
 	defer r.mu.Unlock()
 	for _, x := range heat {
 		k := heatKey{service: x.Service, bucket: x.Bucket}
-		n := r.heat[k]
-		r.heat[k] = heatCount{requests: n.requests + x.Requests, work: n.work + time.Duration(x.WorkMillis)*time.Millisecond}
+		r.heat[k] = r.heat[k].with(x.Requests, millis(x.WorkMillis), millis(x.AimMillis))
 	}
 }
 
@@ -406,7 +405,8 @@
 	defer r.mu.Unlock()
 	var heat []*wire.Heat
 	for k, n := range r.heat {
-		heat = append(heat, &wire.Heat{Service: k.service, Bucket: k.bucket, Requests: n.requests, WorkMillis: uint32(n.work.Milliseconds())})
+		heat = append(heat, &wire.Heat{Service: k.service, Bucket: k.bucket, Requests: n.requests,
+			WorkMillis: uint32(n.work.Milliseconds()), AimMillis: uint32(n.aim.Milliseconds())})
 	}
 	clear(r.heat)
 	keyed := map[string]bool{}
--- a/io/process/router/heats.go
+++ b/io/process/router/heats.go
@@ -1,38 +1,23 @@
 package router
 
 import (
-	"math"
 	"time"
 
 	"catkinstep/core/connection/wire"
 	"catkinstep/core/process/keeper"
+	"catkinstep/core/process/rate"
+	"catkinstep/core/version/config"
 )
 
-const (
-	// heatSlow is the weight of the newest second in the lasting rates: with two
-	// requests a second at a server, less than ten seconds are mostly chance.
-	heatSlow = 0.08
-	// heatFew is how many deviations the last seconds must differ by before they
-	// count for more than the lasting rate: hot keys come within a second.
-	heatFew = 2.0
-	// paceTrust is the weight of the guess that a server is as fast as others, in
-	// answers.
-	paceTrust = 4.0
-)
+// paceTrust is the weight of the guess that a server is as fast as others, in
+// answers.
+const paceTrust = 4.0
 
-// heats are the leader's counts of requests for keys, over all daemons.
+// heats are the leader's counts of requests for keys, over all daemons, and what
+// they found of the servers.
 type heats struct {
-	services map[string]*heat
-	paces    map[string]map[string]pace // by daemon and server
-	since    time.Time
-}
-
-// heat is one service's counts, by bucket.
-type heat struct {
-	now, last []float64 // requests in this window and in the one before
-	slow      []float64 // requests a second
-	work      float64   // slot seconds of all requests
-	requests  float64
+	meter *rate.Meter
+	paces map[string]map[string]pace // by daemon and server
 }
 
 // pace sums up findings of how slow a server is: the factors, each weighted by
@@ -44,13 +29,13 @@
 }
 
 func newHeats() *heats {
-	return &heats{services: map[string]*heat{}, paces: map[string]map[string]pace{}}
+	return &heats{meter: rate.New(keeper.Buckets), paces: map[string]map[string]pace{}}
 }
 
 // add takes in what a daemon counted.
 func (h *heats) add(daemon string, hail *wire.Hail) {
 	for _, x := range hail.Heat {
-		h.count(x)
+		h.meter.Add(x.Service, int(x.Bucket), int(x.Requests), millis(x.WorkMillis), millis(x.AimMillis))
 	}
 	if len(hail.Paces) == 0 {
 		return
@@ -62,47 +47,16 @@
 	h.paces[daemon] = by
 }
 
-func (h *heats) count(x *wire.Heat) {
-	if x.Bucket >= keeper.Buckets {
-		return
-	}
-	s := h.services[x.Service]
-	if s == nil {
-		s = &heat{now: make([]float64, keeper.Buckets), last: make([]float64, keeper.Buckets), slow: make([]float64, keeper.Buckets)}
-		h.services[x.Service] = s
-	}
-	s.now[x.Bucket] += float64(x.Requests)
-	s.requests += float64(x.Requests)
-	s.work += float64(x.WorkMillis) / 1000
-}
+func millis(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // roll closes a window and returns each service's load.
-func (h *heats) roll(now time.Time) []keeper.LoadMsg {
-	took := now.Sub(h.since).Seconds()
-	first := h.since.IsZero()
-	h.since = now
-	if first || took <= 0 {
-		return nil
-	}
+func (h *heats) roll(now time.Time, c config.Config) []keeper.LoadMsg {
 	factors := h.factors()
 	var out []keeper.LoadMsg
-	for name, s := range h.services {
-		out = append(out, keeper.LoadMsg{Service: name, Work: s.roll(took), Factors: factors})
-	}
-	return out
-}
-
-// roll returns the slots that each bucket keeps busy.
-func (s *heat) roll(took float64) []float64 {
-	mean := s.work / max(1, s.requests)
-	out := make([]float64, len(s.now))
-	for i, n := range s.now {
-		s.slow[i] += heatSlow * (n/took - s.slow[i])
-		recent := n + s.last[i]
-		spread := heatFew * math.Sqrt(recent)
-		least, most := (recent-spread)/(2*took), (recent+spread+heatFew)/(2*took)
-		out[i] = mean * max(least, min(most, s.slow[i]))
-		s.last[i], s.now[i] = n, 0
+	for _, l := range h.meter.Roll(now) {
+		service, _ := c.Service(l.Service)
+		out = append(out, keeper.LoadMsg{Service: l.Service, Work: l.Slots, Each: l.Each.Seconds(), Aim: l.Aim,
+			Factors: factors, ColdRate: service.ColdRate})
 	}
 	return out
 }
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -67,8 +67,8 @@
 	if c.keeper != nil && c.crew.GaveWay(c.before, c.keeper.Table().Epoch) {
 		c.keep(now, keeper.OldLeaderMsg{At: now})
 	}
-	if now.Sub(c.heats.since) >= heatEvery {
-		for _, l := range c.heats.roll(now) {
+	if now.Sub(c.heats.meter.Since()) >= heatEvery {
+		for _, l := range c.heats.roll(now, c.r.current.Load().config) {
 			c.keep(now, l)
 		}
 	}
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -53,8 +53,9 @@
 	// three of the servers' heartbeats. Other daemons stand in for a reader that
 	// alone is refused before that, so a gap this long is the store's.
 	outageLeast = 2500 * time.Millisecond
-	// heatEvery paces the counts of keys that go to the leader.
-	heatEvery = time.Second
+	// heatEvery paces the counts of keys that go to the leader: a key is hot for a
+	// few seconds.
+	heatEvery = 500 * time.Millisecond
 	// lingerAfter is how long after the stop began new connections are taken:
 	// the balancer needs two misses, a second apart.
 	lingerAfter = 2800 * time.Millisecond
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -69,10 +69,16 @@
 	bucket  uint32
 }
 
-// heatCount is what came for a bucket of keys: how many, and how much work.
+// heatCount is what came for a bucket of keys: how many requests, their work and
+// their aims in all.
 type heatCount struct {
-	requests uint32
-	work     time.Duration
+	requests  uint32
+	work, aim time.Duration
+}
+
+// with adds requests.
+func (h heatCount) with(requests uint32, work, aim time.Duration) heatCount {
+	return heatCount{requests: h.requests + requests, work: h.work + work, aim: h.aim + aim}
 }
 
 // inboxSize bounds the messages that wait for the control loop.
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -352,8 +352,7 @@
 	defer r.mu.Unlock()
 	if o.key >= 0 {
 		k := heatKey{service: o.service.Name, bucket: uint32(keeper.Bucket(o.key))}
-		n := r.heat[k]
-		r.heat[k] = heatCount{requests: n.requests + 1, work: n.work + r.spread.Usual(o.need)}
+		r.heat[k] = r.heat[k].with(1, r.spread.Usual(o.need), o.route.Aim)
 	}
 	b := r.budgets[o.service.Name]
 	if b == nil {
