Refused at once: servers out of reach, idle servers that decline, keys that move

Now one request at a time tries such a server, the others are refused at once.

Callers of a lost server's keys are served a second sooner, but a leader that dies while the store is down loses the keys a second sooner as well.

--- a/core/request/spread/options.go
+++ b/core/request/spread/options.go
@@ -40,6 +40,10 @@
 	trickle = 0.04
 	// refusedPause is how long a server that refuses connections is left alone.
 	refusedPause = 400 * time.Millisecond
+	// silentPause is how long a server to which no connection could be made is left
+	// alone before one request tries again: each try costs its caller the time that
+	// a connection may take.
+	silentPause = 300 * time.Millisecond
 	// retryAtLeast is the shortest wait that a refusal asks for.
 	retryAtLeast = 60 * time.Millisecond
 	// coldMargin is the part of what a cold server bears beyond its rate that the
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -35,6 +35,9 @@
 	Crowded  Reason = "connections"
 	TooLate  Reason = "deadlineTooNear"
 	Sick     Reason = "serverFailing"
+	// Unreached servers did not take the last connection, and the next try of
+	// one is still under way or not due yet.
+	Unreached Reason = "serverUnreachable"
 )
 
 // Choice is a server, or the reason why there is none.
@@ -60,6 +63,7 @@
 	Failed              // an answer of failure, a broken one, or none
 	Shed                // the server did not run it
 	Unreachable         // its address refuses connections
+	Silent              // no connection to it could be made
 	CalledOff           // ended by this daemon; says nothing of the server
 )
 
@@ -89,6 +93,7 @@
 	tempo    tempo
 	failing  float64
 	pause    time.Time
+	silent   bool // no connection could be made since the last answer
 	cold     bucket
 	born     int64
 	coldTill time.Time
@@ -182,8 +187,8 @@
 // objection says why a server should not be asked now, or nothing.
 func (s *Spread) objection(now time.Time, n Need, v fleet.Server, st *state, expected time.Duration, ahead float64) Reason {
 	switch {
-	case now.Before(st.pause):
-		return Sick
+	case now.Before(st.pause), st.silent && st.own > 0:
+		return Unreached
 	case st.own >= s.connections(n.Service):
 		return Crowded
 	case now.Add(expected / 2).After(n.Deadline):
@@ -227,6 +232,9 @@
 	st := s.server(v)
 	st.own--
 	st.running = without(st.running, began)
+	if o == Answered || o == Shed {
+		st.silent = false
+	}
 	if r != nil {
 		st.reported = max(0, float64(r.Running+r.Waiting-st.own-1))
 		st.at = now
@@ -242,12 +250,17 @@
 	case Failed:
 		st.failing += forget * (1 - st.failing)
 	case Shed:
-		st.reported = max(st.reported, float64(v.Slots))
-		st.at = now
+		if r == nil || r.Running >= r.Slots {
+			st.reported = max(st.reported, float64(v.Slots))
+			st.at = now
+		}
 		st.failing += forget / 3 * (1 - st.failing)
 	case Unreachable:
 		st.pause = now.Add(refusedPause)
 		st.coldTill = now.Add(refusedPause + restartDoubt)
+	case Silent:
+		st.silent, st.pause = true, now.Add(silentPause)
+		st.failing += forget * (1 - st.failing)
 	case CalledOff:
 	}
 }
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -137,10 +138,18 @@
 		if !again {
 			return reply
 		}
-		o.need.Tried = append(o.need.Tried, v.ID)
+		if o.key < 0 || a == nil || !declined(a) {
+			o.need.Tried = append(o.need.Tried, v.ID)
+		}
 	}
 }
 
+// declined tells whether a server did not run a request although it says that it
+// has slots free: nothing speaks against asking it again at once.
+func declined(a *link.Answer) bool {
+	return a.NotRun && a.Status != http.StatusMisdirectedRequest && a.Load != nil && a.Load.Running < a.Load.Slots
+}
+
 // choose finds the server for the next attempt.
 func (r *Router) choose(o *order) (fleet.Server, spread.Choice) {
 	s := r.current.Load()
@@ -161,17 +170,23 @@
 // moving is why a request for a key cannot go anywhere now.
 const moving spread.Reason = "keyMoving"
 
+// opensIn is when callers are asked back whose key has no holder now. One that is
+// in the list lets go once its running work has ended; for one that is gone the
+// grant has to run out.
+func opensIn(holderLives bool) time.Duration {
+	if holderLives {
+		return movingRetry
+	}
+	return lostRetry
+}
+
 // owner finds the only server that may run a request with a key.
 func (r *Router) owner(s *snap, o *order, now time.Time) (fleet.Server, spread.Choice) {
 	g, ok := s.table.Owner(o.service.Name, o.key)
 	v, found := s.fleet.Find(g.Holder.Server)
-	if !ok || !g.Open() || !found || v.Born != g.Holder.Born || !s.mayServe(v) {
-		return v, spread.Choice{Reason: moving, RetryAfter: movingRetry}
-	}
-	for _, id := range o.need.Tried {
-		if id == v.ID {
-			return v, spread.Choice{Reason: moving, RetryAfter: movingRetry}
-		}
+	lives := found && v.Born == g.Holder.Born
+	if !ok || !g.Open() || !lives || !s.mayServe(v) || slices.Contains(o.need.Tried, v.ID) {
+		return v, spread.Choice{Reason: moving, RetryAfter: opensIn(lives)}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -213,6 +228,8 @@
 	switch {
 	case err != nil && link.KindOf(err) == link.Refused:
 		return spread.Unreachable
+	case err != nil && link.KindOf(err) == link.NotSent && ctx.Err() == nil:
+		return spread.Silent
 	case err != nil && errors.Is(context.Cause(ctx), context.Canceled):
 		return spread.CalledOff
 	case err != nil:
@@ -244,7 +261,7 @@
 	case !notRun:
 		o.maybeRan = true
 	}
-	if notRun && o.key >= 0 && err == nil {
+	if notRun && o.key >= 0 && err == nil && !declined(a) {
 		return r.giveUp(o, c, reasonNotHeld, movingRetry), false
 	}
 	if r.mayRepeat(ctx, o, notRun) && r.spend(o) {
