report losses: which requests were lost, and to what

Change: an answer after its aim is logged with what the server told beside it: waited, slow server, after a failed attempt, long work. `catkinstep report losses LOG...` counts refused, failed and late requests by cause, route, second, server and part of the keys (core/process/loss, no I/O). A report file is not read yet; nothing the daemons write is missing for that.

--- a/cmd/catkinstep/operator.go
+++ b/cmd/catkinstep/operator.go
@@ -136,7 +136,8 @@
 }
 
 type reportCmd struct {
-	Burn burnCmd `cmd:"" help:"How fast the service levels' error budgets burn, and why."`
+	Burn   burnCmd   `cmd:"" help:"How fast the service levels' error budgets burn, and why."`
+	Losses lossesCmd `cmd:"" help:"Which requests were lost and why, from daemons' logs."`
 }
 
 type burnCmd struct {
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -254,6 +254,8 @@
 		if a.Status < http.StatusInternalServerError || !r.mayRepeat(ctx, o, false) {
 			if a.Status >= http.StatusInternalServerError {
 				r.logAttempt(o, v, c, a, nil, "passed on")
+			} else {
+				r.noteLate(o, c, a)
 			}
 			return r.answer(o, a), false
 		}
