Words of the field: members, gossip, cache; one duration of grants

Cause: a reader met crew, hail, shelf and heir and had to look them up. The duration of grants stood twice; changing the one in core/process/keeper changed nothing, since the router always passed its own.

Change: core/process/crew is core/process/member (Cluster), words between daemons are gossip, what is known of a kind of object is a cache, another life under a name is reborn; messages on the wire as well (generated code). keeper.DefaultHold is the only one.

--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -93,7 +93,7 @@
 // of the stored table, which now is at a revision.
 func New(now time.Time, t grant.Table, revision uint64, opts ...Option) *Keeper {
 	k := &Keeper{
-		hold: defaultHold, right: defaultRight,
+		hold: DefaultHold, right: defaultRight,
 		epoch: t.Epoch, leader: t.Leader, seq: t.Seq, revision: revision,
 		since: now, confirmed: now, ticked: now, saved: now,
 		fleet: fleet.New(nil), ended: map[grant.Holder]bool{}, quiet: map[grant.Holder]time.Time{}, visible: true,
--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -50,10 +50,10 @@
 	return ok && v.Born != h.Born
 }
 
-// heir tells whether another life answers in the name and at the address of one
+// reborn tells whether another life answers in the name and at the address of one
 // that is over. A grant meant for the old life may have reached it: it may hold
 // the range, and has to release it like any holder.
-func (k *Keeper) heir(h grant.Holder) bool {
+func (k *Keeper) reborn(h grant.Holder) bool {
 	v, ok := k.fleet.Find(h.Server)
 	return ok && v.Born != h.Born && v.Address == h.Address && !k.ended[h]
 }
@@ -120,7 +120,7 @@
 	if sp.busy {
 		return false
 	}
-	return sp.until.IsZero() || k.over(sp.Holder) && !k.heir(sp.Holder) || now.After(sp.until)
+	return sp.until.IsZero() || k.over(sp.Holder) && !k.reborn(sp.Holder) || now.After(sp.until)
 }
 
 // passOn makes the next holder the holder, which has yet to confirm.
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// defaultHold is how long a grant lasts. A server that falls silent keeps
+	// DefaultHold is how long a grant lasts. A server that falls silent keeps
 	// its keys from everybody for that long; a leader that is frozen must be
 	// replaced, and its grants renewed, within it. Replacing takes two seconds.
-	defaultHold = 3500 * time.Millisecond
+	DefaultHold = 3500 * time.Millisecond
 	// renewShare is the part of a hold after which it is renewed: three
 	// renewals may be lost before the keys are.
 	renewShare = 4
--- a/core/process/crew/doc.go
+++ b/core/process/member/doc.go
@@ -1,12 +1,12 @@
-// Package crew is what a daemon knows of the other daemons: who lives, who has
+// Package member is what a daemon knows of the other daemons: who lives, who has
 // word from the platform, and so which of them reads the platform for the
 // others and which may take the lead. In each data centre two daemons, the heads,
 // speak for the rest: the others talk to them only, and heads talk to each other.
 //
 // # Usage
 //
-//	c := crew.New(self, now)
-//	c.Heard(now, member, crew.Word{...})
+//	c := member.New(self, now)
+//	c.Heard(now, member, member.Word{...})
 //	if c.Reads(now) { ... }
 //	if c.MayLead(now, leader) { ... }
-package crew
+package member
--- a/core/process/crew/head.go
+++ b/core/process/member/head.go
@@ -1,4 +1,4 @@
-package crew
+package member
 
 import (
 	"cmp"
@@ -9,10 +9,8 @@
 const (
 	// headsOfPlace is how many daemons of a data centre speak for it. Every other
 	// one tells them what it knows and asks them for the rest, so that a data
-	// centre of n daemons has 2n talks in a round in place of n*n: with 91 daemons
-	// and all pairs a calm day took 218 processor seconds, with heads 110 (finer
-	// keys and tables as changes among that). Two, so that the loss of one is not
-	// noticed.
+	// centre of n daemons has 2n talks in a round in place of n*n. Two, so that the
+	// loss of one is not noticed.
 	headsOfPlace = 2
 	// paceLeast is the shortest pause between two rounds of words, and paceEach
 	// what each daemon of the data centre adds to it: a head hears about 40 words a
@@ -28,7 +26,7 @@
 )
 
 // Pace is the pause between two rounds of words within the data centre.
-func (c *Crew) Pace() time.Duration {
+func (c *Cluster) Pace() time.Duration {
 	if c.near == 0 {
 		c.near = 1
 		for _, p := range c.peers {
@@ -41,17 +39,17 @@
 }
 
 // IsHead tells whether this daemon speaks for its data centre.
-func (c *Crew) IsHead(now time.Time) bool {
+func (c *Cluster) IsHead(now time.Time) bool {
 	return slices.ContainsFunc(c.heads(now, c.self.DataCentre), func(m Member) bool { return m.Name == c.self.Name })
 }
 
 // Heads lists the other daemons that speak for this one's data centre.
-func (c *Crew) Heads(now time.Time) []string {
+func (c *Cluster) Heads(now time.Time) []string {
 	return c.addresses(c.heads(now, c.self.DataCentre))
 }
 
 // FarHeads lists the daemons that speak for other data centres.
-func (c *Crew) FarHeads(now time.Time) []string {
+func (c *Cluster) FarHeads(now time.Time) []string {
 	var out []Member
 	for _, place := range c.places() {
 		if place != c.self.DataCentre {
@@ -63,7 +61,7 @@
 
 // LaterHeads lists those of them that come after this daemon by name: each pair
 // talks once, since an answer says as much as a question.
-func (c *Crew) LaterHeads(now time.Time) []string {
+func (c *Cluster) LaterHeads(now time.Time) []string {
 	later := map[string]bool{}
 	for name, p := range c.peers {
 		later[p.Address] = name > c.self.Name
@@ -73,7 +71,7 @@
 
 // Near lists all other daemons of the data centre, the lost ones too, so that
 // they are found again after a cut.
-func (c *Crew) Near(now time.Time) []string {
+func (c *Cluster) Near(now time.Time) []string {
 	c.forget(now)
 	var out []Member
 	for _, p := range c.peers {
@@ -85,7 +83,7 @@
 }
 
 // All lists all other daemons.
-func (c *Crew) All(now time.Time) []string {
+func (c *Cluster) All(now time.Time) []string {
 	c.forget(now)
 	var out []Member
 	for _, p := range c.peers {
@@ -96,7 +94,7 @@
 
 // heads are the strongest daemons of a data centre that are not known to be
 // lost, by name among equals. Strong hosts bear the words of the others best.
-func (c *Crew) heads(now time.Time, place string) []Member {
+func (c *Cluster) heads(now time.Time, place string) []Member {
 	if c.spoken == nil || !c.spokenAt.Equal(now) {
 		c.spoken, c.spokenAt = map[string][]Member{}, now
 	}
@@ -107,7 +105,7 @@
 	return c.spoken[place]
 }
 
-func (c *Crew) findHeads(now time.Time, place string) []Member {
+func (c *Cluster) findHeads(now time.Time, place string) []Member {
 	var all []Member
 	if place == c.self.DataCentre {
 		all = append(all, c.self)
@@ -128,12 +126,12 @@
 
 // isLost tells whether a daemon is known not to answer. One that was never
 // called is not.
-func (c *Crew) isLost(now time.Time, p *peer) bool {
+func (c *Cluster) isLost(now time.Time, p *peer) bool {
 	return p.gone || p.Leaving || !p.missed.IsZero() && now.Sub(p.missed) < missedFor
 }
 
 // forget drops daemons that were neither heard nor found for a while.
-func (c *Crew) forget(now time.Time) {
+func (c *Cluster) forget(now time.Time) {
 	for name, p := range c.peers {
 		if (p.gone || !p.missed.IsZero()) && !p.heard.IsZero() && now.Sub(p.heard) > forgetAfter {
 			delete(c.peers, name)
@@ -142,7 +140,7 @@
 	}
 }
 
-func (c *Crew) places() []string {
+func (c *Cluster) places() []string {
 	var out []string
 	for _, p := range c.peers {
 		if !slices.Contains(out, p.DataCentre) {
@@ -154,7 +152,7 @@
 }
 
 // addresses lists others' addresses, each once and in order.
-func (c *Crew) addresses(members []Member) []string {
+func (c *Cluster) addresses(members []Member) []string {
 	var out []string
 	for _, m := range members {
 		if m.Name != c.self.Name {
--- a/core/process/crew/head_test.go
+++ b/core/process/member/head_test.go
@@ -1,4 +1,4 @@
-package crew
+package member
 
 import (
 	"fmt"
@@ -8,9 +8,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// place makes a crew of daemon "d05" in a data centre of twenty, of which "d11"
+// place makes a cluster of daemon "d05" in a data centre of twenty, of which "d11"
 // and "d07" stand on strong hosts, beside one of three.
-func place() *Crew {
+func place() *Cluster {
 	self := member("d05", "x", 1)
 	c := New(self, t0)
 	for i := range 20 {
--- a/core/process/crew/crew.go
+++ b/core/process/member/member.go
@@ -1,4 +1,4 @@
-package crew
+package member
 
 import (
 	"time"
@@ -15,10 +15,10 @@
 	rankStep = 150 * time.Millisecond
 	// staleAfter is how old a daemon's news of the platform may be before it asks
 	// the platform itself. The leader's watch hears nothing for up to 0.6 s,
-	// pauses for 0.3 s, and its word takes another 0.5 s; at 0.9 s all daemons
-	// read, 1,200 calls in 40 s in place of 300. A leader that alone is refused by
-	// the platform must be stood in for before a leaving server has to be known,
-	// two seconds after its word.
+	// pauses for 0.3 s, and its word takes another 0.5 s; with less than that all
+	// daemons would read. A leader that alone is refused by the platform must be
+	// stood in for before a leaving server has to be known, two seconds after its
+	// word.
 	staleAfter = 1600 * time.Millisecond
 	// outAfter is how long a leader may fail to reach the platform, while others
 	// do, before it gives way.
@@ -60,8 +60,8 @@
 	missed time.Time
 }
 
-// Crew is the state; one goroutine owns it.
-type Crew struct {
+// Cluster is the state; one goroutine owns it.
+type Cluster struct {
 	self   Member
 	since  time.Time
 	stored time.Time
@@ -80,22 +80,22 @@
 	near     int // daemons of the own data centre, this one included; 0 if not counted
 }
 
-// New returns a Crew that has heard of nobody.
-func New(self Member, now time.Time) *Crew {
-	return &Crew{self: self, since: now, peers: map[string]*peer{}}
+// New returns a Cluster that has heard of nobody.
+func New(self Member, now time.Time) *Cluster {
+	return &Cluster{self: self, since: now, peers: map[string]*peer{}}
 }
 
 // Self returns this daemon.
-func (c *Crew) Self() Member { return c.self }
+func (c *Cluster) Self() Member { return c.self }
 
 // Stored notes an answer of the platform to this daemon.
-func (c *Crew) Stored(now time.Time) { c.stored = now }
+func (c *Cluster) Stored(now time.Time) { c.stored = now }
 
 // LastStored is when the platform last answered this daemon.
-func (c *Crew) LastStored() time.Time { return c.stored }
+func (c *Cluster) LastStored() time.Time { return c.stored }
 
 // Met adds a daemon that was only read of. It counts as lost until heard.
-func (c *Crew) Met(m Member) {
+func (c *Cluster) Met(m Member) {
 	if m.Name == c.self.Name {
 		return
 	}
@@ -107,7 +107,7 @@
 }
 
 // Heard takes in a daemon's word.
-func (c *Crew) Heard(now time.Time, m Member, w Word) {
+func (c *Cluster) Heard(now time.Time, m Member, w Word) {
 	if m.Name == c.self.Name {
 		return
 	}
@@ -121,7 +121,7 @@
 // Refused notes that connections to a daemon's address are refused. Its process
 // has ended, or a cut refuses them in its place: reason enough to take the lead
 // at once, but no proof that it has stopped leading.
-func (c *Crew) Refused(address string) {
+func (c *Cluster) Refused(address string) {
 	for _, p := range c.peers {
 		if p.Address == address {
 			p.gone = true
@@ -131,7 +131,7 @@
 }
 
 // Missed notes that a call to a daemon's address got no answer.
-func (c *Crew) Missed(now time.Time, address string) {
+func (c *Cluster) Missed(now time.Time, address string) {
 	for _, p := range c.peers {
 		if p.Address == address {
 			p.missed = now
@@ -141,7 +141,7 @@
 }
 
 // HeardOf takes in another daemon's word of when it heard of a third one.
-func (c *Crew) HeardOf(name string, incarnation uint64, at time.Time) {
+func (c *Cluster) HeardOf(name string, incarnation uint64, at time.Time) {
 	if p := c.peers[name]; p != nil && p.Incarnation == incarnation && at.After(p.heard) {
 		p.heard, p.gone = at, false
 		c.changed()
@@ -149,10 +149,10 @@
 }
 
 // changed makes what was worked out from the peers void.
-func (c *Crew) changed() { c.spoken, c.near = nil, 0 }
+func (c *Cluster) changed() { c.spoken, c.near = nil, 0 }
 
 // HeardAt is when a daemon was last heard, of itself or by others.
-func (c *Crew) HeardAt(name string) time.Time {
+func (c *Cluster) HeardAt(name string) time.Time {
 	if p := c.peers[name]; p != nil {
 		return p.heard
 	}
@@ -160,7 +160,7 @@
 }
 
 // AddressOf finds a daemon by name; "" when it is not known.
-func (c *Crew) AddressOf(name string) string {
+func (c *Cluster) AddressOf(name string) string {
 	if p := c.peers[name]; p != nil {
 		return p.Address
 	}
@@ -169,10 +169,10 @@
 
 // Count is how many daemons there may be, this one included. Lost ones count,
 // since they may still send to servers.
-func (c *Crew) Count() int { return len(c.peers) + 1 }
+func (c *Cluster) Count() int { return len(c.peers) + 1 }
 
 // Place is this daemon's place among all that there may be, by name.
-func (c *Crew) Place() int {
+func (c *Cluster) Place() int {
 	n := 0
 	for name := range c.peers {
 		if name < c.self.Name {
@@ -186,7 +186,7 @@
 // news it has is old, and no other daemon of its data centre would come first.
 // current is when the news was last known to be in force. Daemons that are not
 // heads get their news a round of words later than heads, and wait for that.
-func (c *Crew) Reads(now, current time.Time, leading bool) bool {
+func (c *Cluster) Reads(now, current time.Time, leading bool) bool {
 	wait := staleAfter + time.Duration(c.rank(now, true))*rankStep
 	if !c.IsHead(now) {
 		wait += c.Pace() * memberRounds
@@ -196,7 +196,7 @@
 
 // GivesWay tells whether a leader should let another lead, since the platform
 // answers others and not it.
-func (c *Crew) GivesWay(now time.Time) bool {
+func (c *Cluster) GivesWay(now time.Time) bool {
 	if now.Sub(c.stored) < outAfter {
 		return false
 	}
@@ -210,7 +210,7 @@
 
 // MayLead tells whether this daemon should try to take the lead from a leader.
 // ended says that the leader's life is proven over.
-func (c *Crew) MayLead(now time.Time, l grant.Leader) (try, ended bool) {
+func (c *Cluster) MayLead(now time.Time, l grant.Leader) (try, ended bool) {
 	if c.known != l {
 		c.known, c.knownSince = l, now
 	}
@@ -230,7 +230,7 @@
 }
 
 // missing tells whether a leader is lost, since when, and whether for good.
-func (c *Crew) missing(now time.Time, l grant.Leader) (since time.Time, missing, ended bool) {
+func (c *Cluster) missing(now time.Time, l grant.Leader) (since time.Time, missing, ended bool) {
 	if l.Daemon == "" {
 		return later(c.since, c.stored), true, true
 	}
@@ -255,7 +255,7 @@
 
 // GaveWay tells whether a former leader is known to have ended, or to know of a
 // newer epoch and so to have stopped granting.
-func (c *Crew) GaveWay(l grant.Leader, epoch uint64) bool {
+func (c *Cluster) GaveWay(l grant.Leader, epoch uint64) bool {
 	if l.Daemon == "" || l.Daemon == c.self.Name {
 		return true
 	}
@@ -263,7 +263,7 @@
 	return p != nil && (p.Incarnation > l.Incarnation || p.Incarnation == l.Incarnation && p.Epoch >= epoch)
 }
 
-func (c *Crew) lives(now time.Time, p *peer) bool {
+func (c *Cluster) lives(now time.Time, p *peer) bool {
 	after := silentAfter
 	if p.DataCentre != c.self.DataCentre {
 		after = farSilentAfter
@@ -272,12 +272,12 @@
 }
 
 // leads tells whether a leader's word is fresh; leaders speak twice a second.
-func (c *Crew) leads(now time.Time, p *peer) bool {
+func (c *Cluster) leads(now time.Time, p *peer) bool {
 	return !p.gone && now.Sub(p.heard) < silentAfter
 }
 
 // rank is this daemon's place among the living that could do the same.
-func (c *Crew) rank(now time.Time, near bool) int {
+func (c *Cluster) rank(now time.Time, near bool) int {
 	n := 0
 	for _, p := range c.peers {
 		if near && p.DataCentre != c.self.DataCentre || !c.lives(now, p) || p.Leaving {
--- a/core/process/crew/crew_test.go
+++ b/core/process/member/member_test.go
@@ -1,4 +1,4 @@
-package crew
+package member
 
 import (
 	"testing"
@@ -17,8 +17,8 @@
 	return Member{Name: name, Address: name + ":1", DataCentre: place, Incarnation: life}
 }
 
-// heard makes a crew of daemon "b" that has just heard of "a" and "c".
-func heard() *Crew {
+// heard makes a cluster of daemon "b" that has just heard of "a" and "c".
+func heard() *Cluster {
 	c := New(member("b", "x", 1), t0)
 	c.Stored(at(9.9))
 	c.Heard(at(10), member("a", "x", 1), Word{Stored: at(9.9)})
@@ -27,7 +27,7 @@
 }
 
 func TestMayLead(t *testing.T) {
-	lead := func(c *Crew, now time.Time, l grant.Leader) bool {
+	lead := func(c *Cluster, now time.Time, l grant.Leader) bool {
 		c.Stored(now.Add(-100 * time.Millisecond))
 		try, _ := c.MayLead(now, l)
 		return try
--- a/core/version/news/doc.go
+++ b/core/version/news/doc.go
@@ -5,6 +5,6 @@
 //
 // # Usage
 //
-//	changed := shelf.Merge(delta)
-//	delta := shelf.Since(peerRevision) // for a daemon that knows less
+//	changed := cache.Merge(delta)
+//	delta := cache.Since(peerRevision) // for a daemon that knows less
 package news
--- a/core/version/news/news.go
+++ b/core/version/news/news.go
@@ -42,8 +42,8 @@
 	At time.Time
 }
 
-// Shelf holds the objects of one kind.
-type Shelf struct {
+// Cache holds the objects of one kind.
+type Cache struct {
 	kind    Kind
 	items   map[string]Item
 	seen    map[string]uint64 // the highest revision seen of each, also of unchanged values
@@ -53,28 +53,28 @@
 }
 
 // keepRemoved bounds the remembered removals. A daemon that knows less than
-// the oldest of them gets the whole shelf.
+// the oldest of them gets the whole cache.
 const keepRemoved = 512
 
-// NewShelf returns an empty Shelf.
-func NewShelf(kind Kind) *Shelf {
-	return &Shelf{kind: kind, items: map[string]Item{}, seen: map[string]uint64{}}
+// NewCache returns an empty Cache.
+func NewCache(kind Kind) *Cache {
+	return &Cache{kind: kind, items: map[string]Item{}, seen: map[string]uint64{}}
 }
 
 // Through is the revision up to which every change is known.
-func (s *Shelf) Through() uint64 { return s.through }
+func (s *Cache) Through() uint64 { return s.through }
 
 // At is when that revision was last known to be current; zero means never.
-func (s *Shelf) At() time.Time { return s.at }
+func (s *Cache) At() time.Time { return s.at }
 
 // Get returns a present object.
-func (s *Shelf) Get(name string) (Item, bool) {
+func (s *Cache) Get(name string) (Item, bool) {
 	it, ok := s.items[name]
 	return it, ok && !it.Removed
 }
 
 // List returns the present objects by name.
-func (s *Shelf) List() []Item {
+func (s *Cache) List() []Item {
 	out := make([]Item, 0, len(s.items))
 	for _, it := range s.items {
 		if !it.Removed {
@@ -88,7 +88,7 @@
 // Merge takes in changes and returns the objects that are not what they were.
 // An object whose value did not change keeps its revision, so that it is not
 // passed on again: a server's entry is rewritten every second or two.
-func (s *Shelf) Merge(d Delta) []Item {
+func (s *Cache) Merge(d Delta) []Item {
 	var changed []Item
 	if d.Whole && d.Through >= s.through {
 		changed = s.dropMissing(d)
@@ -117,7 +117,7 @@
 }
 
 // Since returns what a daemon lacks that knows every change through a revision.
-func (s *Shelf) Since(revision uint64) Delta {
+func (s *Cache) Since(revision uint64) Delta {
 	d := Delta{Kind: s.kind, Through: s.through, At: s.at, Whole: revision == 0 || revision < s.forgot}
 	for _, it := range s.items {
 		if d.Whole && !it.Removed || !d.Whole && it.Revision > revision {
@@ -130,7 +130,7 @@
 
 // dropMissing removes what a whole list does not name. What was changed after
 // that list was made stays.
-func (s *Shelf) dropMissing(d Delta) []Item {
+func (s *Cache) dropMissing(d Delta) []Item {
 	named := map[string]bool{}
 	for _, it := range d.Items {
 		named[it.Name] = true
@@ -147,7 +147,7 @@
 	return gone
 }
 
-func (s *Shelf) prune() {
+func (s *Cache) prune() {
 	var removed []Item
 	for _, it := range s.items {
 		if it.Removed {
--- a/core/version/news/news_test.go
+++ b/core/version/news/news_test.go
@@ -15,7 +15,7 @@
 
 func TestMerge(t *testing.T) {
 	Convey("Older news never replaces newer, also of a value that did not change", t, func() {
-		s := NewShelf(Servers)
+		s := NewCache(Servers)
 		s.Merge(Delta{Items: []Item{item("a", 10, "x")}, Through: 10})
 		So(s.Merge(Delta{Items: []Item{item("a", 20, "x")}, Through: 20}), ShouldBeEmpty)
 		So(s.Merge(Delta{Items: []Item{item("a", 15, "old")}, Through: 15}), ShouldBeEmpty)
@@ -24,7 +24,7 @@
 		So(s.Through(), ShouldEqual, 20)
 	})
 	Convey("A whole list removes what it does not name, but not what is newer than it", t, func() {
-		s := NewShelf(Servers)
+		s := NewCache(Servers)
 		s.Merge(Delta{Items: []Item{item("a", 10, "x"), item("b", 11, "y")}, Through: 11})
 		s.Merge(Delta{Items: []Item{item("c", 30, "z")}})
 		changed := s.Merge(Delta{Items: []Item{item("b", 11, "y")}, Through: 20, Whole: true})
@@ -35,7 +35,7 @@
 		So(ok, ShouldBeTrue)
 	})
 	Convey("A removal may bear the revision of the last change, and the object may come again", t, func() {
-		s := NewShelf(Servers)
+		s := NewCache(Servers)
 		s.Merge(Delta{Items: []Item{item("a", 10, "x")}, Through: 10})
 		So(s.Merge(Delta{Items: []Item{{Name: "a", Revision: 10, Removed: true}}, Through: 12}), ShouldHaveLength, 1)
 		So(s.Merge(Delta{Items: []Item{item("a", 13, "x")}, Through: 13}), ShouldHaveLength, 1)
@@ -43,7 +43,7 @@
 		So(ok, ShouldBeTrue)
 	})
 	Convey("News is as old as its source says", t, func() {
-		s, t0 := NewShelf(Servers), time.Unix(100, 0)
+		s, t0 := NewCache(Servers), time.Unix(100, 0)
 		s.Merge(Delta{Through: 5, At: t0})
 		s.Merge(Delta{Through: 4, At: t0.Add(time.Second)})
 		So(s.At(), ShouldEqual, t0)
@@ -55,7 +55,7 @@
 // removals too.
 func TestSinceBringsAPeerUpToDate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		source, peer := NewShelf(Servers), NewShelf(Servers)
+		source, peer := NewCache(Servers), NewCache(Servers)
 		revision := uint64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			revision += rapid.Uint64Range(1, 3).Draw(t, "step")
@@ -73,7 +73,7 @@
 	})
 }
 
-func names(s *Shelf) []string {
+func names(s *Cache) []string {
 	var out []string
 	for _, it := range s.List() {
 		out = append(out, it.Name+"="+string(it.Value))
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -10,8 +10,8 @@
 	"catkinstep/io/process/setup"
 
 	"catkinstep/core/connection/wire"
-	"catkinstep/core/process/crew"
 	"catkinstep/core/process/keeper"
+	"catkinstep/core/process/member"
 	"catkinstep/core/version/config"
 	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/grant"
@@ -28,10 +28,10 @@
 		fromStore bool
 		done      chan struct{}
 	}
-	// hailMsg is another daemon's word; reply, if any, gets this one's.
-	hailMsg struct {
-		hail  *wire.Hail
-		reply chan *wire.Hail
+	// gossipMsg is another daemon's word; reply, if any, gets this one's.
+	gossipMsg struct {
+		gossip *wire.Gossip
+		reply  chan *wire.Gossip
 	}
 	// tableMsg is a published table.
 	tableMsg struct{ table grant.Table }
@@ -63,10 +63,10 @@
 // control is the state that the control loop owns.
 type control struct {
 	r       *Router
-	shelves map[news.Kind]*news.Shelf
+	caches  map[news.Kind]*news.Cache
 	known   map[news.Kind]*atomic.Uint64
 	reads   atomic.Bool
-	crew    *crew.Crew
+	members *member.Cluster
 	keeper  *keeper.Keeper
 	// before is the leader that this daemon took the lead from.
 	before  grant.Leader
@@ -105,12 +105,12 @@
 
 func newControl(r *Router, now time.Time) *control {
 	c := &control{
-		r: r, shelves: map[news.Kind]*news.Shelf{}, known: map[news.Kind]*atomic.Uint64{},
-		crew: crew.New(r.self, now), lapsed: map[string]lapse{},
+		r: r, caches: map[news.Kind]*news.Cache{}, known: map[news.Kind]*atomic.Uint64{},
+		members: member.New(r.self, now), lapsed: map[string]lapse{},
 		servers: map[string]fleet.Server{}, calling: map[string]bool{}, fetching: map[string]bool{}, heated: now, heats: newHeats(), started: now, seeds: r.settings.Seeds,
 	}
 	for _, k := range news.Kinds {
-		c.shelves[k], c.known[k] = news.NewShelf(k), &atomic.Uint64{}
+		c.caches[k], c.known[k] = news.NewCache(k), &atomic.Uint64{}
 	}
 	return c
 }
@@ -125,7 +125,7 @@
 		c.tick(now)
 	case deltaMsg:
 		c.delta(now, m)
-	case hailMsg:
+	case gossipMsg:
 		c.heard(now, m)
 	case fetchMsg:
 		m.reply <- c.fetched(now, m.fetch)
@@ -138,9 +138,9 @@
 	case calledMsg:
 		delete(c.calling, m.address)
 	case refusedMsg:
-		c.crew.Refused(m.address)
+		c.members.Refused(m.address)
 	case missedMsg:
-		c.crew.Missed(now, m.address)
+		c.members.Missed(now, m.address)
 	case keeperMsg:
 		c.keep(now, m.msg)
 	case leadMsg:
@@ -155,18 +155,18 @@
 		m.reply <- c.status(now)
 	case leavingMsg:
 		c.leaving = true
-		c.hailAll(now)
+		c.gossipToAll(now)
 	}
 }
 
 func (c *control) tick(now time.Time) {
-	c.reads.Store(c.crew.Reads(now, c.shelves[news.Servers].At(), c.keeper != nil))
+	c.reads.Store(c.members.Reads(now, c.caches[news.Servers].At(), c.keeper != nil))
 	c.expire(now)
 	c.tryLead(now)
 	if c.keeper != nil {
 		c.lookAfter(now)
 	}
-	c.hail(now)
+	c.gossip(now)
 	c.r.ready.Store(!c.leaving && c.isReady(now))
 }
 
@@ -190,16 +190,16 @@
 		defer close(m.done)
 	}
 	if m.fromStore {
-		c.crew.Stored(now)
+		c.members.Stored(now)
 	}
-	shelf := c.shelves[m.delta.Kind]
-	if shelf == nil {
+	cache := c.caches[m.delta.Kind]
+	if cache == nil {
 		return
 	}
-	before := shelf.At()
-	changed := shelf.Merge(m.delta)
+	before := cache.At()
+	changed := cache.Merge(m.delta)
 	c.gap(now, m.delta.Kind, before)
-	c.known[m.delta.Kind].Store(shelf.Through())
+	c.known[m.delta.Kind].Store(cache.Through())
 	if len(changed) == 0 {
 		return
 	}
@@ -224,11 +224,11 @@
 // gap notes the end of an outage: there was no news of the servers for so long
 // that entries may have lapsed although their servers live.
 func (c *control) gap(now time.Time, kind news.Kind, before time.Time) {
-	if kind != news.Servers || before.IsZero() || c.shelves[kind].At().Sub(before) < outageLeast {
+	if kind != news.Servers || before.IsZero() || c.caches[kind].At().Sub(before) < outageLeast {
 		return
 	}
 	c.returned = now
-	c.r.log.Info("servers: news again after an outage", "outage", c.shelves[kind].At().Sub(before).String())
+	c.r.log.Info("servers: news again after an outage", "outage", c.caches[kind].At().Sub(before).String())
 }
 
 // configIs puts a newer configuration in force. An older one never replaces it,
@@ -331,7 +331,7 @@
 		servers = append(servers, l.server)
 	}
 	out := map[string]bool{}
-	for _, it := range c.shelves[news.Outs].List() {
+	for _, it := range c.caches[news.Outs].List() {
 		out[it.Name] = true
 	}
 	f := fleet.New(servers)
@@ -344,9 +344,9 @@
 
 func (c *control) daemonsAre(changed []news.Item) {
 	for _, it := range changed {
-		var m crew.Member
+		var m member.Member
 		if !it.Removed && json.Unmarshal(it.Value, &m) == nil {
-			c.crew.Met(m)
+			c.members.Met(m)
 		}
 	}
 	c.share()
@@ -366,8 +366,8 @@
 func (c *control) share() {
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
-	c.r.daemons = c.crew.Count()
-	c.r.spread.Limit(c.r.limits(c.crew.Count(), c.crew.Place()))
+	c.r.daemons = c.members.Count()
+	c.r.spread.Limit(c.r.limits(c.members.Count(), c.members.Place()))
 	for _, b := range c.r.budgets {
 		b.SetShare(c.r.retryShare() * retryMargin)
 		b.SetBurst(c.r.burst())
--- a/io/process/router/control_test.go
+++ b/io/process/router/control_test.go
@@ -11,7 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"catkinstep/core/connection/names"
-	"catkinstep/core/process/crew"
+	"catkinstep/core/process/member"
 	"catkinstep/core/version/config"
 	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/grant"
@@ -119,7 +119,7 @@
 		r := still()
 		So(r.burst(), ShouldEqual, 1)
 		for _, name := range []string{"e", "f", "g", "h"} {
-			r.control.crew.Met(crew.Member{Name: name, Address: name})
+			r.control.members.Met(member.Member{Name: name, Address: name})
 		}
 		r.control.share()
 		So(5*r.burst(), ShouldBeLessThan, 56)
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"catkinstep/core/connection/wire"
-	"catkinstep/core/process/crew"
+	"catkinstep/core/process/member"
 	"catkinstep/core/version/grant"
 	"catkinstep/core/version/news"
 	"catkinstep/io/connection/mesh"
@@ -15,29 +15,29 @@
 // tableKind is asked for to get the published table.
 const tableKind = "published"
 
-// hail tells the other daemons what is known here. A daemon talks to the heads
+// gossip tells the other daemons what is known here. A daemon talks to the heads
 // of its data centre; heads also talk to those of others and to the leader, and
 // look for the lost.
-func (c *control) hail(now time.Time) {
-	head := c.crew.IsHead(now)
-	if c.due(now, &c.paces.near, c.crew.Pace()) {
-		c.hailSome(now, c.crew.Heads(now), true)
+func (c *control) gossip(now time.Time) {
+	head := c.members.IsHead(now)
+	if c.due(now, &c.paces.near, c.members.Pace()) {
+		c.gossipTo(now, c.members.Heads(now), true)
 		c.sendHeat(now, head)
 	}
-	if c.crew.Count() == 1 && c.due(now, &c.paces.seeds, hailFar) {
-		c.hailSome(now, c.seeds, false)
+	if c.members.Count() == 1 && c.due(now, &c.paces.seeds, leaderGossip) {
+		c.gossipTo(now, c.seeds, false)
 	}
 	if !head && !c.led {
 		return
 	}
-	if c.due(now, &c.paces.leader, hailFar) {
-		if leader := c.crew.AddressOf(c.r.current.Load().table.Leader.Daemon); leader != "" {
-			c.hailSome(now, []string{leader}, false)
+	if c.due(now, &c.paces.leader, leaderGossip) {
+		if leader := c.members.AddressOf(c.r.current.Load().table.Leader.Daemon); leader != "" {
+			c.gossipTo(now, []string{leader}, false)
 		}
 	}
-	if head && c.due(now, &c.paces.far, hailLater) {
-		c.hailSome(now, c.crew.LaterHeads(now), false)
-		c.hailSome(now, c.crew.Near(now), true)
+	if head && c.due(now, &c.paces.far, farGossip) {
+		c.gossipTo(now, c.members.LaterHeads(now), false)
+		c.gossipTo(now, c.members.Near(now), true)
 	}
 }
 
@@ -56,19 +56,19 @@
 // spreadNews passes a change on at once. Who read it from the store, or made it,
 // tells all heads and its own data centre; a head that was told tells its own.
 func (c *control) spreadNews(now time.Time, first bool) {
-	if first || c.crew.IsHead(now) {
-		c.hailSome(now, c.crew.Near(now), true)
+	if first || c.members.IsHead(now) {
+		c.gossipTo(now, c.members.Near(now), true)
 	}
 	if first {
-		c.hailSome(now, c.crew.FarHeads(now), false)
+		c.gossipTo(now, c.members.FarHeads(now), false)
 	}
 }
 
-// hailAll tells everybody at once; only for what is rare and cannot wait.
-func (c *control) hailAll(now time.Time) { c.hailSome(now, c.crew.All(now), false) }
+// gossipToAll tells everybody at once; only for what is rare and cannot wait.
+func (c *control) gossipToAll(now time.Time) { c.gossipTo(now, c.members.All(now), false) }
 
-// hailSome tells some; near ones also learn what this daemon has under way.
-func (c *control) hailSome(now time.Time, addresses []string, near bool) {
+// gossipTo tells some; near ones also learn what this daemon has under way.
+func (c *control) gossipTo(now time.Time, addresses []string, near bool) {
 	for _, a := range addresses {
 		if a == c.r.self.Address || c.calling[a] {
 			continue
@@ -78,20 +78,20 @@
 		if near {
 			c.tellWork(now, h, "")
 		}
-		go c.r.sendHail(a, h)
+		go c.r.sendGossip(a, h)
 	}
 }
 
 // word is what this daemon says to everybody.
-func (c *control) word(now time.Time) *wire.Hail {
+func (c *control) word(now time.Time) *wire.Gossip {
 	t := c.r.current.Load().table
-	h := &wire.Hail{
+	h := &wire.Gossip{
 		Name: c.r.self.Name, Address: c.r.self.Address, DataCentre: c.r.self.DataCentre, Incarnation: c.r.self.Incarnation, Strength: c.r.self.Strength,
-		Leaving: c.leaving || c.keeper != nil && c.crew.GivesWay(now), StoredAgeMillis: age(now, c.crew.LastStored()), Epoch: t.Epoch, Seq: t.Seq,
+		Leaving: c.leaving || c.keeper != nil && c.members.GivesWay(now), StoredAgeMillis: age(now, c.members.LastStored()), Epoch: t.Epoch, Seq: t.Seq,
 		Leader: t.Leader.Daemon, LeaderIncarnation: t.Leader.Incarnation, LeaderAgeMillis: c.leaderAge(now, t.Leader),
 	}
 	for _, k := range news.Kinds {
-		s := c.shelves[k]
+		s := c.caches[k]
 		h.Known = append(h.Known, &wire.Known{Kind: string(k), Through: s.Through(), AgeMillis: age(now, s.At())})
 	}
 	h.Suspects = c.r.suspectNews()
@@ -101,8 +101,8 @@
 // tellWork adds what this daemon has under way, for others of its data centre. To
 // one that asks, a head adds up what all the rest have, so that it need not ask
 // them.
-func (c *control) tellWork(now time.Time, h *wire.Hail, asker string) {
-	head := c.crew.IsHead(now)
+func (c *control) tellWork(now time.Time, h *wire.Gossip, asker string) {
+	head := c.members.IsHead(now)
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
 	at := c.r.spread.Own()
@@ -121,13 +121,13 @@
 		}
 		return -1
 	}
-	return age(now, c.crew.HeardAt(l.Daemon))
+	return age(now, c.members.HeardAt(l.Daemon))
 }
 
-func (r *Router) sendHail(address string, h *wire.Hail) {
+func (r *Router) sendGossip(address string, h *wire.Gossip) {
 	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), meshTimeout)
 	defer cancel()
-	reply, err := r.call(ctx, address, &wire.Call{Kind: &wire.Call_Hail{Hail: h}})
+	reply, err := r.call(ctx, address, &wire.Call{Kind: &wire.Call_Gossip{Gossip: h}})
 	r.post(calledMsg{address: address})
 	if err != nil {
 		var e *mesh.Error
@@ -137,14 +137,14 @@
 		r.post(missedMsg{address: address})
 		return
 	}
-	if reply.GetHail() != nil {
-		r.post(hailMsg{hail: reply.GetHail()})
+	if reply.GetGossip() != nil {
+		r.post(gossipMsg{gossip: reply.GetGossip()})
 	}
 }
 
 // heard takes in another daemon's word, and fetches what it knows and we do not.
-func (c *control) heard(now time.Time, m hailMsg) {
-	h := m.hail
+func (c *control) heard(now time.Time, m gossipMsg) {
+	h := m.gossip
 	if m.reply != nil {
 		reply := c.word(now)
 		if h.DataCentre == c.r.self.DataCentre {
@@ -152,13 +152,13 @@
 		}
 		m.reply <- reply
 	}
-	before := c.crew.Count()
-	c.crew.Heard(now, crew.Member{Name: h.Name, Address: h.Address, DataCentre: h.DataCentre, Incarnation: h.Incarnation, Strength: h.Strength},
-		crew.Word{Leaving: h.Leaving, Stored: ago(now, h.StoredAgeMillis), Epoch: h.Epoch})
+	before := c.members.Count()
+	c.members.Heard(now, member.Member{Name: h.Name, Address: h.Address, DataCentre: h.DataCentre, Incarnation: h.Incarnation, Strength: h.Strength},
+		member.Word{Leaving: h.Leaving, Stored: ago(now, h.StoredAgeMillis), Epoch: h.Epoch})
 	if h.Leader != h.Name && h.LeaderAgeMillis >= 0 {
-		c.crew.HeardOf(h.Leader, h.LeaderIncarnation, ago(now, h.LeaderAgeMillis))
+		c.members.HeardOf(h.Leader, h.LeaderIncarnation, ago(now, h.LeaderAgeMillis))
 	}
-	if c.crew.Count() != before {
+	if c.members.Count() != before {
 		c.share()
 	}
 	c.underWay(now, h)
@@ -171,15 +171,15 @@
 		c.fetch(h.Address, &wire.Fetch{Kind: tableKind, Since: t.Seq, Epoch: t.Epoch})
 	}
 	for _, k := range h.Known {
-		shelf := c.shelves[news.Kind(k.Kind)]
-		if shelf == nil {
+		cache := c.caches[news.Kind(k.Kind)]
+		if cache == nil {
 			continue
 		}
-		if k.Through > shelf.Through() {
-			c.fetch(h.Address, &wire.Fetch{Kind: k.Kind, Since: shelf.Through()})
-		} else if k.Through == shelf.Through() && k.Through > 0 {
-			before := shelf.At()
-			shelf.Merge(news.Delta{Kind: news.Kind(k.Kind), Through: k.Through, At: ago(now, k.AgeMillis)})
+		if k.Through > cache.Through() {
+			c.fetch(h.Address, &wire.Fetch{Kind: k.Kind, Since: cache.Through()})
+		} else if k.Through == cache.Through() && k.Through > 0 {
+			before := cache.At()
+			cache.Merge(news.Delta{Kind: news.Kind(k.Kind), Through: k.Through, At: ago(now, k.AgeMillis)})
 			c.gap(now, news.Kind(k.Kind), before)
 		}
 	}
@@ -187,8 +187,8 @@
 
 // underWay takes in what others of this data centre have at servers. A head has
 // each one's own word and needs no sum of another head.
-func (c *control) underWay(now time.Time, h *wire.Hail) {
-	if h.DataCentre != c.r.self.DataCentre || h.Name == c.r.self.Name || h.Summed && c.crew.IsHead(now) {
+func (c *control) underWay(now time.Time, h *wire.Gossip) {
+	if h.DataCentre != c.r.self.DataCentre || h.Name == c.r.self.Name || h.Summed && c.members.IsHead(now) {
 		return
 	}
 	if len(h.UnderWay) == 0 && !h.Summed {
@@ -263,11 +263,11 @@
 	if f.Kind == tableKind {
 		return c.fetchedTable(f)
 	}
-	shelf := c.shelves[news.Kind(f.Kind)]
-	if shelf == nil {
+	cache := c.caches[news.Kind(f.Kind)]
+	if cache == nil {
 		return &wire.Delta{Kind: f.Kind}
 	}
-	d := shelf.Since(f.Since)
+	d := cache.Since(f.Since)
 	out := &wire.Delta{Kind: f.Kind, Through: d.Through, Whole: d.Whole, AgeMillis: age(now, d.At)}
 	for _, it := range d.Items {
 		out.Items = append(out.Items, &wire.Item{Name: it.Name, Revision: it.Revision, Removed: it.Removed, Value: it.Value})
@@ -324,14 +324,14 @@
 
 func (r *Router) answerCall(ctx context.Context, call *wire.Call) *wire.Reply {
 	switch k := call.Kind.(type) {
-	case *wire.Call_Hail:
-		reply := make(chan *wire.Hail, 1)
-		if !r.post(hailMsg{hail: k.Hail, reply: reply}) {
+	case *wire.Call_Gossip:
+		reply := make(chan *wire.Gossip, 1)
+		if !r.post(gossipMsg{gossip: k.Gossip, reply: reply}) {
 			return &wire.Reply{Error: "stopping"}
 		}
 		select {
 		case h := <-reply:
-			return &wire.Reply{Hail: h}
+			return &wire.Reply{Gossip: h}
 		case <-ctx.Done():
 		}
 	case *wire.Call_Fetch:
@@ -367,22 +367,22 @@
 		c.heats.add(h.Name, h)
 		return
 	}
-	to := c.crew.AddressOf(c.r.current.Load().table.Leader.Daemon)
-	if heads := c.crew.Heads(now); !head && len(heads) > 0 {
+	to := c.members.AddressOf(c.r.current.Load().table.Leader.Daemon)
+	if heads := c.members.Heads(now); !head && len(heads) > 0 {
 		to = heads[0]
 	}
 	if to != "" && len(h.Heat) > 0 {
-		go c.r.sendHail(to, h)
+		go c.r.sendGossip(to, h)
 	}
 }
 
 // takeHeat takes in another daemon's counts: the leader for good, a head to pass
 // them on with its own.
-func (c *control) takeHeat(now time.Time, h *wire.Hail) {
+func (c *control) takeHeat(now time.Time, h *wire.Gossip) {
 	switch {
 	case c.keeper != nil:
 		c.heats.add(h.Name, h)
-	case len(h.Heat) > 0 && h.DataCentre == c.r.self.DataCentre && c.crew.IsHead(now):
+	case len(h.Heat) > 0 && h.DataCentre == c.r.self.DataCentre && c.members.IsHead(now):
 		c.r.addHeat(h.Heat)
 		c.told = append(c.told, h.Paces...)
 	}
--- a/io/process/router/heats.go
+++ b/io/process/router/heats.go
@@ -33,15 +33,15 @@
 }
 
 // add takes in what a daemon counted.
-func (h *heats) add(daemon string, hail *wire.Hail) {
-	for _, x := range hail.Heat {
+func (h *heats) add(daemon string, gossip *wire.Gossip) {
+	for _, x := range gossip.Heat {
 		h.meter.Add(x.Service, int(x.Bucket), int(x.Requests), millis(x.WorkMillis), millis(x.AimMillis))
 	}
-	if len(hail.Paces) == 0 {
+	if len(gossip.Paces) == 0 {
 		return
 	}
 	by := map[string]pace{}
-	for _, p := range hail.Paces {
+	for _, p := range gossip.Paces {
 		by[p.Server] = pace{}.with(float64(p.Factor), float64(p.Answers))
 	}
 	h.paces[daemon] = by
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -20,7 +20,7 @@
 		return
 	}
 	stored, revision := c.stored, c.storedAt
-	try, _ := c.crew.MayLead(now, stored.Leader)
+	try, _ := c.members.MayLead(now, stored.Leader)
 	if !try {
 		return
 	}
@@ -52,7 +52,7 @@
 func (c *control) lead(now time.Time, m leadMsg) {
 	c.taking = false
 	c.before, c.led = m.before.Leader, true
-	c.crew.Stored(now)
+	c.members.Stored(now)
 	c.keeper = keeper.New(now, m.table, m.revision, keeper.WithHold(c.r.hold))
 	c.heats = newHeats()
 	c.r.log.Info("keys: leading", "epoch", m.table.Epoch, "before", c.before.Daemon, "revision", m.revision)
@@ -63,8 +63,8 @@
 // lookAfter lets the keeper act on what is known now.
 func (c *control) lookAfter(now time.Time) {
 	c.tellFleet(now)
-	c.keep(now, keeper.CurrentMsg{Epoch: c.stored.Epoch, At: c.shelves[news.Tables].At()})
-	if c.keeper != nil && c.crew.GaveWay(c.before, c.keeper.Table().Epoch) {
+	c.keep(now, keeper.CurrentMsg{Epoch: c.stored.Epoch, At: c.caches[news.Tables].At()})
+	if c.keeper != nil && c.members.GaveWay(c.before, c.keeper.Table().Epoch) {
 		c.keep(now, keeper.OldLeaderMsg{At: now})
 	}
 	if now.Sub(c.heats.meter.Since()) >= heatEvery {
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -17,11 +17,11 @@
 const (
 	// tickEvery paces the control loop; it bounds how late a renewal or a move is.
 	tickEvery = 50 * time.Millisecond
-	// hailFar and hailLater pace words across data centres: to the leader, which
+	// leaderGossip and farGossip pace words across data centres: to the leader, which
 	// shows that it lives, and between heads; bytes between data centres are saved.
-	// Those within one are paced by package crew.
-	hailFar   = 500 * time.Millisecond
-	hailLater = 4 * time.Second
+	// Those within one are paced by package member.
+	leaderGossip = 500 * time.Millisecond
+	farGossip    = 4 * time.Second
 	// meshTimeout bounds one call between daemons.
 	meshTimeout = 700 * time.Millisecond
 	// fetchTimeout bounds a fetch: a large configuration shares a narrow link with
@@ -140,6 +140,3 @@
 
 // WithHold sets how long grants last.
 func WithHold(d time.Duration) Option { return func(r *Router) { r.hold = d } }
-
-// defaultHold is how long grants last; core/process/keeper has the grounds.
-const defaultHold = 3500 * time.Millisecond
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -16,7 +16,8 @@
 	"gopkg.in/tomb.v2"
 
 	"catkinstep/core/process/burn"
-	"catkinstep/core/process/crew"
+	"catkinstep/core/process/keeper"
+	"catkinstep/core/process/member"
 	"catkinstep/core/request/crash"
 	"catkinstep/core/request/retry"
 	"catkinstep/core/request/spread"
@@ -35,7 +36,7 @@
 	log      *slog.Logger
 	hold     time.Duration
 	now      func() time.Time
-	self     crew.Member
+	self     member.Member
 
 	tomb    tomb.Tomb
 	control *control
@@ -88,8 +89,8 @@
 func New(s setup.Settings, st Store, sp Speech, opts ...Option) *Router {
 	r := &Router{
 		settings: s, store: st, speech: sp, log: slog.Default(),
-		hold: defaultHold, now: clock.Now, meters: newMeters(), bounds: s, daemons: 1, inbox: make(chan any, inboxSize), running: make(chan struct{}), budgets: map[string]*retry.Budget{}, suspects: crash.New(crashBound, crashKeep), heat: map[heatKey]heatCount{},
-		self: crew.Member{Name: s.Name, Address: s.Mesh, DataCentre: s.DataCentre, Strength: s.Strength, Incarnation: uint64(time.Now().UnixMicro())},
+		hold: keeper.DefaultHold, now: clock.Now, meters: newMeters(), bounds: s, daemons: 1, inbox: make(chan any, inboxSize), running: make(chan struct{}), budgets: map[string]*retry.Budget{}, suspects: crash.New(crashBound, crashKeep), heat: map[heatKey]heatCount{},
+		self: member.Member{Name: s.Name, Address: s.Mesh, DataCentre: s.DataCentre, Strength: s.Strength, Incarnation: uint64(time.Now().UnixMicro())},
 	}
 	for _, o := range opts {
 		o(r)
--- a/io/process/router/status.go
+++ b/io/process/router/status.go
@@ -104,15 +104,15 @@
 	if err != nil {
 		c.r.log.Error("status: counters not written", "err", err)
 	}
-	newest := c.crew.LastStored()
-	for _, shelf := range c.shelves {
-		if shelf.At().After(newest) {
-			newest = shelf.At()
+	newest := c.members.LastStored()
+	for _, cache := range c.caches {
+		if cache.At().After(newest) {
+			newest = cache.At()
 		}
 	}
 	own := &wire.StatusReply{Daemon: c.r.self.Name, DataCentre: c.r.self.DataCentre, Leader: s.table.Leader.Daemon,
 		StoredAgeMillis: age(now, newest), Config: s.config.Version, Stopping: c.leaving, Counters: counters}
-	return status{own: own, others: c.crew.All(now)}
+	return status{own: own, others: c.members.All(now)}
 }
 
 // Ready tells whether callers should be sent here.
