A move pays for the keys that change hands

Change: what a move saves must cover the share of all keys that it hands over, at 30 requests for all of them. One hot bucket is preferred to a range that contains it.

--- a/core/process/keeper/balance.go
+++ b/core/process/keeper/balance.go
@@ -185,9 +185,12 @@
 }
 
 // worth is how many requests a move saves while loads stay as they are, less those
-// that are refused while the keys are on their way.
+// that are refused while the keys are on their way, and less what the keys' change
+// of hands costs: one hot bucket is better moved than a thousand that nobody asks
+// for beside it.
 func (s *share) worth(saved float64, p piece) float64 {
-	return saved*loadLasts.Seconds() - s.rate(p.load)*moveTakes.Seconds() - moveCosts
+	keys := float64(p.to-p.from+1) / (grant.LastKey + 1)
+	return saved*loadLasts.Seconds() - s.rate(p.load)*moveTakes.Seconds() - moveCosts - keys*allKeysCost
 }
 
 // mostLosing lists the servers that lose most.
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -56,6 +56,9 @@
 	moveTakes = 200 * time.Millisecond
 	// moveCosts is what a move must save at least, in requests.
 	moveCosts = 1.0
+	// allKeysCost is what a change of hands of all keys costs, in requests: servers
+	// hand over what they know of each key.
+	allKeysCost = 30.0
 	// candidates is how many servers are weighed on either side of a move.
 	candidates = 4
 	// hotShare is the part of a server's load from which a bucket may leave alone.
