--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -71,8 +71,7 @@
 	quietFor = 10 * time.Second
 	// movesAtOnce bounds the moves under way for balance; a range is refused while
 	// the work that runs on it ends, up to a second. Large services may move one
-	// for each serversAMove servers: with 180 servers the busiest came from 0.86 to
-	// below 0.7 of its slots in 15 s, and with three moves it stayed there.
+	// for each serversAMove servers, or it would take minutes to even them out.
 	movesAtOnce  = 3
 	serversAMove = 12
 	// publishEvery is the shortest pause between two tables that are told to all
