Moves cost by the daemons that learn of them; cold servers begin with few keys

Change: a move must save 0.05 requests for each daemon, one at least; the first keys of a cold server bring at most half of what it bears.

Tests: TestColdServerGetsFewKeys failed first (11.0 requests a second at once); TestMovesCostMoreWithManyDaemons.

--- a/core/process/keeper/balance.go
+++ b/core/process/keeper/balance.go
@@ -16,10 +16,13 @@
 	share  *share
 	loads  map[grant.Holder]float64
 	queues map[string]queue.Server // by server
+	// moveCosts is what a move must save at least, in requests.
+	moveCosts float64
 }
 
 func (k *Keeper) scaleOf(s *share) scale {
-	return scale{share: s, loads: k.loads(s), queues: map[string]queue.Server{}}
+	costs := max(moveCosts, moveCostsEach*float64(k.daemons))
+	return scale{share: s, loads: k.loads(s), queues: map[string]queue.Server{}, moveCosts: costs}
 }
 
 // lost is how many requests a second a server loses if its load changes by so
@@ -154,7 +157,7 @@
 	best := noPiece
 	to := sc.leastBurdened(fit)
 	for _, from := range sc.mostLosing(fit) {
-		if sc.lost(from, 0)*loadLasts.Seconds() <= moveCosts {
+		if sc.lost(from, 0)*loadLasts.Seconds() <= sc.moveCosts {
 			break // no move could save enough there, nor at the rest
 		}
 		for _, p := range k.pieces(s, from, sc.loads[holder(from)]) {
@@ -176,7 +179,7 @@
 		if v.ID == from.ID {
 			continue
 		}
-		p.target, p.worth = v, sc.share.worth(saved-(sc.lost(v, p.load)-sc.lost(v, 0)), p)
+		p.target, p.worth = v, sc.share.worth(saved-(sc.lost(v, p.load)-sc.lost(v, 0)), p, sc.moveCosts)
 		if p.worth > best.worth {
 			best = p
 		}
@@ -188,7 +191,9 @@
 // that are refused while the keys are on their way, and less what the keys' change
 // of hands costs: one hot bucket is better moved than a thousand that nobody asks
 // for beside it.
-func (s *share) worth(saved float64, p piece) float64 {
+//
+// Every daemon has to learn of a move, so that it costs the more the more there are.
+func (s *share) worth(saved float64, p piece, moveCosts float64) float64 {
 	keys := float64(p.to-p.from+1) / (grant.LastKey + 1)
 	return saved*loadLasts.Seconds() - s.rate(p.load)*moveTakes.Seconds() - moveCosts - keys*allKeysCost
 }
@@ -240,6 +245,9 @@
 	best := noPiece
 	best.worth = -have / s.power(from)
 	for _, p := range k.pieces(s, from, have) {
+		if to.Cold > 0 && s.rate(p.load) > s.coldRate*coldStart {
+			continue // it would refuse most of the requests until it is warm
+		}
 		if p.worth = -max((have-p.load)/s.power(from), p.load/s.power(to)); p.worth > best.worth {
 			best = p
 		}
--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -71,6 +71,7 @@
 	keyed   []string
 	out     map[string]bool
 	keep    bool      // no moves for balance
+	daemons int       // that learn of each move
 	settled time.Time // since when the list of servers is unchanged
 	servers int
 	ended   map[grant.Holder]bool
@@ -202,7 +203,7 @@
 	if len(m.Fleet.All()) != k.servers || k.settled.IsZero() {
 		k.settled, k.servers = now, len(m.Fleet.All())
 	}
-	k.fleet, k.keyed, k.out, k.keep = m.Fleet, m.Keyed, m.Out, m.Keep
+	k.fleet, k.keyed, k.out, k.keep, k.daemons = m.Fleet, m.Keyed, m.Out, m.Keep, m.Daemons
 	for h := range k.ended {
 		if s, ok := k.fleet.Find(h.Server); (!ok || s.Born != h.Born) && !k.named(h) {
 			delete(k.ended, h)
--- a/core/process/keeper/load_test.go
+++ b/core/process/keeper/load_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,6 +25,8 @@
 	meter  *rate.Meter
 	speeds map[string]float64
 	slots  float64
+	// coldRate is how many requests a second a cold server bears.
+	coldRate float64
 }
 
 // newLoad spreads requests over the keys with a skew, neighbours alike.
@@ -53,7 +56,7 @@
 		work := time.Duration(float64(n) * l.work * float64(time.Second))
 		l.meter.Add(oneService, i, n, work, aimOverWork*work)
 	}
-	m := LoadMsg{Service: oneService, Factors: l.speeds}
+	m := LoadMsg{Service: oneService, Factors: l.speeds, ColdRate: l.coldRate}
 	for _, load := range l.meter.Roll(now) {
 		m.Work, m.Each, m.Aim = load.Slots, load.Each.Seconds(), load.Aim
 	}
@@ -91,6 +94,16 @@
 	return most, work / power
 }
 
+// rateOf is how many requests a second a server gets.
+func (l *load) rateOf(t grant.Table, server string) (rate float64) {
+	for _, r := range t.Shares[0].Ranges {
+		for b := Bucket(r.From); r.Holder.Server == server && b <= Bucket(r.To); b++ {
+			rate += l.rates[b]
+		}
+	}
+	return rate
+}
+
 // lost is how many requests a second are not answered in time, by the true rates,
 // and even how many if all servers had the same share of their slots busy.
 func (l *load) lost(t grant.Table) (lost, even float64) {
@@ -178,6 +191,56 @@
 	})
 }
 
+// A server is added to a busy service, or comes back with others after a loss of
+// power, and is cold: it bears a few requests a second for some seconds. Given half
+// of the keys of the busiest server, it refuses most of their callers.
+func TestColdServerGetsFewKeys(t *testing.T) {
+	Convey("Its first keys bring no more than it bears, later ones come when it is warm", t, func() {
+		l, list, s := started(400)
+		cold := named("cold", false)
+		cold.Cold, cold.Slots = 3*time.Second, 4
+		l.speeds[cold.ID], l.coldRate = 1, 11
+		s.fleet(append(slices.Clone(list), cold)...)
+		l.pass(s, 3*time.Second)
+		rate := l.rateOf(s.k.Table(), cold.ID)
+		t.Logf("cold it gets %.1f requests a second", rate)
+		So(rate, ShouldBeBetween, 0, 11)
+		cold.Cold = 0
+		s.fleet(append(slices.Clone(list), cold)...)
+		l.pass(s, 5*time.Second)
+		warm := l.rateOf(s.k.Table(), cold.ID)
+		t.Logf("warm it gets %.1f requests a second", warm)
+		So(warm, ShouldBeGreaterThan, rate)
+	})
+}
+
+// Every move is told to all daemons, which fetch each change of the table: with
+// eighty of them moves that save next to nothing took as much processor time as
+// the requests.
+func TestMovesCostMoreWithManyDaemons(t *testing.T) {
+	Convey("With many daemons keys move less, and still better than evenly", t, func() {
+		moves := func(daemons int) (n int) {
+			l, list := newLoad(13, 120, 0.18, 0.37)
+			s := begin(grant.Range{}, WithHold(3500*time.Millisecond))
+			s.k.shares = nil
+			s.tell(FleetMsg{Fleet: fleet.New(list), Keyed: []string{oneService}, Daemons: daemons})
+			s.tell(OldLeaderMsg{At: s.now})
+			l.pass(s, 30*time.Second)
+			lost, even := l.lost(s.k.Table())
+			So(lost, ShouldBeLessThan, even)
+			for _, c := range s.cmds {
+				if note, ok := c.(NoteCmd); ok && note.Reason == "balance" {
+					n++
+				}
+			}
+			return n
+		}
+		few, many := moves(8), moves(80)
+		t.Logf("%d moves with 8 daemons, %d with 80", few, many)
+		So(many, ShouldBeLessThan, few)
+	})
+}
+
 // Half of the servers are gone at once and the rest can hardly bear the load.
 // Where a key more is thought to cost least at a server that is overloaded anyhow,
 // all of the lost servers' keys are given to one, whose callers are all refused.
--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -21,6 +21,8 @@
 	Out   map[string]bool
 	// Keep turns moves for balance off.
 	Keep bool
+	// Daemons is how many daemons learn of each move.
+	Daemons int
 }
 
 // LoadMsg says how much work the requests for a service's keys are, over all
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -48,14 +48,20 @@
 	// furnishEvery is the pause between two rounds in which servers without keys get
 	// some: that can wait for a loss that is in sight.
 	furnishEvery = 1500 * time.Millisecond
+	// coldStart is the part of what a cold server bears that its first keys may
+	// bring: the daemons divide its rate among them, and not all of it is used.
+	coldStart = 0.5
 	// loadLasts is how long a load is taken to stay as it was counted: a key is hot
 	// for a few seconds, and one of them has passed when that is known.
 	loadLasts = 8 * time.Second
 	// moveTakes is how long requests are refused while their keys move: until the
 	// work that runs on them has ended.
 	moveTakes = 200 * time.Millisecond
-	// moveCosts is what a move must save at least, in requests.
-	moveCosts = 1.0
+	// moveCosts is what a move must save at least, in requests, and moveCostsEach
+	// what it costs for each daemon: it changes the table three times, and all of
+	// them fetch each change.
+	moveCosts     = 1.0
+	moveCostsEach = 0.05
 	// allKeysCost is what a change of hands of all keys costs, in requests: servers
 	// hand over what they know of each key.
 	allKeysCost = 30.0
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -77,7 +77,7 @@
 
 func (c *control) tellFleet(now time.Time) {
 	s := c.r.current.Load()
-	c.keep(now, keeper.FleetMsg{Fleet: s.fleet, Keyed: s.keyed(), Out: s.out, Keep: s.config.KeepKeys})
+	c.keep(now, keeper.FleetMsg{Fleet: s.fleet, Keyed: s.keyed(), Out: s.out, Keep: s.config.KeepKeys, Daemons: c.members.Count()})
 }
 
 // keep passes a message to the keeper and carries out what it wants.
