Only a lack of connections makes a server count as out of reach

A write that fails on a kept connection, which the server has just closed, was taken for a server that takes no connections: the holder of a key would get no requests for 0.3 s although it is idle. Servers that forget idle connections are among the users' troubles.

Change: a connection that cannot be made has a kind of its own (link.NoWay).

--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -80,7 +80,7 @@
 	stopped := stop()
 	if err != nil {
 		discard(c)
-		if ctx.Err() != nil && KindOf(err) != NotSent {
+		if ctx.Err() != nil && !NotRun(err) {
 			return nil, &Error{Op: "do", Kind: Late, Err: context.Cause(ctx)}
 		}
 		return nil, err
--- a/io/connection/link/doc.go
+++ b/io/connection/link/doc.go
@@ -12,5 +12,5 @@
 //	answer, err := l.Do(ctx, link.Request{...})
 //	defer l.Close()
 //
-// Errors are of type *Error. Kinds Refused and NotSent prove that nothing ran.
+// Errors are of type *Error. Kinds Refused, NoWay and NotSent prove that nothing ran.
 package link
--- a/io/connection/link/error.go
+++ b/io/connection/link/error.go
@@ -12,6 +12,7 @@
 const (
 	Refused Kind = "refused" // the address refuses connections
 	NotSent Kind = "notSent" // no byte of the request was written
+	NoWay   Kind = "noWay"   // no connection could be made in time
 	Unsure  Kind = "unsure"  // written, and no answer came
 	Cut     Kind = "cut"     // the answer broke off or is no HTTP
 	Late    Kind = "late"    // written, and the time was over before an answer
@@ -42,5 +43,5 @@
 // NotRun tells whether an error proves that the request did not run.
 func NotRun(err error) bool {
 	k := KindOf(err)
-	return k == Refused || k == NotSent
+	return k == Refused || k == NotSent || k == NoWay
 }
--- a/io/connection/link/link.go
+++ b/io/connection/link/link.go
@@ -112,7 +112,7 @@
 	d := net.Dialer{Control: sock.Control(userTimeout), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 2}}
 	nc, err := d.DialContext(ctx, "tcp", l.address)
 	if err != nil {
-		kind := NotSent
+		kind := NoWay
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			kind = Refused
 		}
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -228,7 +228,7 @@
 	switch {
 	case err != nil && link.KindOf(err) == link.Refused:
 		return spread.Unreachable
-	case err != nil && link.KindOf(err) == link.NotSent && ctx.Err() == nil:
+	case err != nil && link.KindOf(err) == link.NoWay && ctx.Err() == nil:
 		return spread.Silent
 	case err != nil && errors.Is(context.Cause(ctx), context.Canceled):
 		return spread.CalledOff
