--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -51,8 +51,8 @@
 	// coldStart is the part of what a cold server bears that its first keys may
 	// bring: the daemons divide its rate among them, and not all of it is used.
 	coldStart = 0.5
-	// loadLasts is how long a load is taken to stay as it was counted: a key is hot
-	// for a few seconds, and one of them has passed when that is known.
+	// loadLasts is how long a load is taken to stay as it was counted: longer than a
+	// key stays hot, since most of the load lasts, and much shorter than it lasts.
 	loadLasts = 8 * time.Second
 	// moveTakes is how long requests are refused while their keys move: until the
 	// work that runs on them has ended.
