One log line for servers that change together; what follows the servers is a type of its own

Cause: every daemon wrote a line for each server that changed. Ruled out: a higher bound, which costs processor time for lines that all say the same.

Change: one line for all servers that changed together, with counts, up to six ids, revision and age; who read the store and the leader also write one for each. The entries, those that lapsed in an outage, and their rules are a type of their own (entries.go) in place of three fields of control; names say apply where they said is.

--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,7 +11,6 @@
 	"catkinstep/core/process/keeper"
 	"catkinstep/core/process/member"
 	"catkinstep/core/version/config"
-	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/grant"
 	"catkinstep/core/version/news"
 )
@@ -73,9 +70,7 @@
 	taking  bool
 	leaving bool
 	seeds   []string
-	// returned is when news of the servers last came after an outage of it.
-	returned time.Time
-	lapsed   map[string]lapse
+	entries  *entries
 	paces    paces
 	calling  map[string]bool
 	fetching map[string]bool
@@ -89,25 +84,17 @@
 	// revision.
 	stored   grant.Table
 	storedAt uint64
-	// servers are the entries in force, by id.
-	servers map[string]fleet.Server
 	// led is set once this daemon has led: the next leader waits for its word.
 	led     bool
 	heats   *heats
 	started time.Time
 }
 
-// lapse is a server whose entry vanished around an outage of the store.
-type lapse struct {
-	server fleet.Server
-	until  time.Time
-}
-
 func newControl(r *Router, now time.Time) *control {
 	c := &control{
 		r: r, caches: map[news.Kind]*news.Cache{}, known: map[news.Kind]*atomic.Uint64{},
-		members: member.New(r.self, now), lapsed: map[string]lapse{},
-		servers: map[string]fleet.Server{}, calling: map[string]bool{}, fetching: map[string]bool{}, heated: now, heats: newHeats(), started: now, seeds: r.settings.Seeds,
+		members: member.New(r.self, now), entries: newEntries(),
+		calling: map[string]bool{}, fetching: map[string]bool{}, heated: now, heats: newHeats(), started: now, seeds: r.settings.Seeds,
 	}
 	for _, k := range news.Kinds {
 		c.caches[k], c.known[k] = news.NewCache(k), &atomic.Uint64{}
@@ -132,7 +119,7 @@
 	case fetchedMsg:
 		delete(c.fetching, m.kind)
 	case tableMsg:
-		if c.tableIs(now, m.table) {
+		if c.applyTable(now, m.table) {
 			c.spreadNews(now, false)
 		}
 	case calledMsg:
@@ -146,7 +133,7 @@
 	case leadMsg:
 		c.lead(now, m)
 	case settingsMsg:
-		c.settingsAre(m.settings)
+		c.applySettings(m.settings)
 	case leadFailMsg:
 		c.taking = false
 	case suspectMsg:
@@ -206,34 +193,24 @@
 	urgent := m.delta.Kind != news.Daemons
 	switch m.delta.Kind {
 	case news.Config:
-		c.configIs(changed)
+		c.applyConfig(changed)
 	case news.Servers:
-		urgent = c.serversAre(now, changed)
+		urgent = c.applyServers(now, changed, m.fromStore)
 	case news.Outs:
-		c.outsAre(changed)
+		c.applyOuts(changed)
 	case news.Daemons:
-		c.daemonsAre(changed)
+		c.applyDaemons(changed)
 	case news.Tables:
-		c.storedTableIs(now, changed)
+		c.applyStoredTable(now, changed)
 	}
 	if urgent {
 		c.spreadNews(now, m.fromStore)
 	}
 }
 
-// gap notes the end of an outage: there was no news of the servers for so long
-// that entries may have lapsed although their servers live.
-func (c *control) gap(now time.Time, kind news.Kind, before time.Time) {
-	if kind != news.Servers || before.IsZero() || c.caches[kind].At().Sub(before) < outageLeast {
-		return
-	}
-	c.returned = now
-	c.r.log.Info("servers: news again after an outage", "outage", c.caches[kind].At().Sub(before).String())
-}
-
-// configIs puts a newer configuration in force. An older one never replaces it,
+// applyConfig puts a newer configuration in force. An older one never replaces it,
 // whatever the order in which they come.
-func (c *control) configIs(changed []news.Item) {
+func (c *control) applyConfig(changed []news.Item) {
 	for _, it := range changed {
 		var next config.Config
 		if it.Removed || json.Unmarshal(it.Value, &next) != nil {
@@ -256,93 +233,7 @@
 	}
 }
 
-// serversAre takes in changed entries, and tells whether others should learn of
-// them at once: a cold server's count of its seconds can wait for the next round.
-func (c *control) serversAre(now time.Time, changed []news.Item) (urgent bool) {
-	old := c.r.current.Load().fleet
-	for _, it := range changed {
-		v, had := old.Find(it.Name)
-		if it.Removed {
-			urgent = true
-			delete(c.servers, it.Name)
-			c.r.log.Info("servers: gone", "server", it.Name, "revision", it.Revision, "sinceOutage", sinceText(now, c.returned))
-			if until := c.returned.Add(lapseGrace); had && !v.Draining && now.Before(until) {
-				c.lapsed[it.Name] = lapse{server: v, until: until}
-			}
-			continue
-		}
-		delete(c.lapsed, it.Name)
-		var next fleet.Server
-		if err := json.Unmarshal(it.Value, &next); err != nil {
-			c.r.log.Warn("servers: entry not usable", "server", it.Name, "revision", it.Revision, "err", err)
-			delete(c.servers, it.Name)
-			continue
-		}
-		c.servers[it.Name] = next
-		c.r.heardCold(next)
-		if !had || v.Born != next.Born || v.Draining != next.Draining || v.Address != next.Address {
-			urgent = true
-			c.r.log.Info("servers: changed", "server", next.ID, "address", next.Address, "service", next.Service,
-				"dataCentre", next.DataCentre, "born", next.Born, "draining", next.Draining, "cold", next.Cold.String(), "revision", it.Revision)
-		}
-	}
-	c.rebuild()
-	return urgent
-}
-
-func sinceText(now, at time.Time) string {
-	if at.IsZero() {
-		return "none"
-	}
-	return now.Sub(at).String()
-}
-
-// expire drops servers whose entries did not come back.
-func (c *control) expire(now time.Time) {
-	dropped := false
-	for id, l := range c.lapsed {
-		if now.After(l.until) {
-			delete(c.lapsed, id)
-			dropped = true
-			c.r.log.Info("servers: lapsed entry did not come back", "server", id)
-		}
-	}
-	if dropped {
-		c.rebuild()
-	}
-}
-
-// outsAre takes data centres out or in. Servers of one that comes back may have
-// restarted shortly before, and count as cold until their entries tell.
-func (c *control) outsAre(changed []news.Item) {
-	for _, it := range changed {
-		c.r.log.Info("outs: changed", "dataCentre", it.Name, "out", !it.Removed, "revision", it.Revision)
-		if it.Removed {
-			c.r.doubtAll(it.Name)
-		}
-	}
-	c.rebuild()
-}
-
-// rebuild makes the snapshot's list of servers anew.
-func (c *control) rebuild() {
-	servers := slices.Collect(maps.Values(c.servers))
-	for _, l := range c.lapsed {
-		servers = append(servers, l.server)
-	}
-	out := map[string]bool{}
-	for _, it := range c.caches[news.Outs].List() {
-		out[it.Name] = true
-	}
-	f := fleet.New(servers)
-	c.r.current.Store(c.r.current.Load().withFleet(f, out))
-	c.r.links.keep(f)
-	c.r.mu.Lock()
-	c.r.spread.Keep(f)
-	c.r.mu.Unlock()
-}
-
-func (c *control) daemonsAre(changed []news.Item) {
+func (c *control) applyDaemons(changed []news.Item) {
 	for _, it := range changed {
 		var m member.Member
 		if !it.Removed && json.Unmarshal(it.Value, &m) == nil {
@@ -352,8 +243,8 @@
 	c.share()
 }
 
-// settingsAre takes over the seeds and the bounds.
-func (c *control) settingsAre(s setup.Settings) {
+// applySettings takes over the seeds and the bounds.
+func (c *control) applySettings(s setup.Settings) {
 	c.r.mu.Lock()
 	c.r.bounds = s
 	c.r.mu.Unlock()
@@ -374,7 +265,7 @@
 	}
 }
 
-func (c *control) storedTableIs(now time.Time, changed []news.Item) {
+func (c *control) applyStoredTable(now time.Time, changed []news.Item) {
 	for _, it := range changed {
 		if it.Name != tableName {
 			continue
@@ -390,13 +281,13 @@
 			continue
 		}
 		c.stored, c.storedAt = t, it.Revision
-		c.tableIs(now, t)
+		c.applyTable(now, t)
 	}
 }
 
-// tableIs takes in a table that may be newer than the one in force, and tells
+// applyTable takes in a table that may be newer than the one in force, and tells
 // whether it is.
-func (c *control) tableIs(now time.Time, t grant.Table) bool {
+func (c *control) applyTable(now time.Time, t grant.Table) bool {
 	s := c.r.current.Load()
 	if c.keeper != nil && t.Epoch > c.keeper.Table().Epoch {
 		c.keep(now, keeper.CurrentMsg{Epoch: t.Epoch, At: now})
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -104,7 +104,7 @@
 	case keeper.ReadCmd:
 		go c.r.readKept()
 	case keeper.PublishCmd:
-		c.tableIs(now, cmd.Table)
+		c.applyTable(now, cmd.Table)
 		c.spreadNews(now, true)
 	case keeper.ResignCmd:
 		c.r.log.Info("keys: no longer leading", "reason", cmd.Reason)
@@ -181,7 +181,7 @@
 		r.post(keeperMsg{msg: keeper.UnstoredMsg{}})
 		return
 	}
-	r.storedIs(item, asked)
+	r.postStored(item, asked)
 }
 
 func (r *Router) readKept() {
@@ -191,7 +191,7 @@
 		r.post(keeperMsg{msg: keeper.UnstoredMsg{}})
 		return
 	}
-	r.storedIs(item, asked)
+	r.postStored(item, asked)
 }
 
 func (r *Router) readTable(ctx context.Context) (news.Item, error) {
@@ -206,7 +206,7 @@
 	return item, nil
 }
 
-func (r *Router) storedIs(item news.Item, asked time.Time) {
+func (r *Router) postStored(item news.Item, asked time.Time) {
 	t, err := grant.Unmarshal(item.Value)
 	if err != nil {
 		r.log.Error("keys: stored table not readable", "revision", item.Revision, "err", err)
