Only what arrived is a repeat; the holder of a key is asked again; closed ranges open when such ranges did

Cause: at hundreds of hosts the burst of repeats is two for each daemon, and refused dials, which reach nobody, used it up. A lookup by key whose answer was lost was counted as a repeat and then refused as keyMoving, since its only holder was left out. A key that changes hands was said to be back after 100 ms; work of 0.5 to 0.9 s has to end first, and callers return once.

Change: core/request/retry counts attempts that may have arrived, and only a repeat of those takes from the budget; three that reach nobody end it. A holder is judged anew in place of being left out. core/version/gaps measures how long ranges of a service stay closed, for holders that live and that are lost; a refusal asks its caller back after the median of those that lasted as long, and a request waits where nine in ten of them would let it be answered within its aim.

Ruled out: borrowing of the burst among daemons: it is 430 of some 3,400 repeats that ten seconds allow.

--- a/core/request/retry/doc.go
+++ b/core/request/retry/doc.go
@@ -5,7 +5,7 @@
 //
 //	b := retry.NewBudget(0.1, 10)
 //	b.Request() // for each request
-//	if attempt.Again() && b.Take() { ... }
+//	if attempt.Again() && (!attempt.Repeats() || b.Take()) { ... }
 //
 // A Budget is used under one lock; nothing here fails.
 package retry
--- a/core/request/retry/retry.go
+++ b/core/request/retry/retry.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// unsentMost bounds the attempts of one request that reach nobody: each may take as
+// long as a connection is waited for.
+const unsentMost = 3
+
 // Attempt is what is known after an attempt of a request failed.
 type Attempt struct {
 	// Idempotent requests may run more than once.
@@ -10,8 +14,10 @@
 	NotRun bool
 	// MaybeRan means that an earlier attempt may have run.
 	MaybeRan bool
-	// Made is how many attempts there were, Most how many there may be.
-	Made, Most int
+	// Arrived is how many attempts may have reached a server, Most how many may.
+	Arrived, Most int
+	// Unsent is how many attempts surely reached none.
+	Unsent int
 	// Left is what remains of the caller's time, Least what an answer takes.
 	Left, Least time.Duration
 }
@@ -22,5 +28,10 @@
 // end in time would hold a slot for nothing.
 func (a Attempt) Again() bool {
 	safe := a.Idempotent || a.NotRun && !a.MaybeRan
-	return safe && a.Made < max(1, a.Most) && a.Left > a.Least
+	return safe && a.Arrived < max(1, a.Most) && a.Unsent < unsentMost && a.Left > a.Least
 }
+
+// Repeats tells whether another attempt would be a repeat for the servers, which the
+// shared budget bounds. One whose forerunners reached nobody is no more load than the
+// request itself: paid for, it would use up a daemon's share while servers are lost.
+func (a Attempt) Repeats() bool { return a.Arrived > 0 }
--- /dev/null
+++ b/core/version/gaps/gaps_test.go
@@ -0,0 +1,64 @@
+package gaps
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"catkinstep/core/version/grant"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+
+func table(closed bool) grant.Table {
+	g := grant.Range{From: 0, To: grant.LastKey, Holder: grant.Holder{Server: "a"}}
+	if closed {
+		g.Next = grant.Holder{Server: "b"}
+	}
+	return grant.Table{Shares: []grant.Share{{Service: "s", Ranges: []grant.Range{g}}}}
+}
+
+// closures plays ranges that were closed for so long, one after the other.
+func closures(m *Meter, lost bool, seconds ...float64) {
+	now := 0.0
+	for _, s := range seconds {
+		m.Observe(at(now), table(true), func(grant.Holder) bool { return !lost })
+		m.Observe(at(now+s), table(false), func(grant.Holder) bool { return !lost })
+		now += s + 1
+	}
+}
+
+// Guards against callers that are asked back too early: keys of long requests move
+// for a second, and a caller who returns after a tenth of that is refused again.
+func TestOpensAsBefore(t *testing.T) {
+	Convey("A range opens when others of its service did", t, func() {
+		m := New()
+		closures(m, false, 0.4, 0.8, 0.9, 1.0, 2.0)
+		m.Observe(at(100), table(true), func(grant.Holder) bool { return true })
+		g := table(true).Shares[0].Ranges[0]
+		e := m.Opens(at(100), "s", g, true)
+		So(e.Likely, ShouldEqual, 900*time.Millisecond)
+		So(e.Surely, ShouldEqual, 2*time.Second)
+		Convey("One that has been closed for a while is compared with those that lasted as long", func() {
+			e := m.Opens(at(100.85), "s", g, true)
+			So(e.Likely, ShouldAlmostEqual, 150*time.Millisecond, time.Millisecond)
+		})
+		Convey("One that lasts longer than any before may last much longer", func() {
+			So(m.Opens(at(104), "s", g, true).Likely, ShouldEqual, 2*time.Second)
+		})
+		Convey("Other services and lost holders are not judged by it", func() {
+			So(m.Opens(at(100), "t", g, true).Likely, ShouldEqual, releaseGuess)
+			other := grant.Range{From: 5, To: 9}
+			So(m.Opens(at(100), "s", other, false).Likely, ShouldEqual, lostGuess)
+		})
+	})
+	Convey("The grants of lost holders run out for longer", t, func() {
+		m := New()
+		closures(m, true, 3.4, 3.5, 3.6)
+		m.Observe(at(100), table(true), func(grant.Holder) bool { return false })
+		So(m.Opens(at(101), "s", table(true).Shares[0].Ranges[0], false).Likely, ShouldEqual, 2500*time.Millisecond)
+	})
+}
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -66,10 +66,10 @@
 	members *member.Cluster
 	keeper  *keeper.Keeper
 	// before is the leader that this daemon took the lead from.
-	before  grant.Leader
-	taking  bool
-	leaving bool
-	seeds   []string
+	before   grant.Leader
+	taking   bool
+	leaving  bool
+	seeds    []string
 	entries  *entries
 	paces    paces
 	calling  map[string]bool
@@ -301,6 +301,7 @@
 	c.tables = append(c.tables, s.table)
 	c.tables = c.tables[max(0, len(c.tables)-tablesKept):]
 	c.r.current.Store(s.withTable(t))
+	c.r.tableChanged(now, t)
 	c.r.meters.set("keys.epoch", t.Epoch)
 	return true
 }
--- a/io/process/router/late.go
+++ b/io/process/router/late.go
@@ -24,7 +24,7 @@
 	if took <= o.route.Aim {
 		return
 	}
-	reason := lateReason(o.attempts, a.Load)
+	reason := lateReason(o.attempts(), a.Load)
 	r.meters.add("late." + reason)
 	told := link.Load{}
 	if a.Load != nil {
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -81,11 +81,6 @@
 	// notReadyRetry is what callers are told who come before there is a
 	// configuration; reading it takes some milliseconds.
 	notReadyRetry = 250 * time.Millisecond
-	// movingRetry is what callers are told whose key is between two holders: the
-	// work that runs on it must end first, which takes as long as a request.
-	movingRetry = 100 * time.Millisecond
-	// lostRetry is the same where the holder is lost and its grant has to run out.
-	lostRetry = 500 * time.Millisecond
 )
 
 // Store is the platform's object store in the project's own terms. Errors are
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -22,6 +22,7 @@
 	"catkinstep/core/request/retry"
 	"catkinstep/core/request/spread"
 	"catkinstep/core/version/fleet"
+	"catkinstep/core/version/gaps"
 	"catkinstep/core/version/news"
 	"catkinstep/io/connection/caller"
 	"catkinstep/io/connection/mesh"
@@ -42,6 +43,8 @@
 	control *control
 	inbox   chan any
 	current atomic.Pointer[snap]
+	// opened is closed and replaced when a new table is in force.
+	opened  atomic.Pointer[chan struct{}]
 	ready   atomic.Bool
 	running chan struct{} // closed once the addresses are open
 	aborted atomic.Bool
@@ -56,6 +59,8 @@
 	suspects   *crash.Suspects
 	suspicions []suspicion
 	burn       *burn.Meter
+	// gaps are how long ranges stayed closed.
+	gaps *gaps.Meter
 
 	bounds  setup.Settings // those that can be reloaded
 	daemons int
@@ -100,6 +105,8 @@
 	}
 	r.links.names = sp.Names()
 	r.burn = burn.New(r.now())
+	r.gaps = gaps.New()
+	r.opened.Store(new(make(chan struct{})))
 	r.random = rand.New(rand.NewPCG(r.self.Incarnation, 23))
 	r.spread = spread.New(r.self.Incarnation, r.limits(1, 0))
 	r.current.Store((&snap{}).withFleet(fleet.New(nil), nil))
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -42,9 +41,11 @@
 	key      int // -1 where the service has no keys
 	deadline time.Time
 	need     spread.Need
-	print    uint64 // the same for each try of the same content
-	attempts int
+	print    uint64    // the same for each try of the same content
+	arrived  int       // attempts that may have reached a server
+	unsent   int       // attempts that reached none
 	began    time.Time // of the present attempt
+	opensBy  time.Time // when its range has surely opened, if that is closed
 	maybeRan bool
 	// held is a server's own failure, given to the caller if nothing better comes.
 	held *link.Answer
@@ -128,22 +129,37 @@
 		if ctx.Err() != nil {
 			return *r.plain(o.id, http.StatusBadGateway, reasonLeft)
 		}
+		changed := *r.opened.Load()
 		v, c := r.choose(o)
+		if c.Reason == moving && r.awaitOpen(ctx, o, changed) {
+			continue
+		}
 		if c.Refused() {
 			return r.giveUp(o, c, string(c.Reason), c.RetryAfter)
 		}
-		o.attempts++
 		a, err := r.send(ctx, o, v)
+		if err != nil && link.NotRun(err) {
+			o.unsent++
+		} else {
+			o.arrived++
+		}
 		reply, again := r.judge(ctx, o, v, c, a, err)
 		if !again {
 			return reply
 		}
-		if o.key < 0 || a == nil || !declined(a) {
-			o.need.Tried = append(o.need.Tried, v.ID)
-		}
+		o.failedAt(v, a)
 	}
 }
 
+// failedAt leaves a server out of the next attempts, unless it may well answer the
+// next one: it declined with slots free, or it is the only one that holds the key.
+func (o *order) failedAt(v fleet.Server, a *link.Answer) {
+	if o.key >= 0 || a != nil && declined(a) {
+		return
+	}
+	o.need.Tried = append(o.need.Tried, v.ID)
+}
+
 // declined tells whether a server did not run a request although it says that it
 // has slots free: nothing speaks against asking it again at once.
 func declined(a *link.Answer) bool {
@@ -167,29 +183,16 @@
 	return c.Server, c
 }
 
-// moving is why a request for a key cannot go anywhere now.
-const moving spread.Reason = "keyMoving"
-
-// opensIn is when callers are asked back whose key has no holder now. One that is
-// in the list lets go once its running work has ended; for one that is gone the
-// grant has to run out.
-func opensIn(holderLives bool) time.Duration {
-	if holderLives {
-		return movingRetry
-	}
-	return lostRetry
-}
-
 // owner finds the only server that may run a request with a key.
 func (r *Router) owner(s *snap, o *order, now time.Time) (fleet.Server, spread.Choice) {
 	g, ok := s.table.Owner(o.service.Name, o.key)
 	v, found := s.fleet.Find(g.Holder.Server)
 	lives := found && v.Born == g.Holder.Born
-	if !ok || !g.Open() || !lives || !s.mayServe(v) || slices.Contains(o.need.Tried, v.ID) {
-		return v, spread.Choice{Reason: moving, RetryAfter: opensIn(lives)}
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !ok || !g.Open() || !lives || !s.mayServe(v) {
+		return v, r.closedChoice(now, o, g, lives)
+	}
 	c := r.spread.Judge(now, o.need, v)
 	if !c.Refused() {
 		o.began = now
@@ -264,9 +267,9 @@
 		o.maybeRan = true
 	}
 	if notRun && o.key >= 0 && err == nil && !declined(a) {
-		return r.giveUp(o, c, reasonNotHeld, movingRetry), false
+		return r.giveUp(o, c, reasonNotHeld, r.comeBack(o, v, a)), false
 	}
-	if r.mayRepeat(ctx, o, notRun) && r.spend(o) {
+	if r.mayRepeat(ctx, o, notRun) && (!r.tried(o, notRun).Repeats() || r.spend(o)) {
 		r.logAttempt(o, v, c, a, err, "sent again")
 		return caller.Reply{}, true
 	}
@@ -281,10 +284,18 @@
 
 // mayRepeat tells whether another attempt is allowed and can still help.
 func (r *Router) mayRepeat(ctx context.Context, o *order, notRun bool) bool {
-	return ctx.Err() == nil && retry.Attempt{Idempotent: o.route.Idempotent, NotRun: notRun, MaybeRan: o.maybeRan,
-		Made: o.attempts, Most: o.route.Attempts, Left: time.Until(o.deadline), Least: r.leastWorth(o)}.Again()
+	return ctx.Err() == nil && r.tried(o, notRun).Again()
+}
+
+// tried is what is known of the attempts so far, the last of which failed.
+func (r *Router) tried(o *order, notRun bool) retry.Attempt {
+	return retry.Attempt{Idempotent: o.route.Idempotent, NotRun: notRun, MaybeRan: o.maybeRan, Arrived: o.arrived, Unsent: o.unsent,
+		Most: o.route.Attempts, Left: time.Until(o.deadline), Least: r.leastWorth(o)}
 }
 
+// attempts is how many there were.
+func (o *order) attempts() int { return o.arrived + o.unsent }
+
 // leastWorth is the time below which another attempt cannot be expected to end:
 // most answers take at least half of the usual time.
 func (r *Router) leastWorth(o *order) time.Duration {
@@ -314,7 +325,7 @@
 func (r *Router) grounds(o *order, c spread.Choice) []any {
 	s := r.current.Load()
 	return []any{"service", o.service.Name, "key", o.key, "server", c.Server.ID, "expected", c.Expected.String(), "aim", o.route.Aim.String(),
-		"left", time.Until(o.deadline).String(), "attempts", o.attempts, "config", s.config.Version, "epoch", s.table.Epoch, "seq", s.table.Seq}
+		"left", time.Until(o.deadline).String(), "attempts", o.attempts(), "config", s.config.Version, "epoch", s.table.Epoch, "seq", s.table.Seq}
 }
 
 func (r *Router) refuse(id, route, reason string, after time.Duration, grounds ...any) caller.Reply {
@@ -400,7 +411,7 @@
 		status = a.Status
 	}
 	r.meters.add("attempts." + strings.ReplaceAll(then, " ", ""))
-	r.log.Info("request: attempt failed", "id", o.id, "route", o.route.Name, "key", o.key, "attempt", o.attempts, "server", v.ID,
+	r.log.Info("request: attempt failed", "id", o.id, "route", o.route.Name, "key", o.key, "attempt", o.attempts(), "server", v.ID,
 		"expected", c.Expected.String(), "left", time.Until(o.deadline).String(), "status", status, "err", err, "then", then)
 }
 
