Daemons turn to servers of their own first; holders that are full are limited over all daemons; hot neighbourhoods are seen

For keys, a holder's queue is known to none of the 195 daemons, so a hot key fills it with requests that will be late. And the leader did not see hot neighbourhoods: each bucket's count of a second is within chance, so 80 buckets at ten times their rate showed a fifth of their load after two windows.

Change: core/request/subset orders daemons for each server round a ring, and a server costs more the more daemons come before (0.4 of the usual time a step). core/request/admit: the leader publishes what part of a bucket's requests may be sent while a holder is offered more than it bears and its own answers tell of long queues; what it bears is corrected by them. core/process/rate judges a stretch of buckets as a whole before its halves.

Ruled out: limits without the holders' own word, which refused callers of idle holders for ever (TestLeaderStops, TestStoreFallsSilent failed by it).

--- a/core/process/keeper/balance.go
+++ b/core/process/keeper/balance.go
@@ -226,11 +226,13 @@
 	return out
 }
 
-// giveFirstKeys gives a server without keys the piece after which the busier of the two
+// giveFirstKeys gives a server without keys, or one that got few since it was cold, the piece after which the busier of the two
 // servers is least busy, from the busiest one.
 func (k *Keeper) giveFirstKeys(s *share, fit []fleet.Server) bool {
 	est := k.estimateOf(s)
-	bare := slices.IndexFunc(fit, func(v fleet.Server) bool { return est.loads[holder(v)] == 0 })
+	bare := slices.IndexFunc(fit, func(v fleet.Server) bool {
+		return est.loads[holder(v)] == 0 || v.Cold == 0 && k.fewKeys[holder(v)]
+	})
 	if len(fit) < 2 || bare < 0 {
 		return false
 	}
@@ -247,9 +249,13 @@
 			best = p
 		}
 	}
+	delete(k.fewKeys, holder(to))
 	if best.at < 0 {
 		return false
 	}
+	if to.Cold > 0 {
+		k.fewKeys[holder(to)] = true
+	}
 	k.move(s, s.split(best), holder(to), "server without keys")
 	return true
 }
--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"catkinstep/core/request/admit"
 	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/grant"
 )
@@ -77,6 +78,8 @@
 	ended   map[grant.Holder]bool
 	// quiet is when a server last left a call unanswered, since it last answered one.
 	quiet map[grant.Holder]time.Time
+	// fewKeys are servers that were cold when they got their first keys.
+	fewKeys map[grant.Holder]bool
 
 	asked   uint64 // the sequence of the last save
 	dirty   bool   // the stored table lacks an intent
@@ -87,7 +90,11 @@
 	again   time.Time
 	visible bool // the published table is out of date
 	told    time.Time
-	cmds    []Cmd
+	// limits is how many were sent at limitedAt.
+	limits     int
+	limitedAt  time.Time
+	congestion *admit.Control
+	cmds       []Cmd
 }
 
 // New returns the Keeper of a leadership that began with a conditional update
@@ -97,7 +104,7 @@
 		hold: DefaultHold, right: defaultRight,
 		epoch: t.Epoch, leader: t.Leader, seq: t.Seq, revision: revision,
 		since: now, confirmed: now, ticked: now, saved: now,
-		fleet: fleet.New(nil), ended: map[grant.Holder]bool{}, quiet: map[grant.Holder]time.Time{}, visible: true,
+		fleet: fleet.New(nil), ended: map[grant.Holder]bool{}, quiet: map[grant.Holder]time.Time{}, fewKeys: map[grant.Holder]bool{}, congestion: admit.NewControl(), visible: true,
 	}
 	for _, o := range opts {
 		o(k)
@@ -136,7 +143,7 @@
 	case FleetMsg:
 		k.fleetIs(now, m)
 	case LoadMsg:
-		k.loadIs(m)
+		k.applyLoad(m)
 	case GrantedMsg:
 		k.granted(now, m)
 	case ReleasedMsg:
@@ -189,6 +196,7 @@
 		return // others may have taken over: nothing is granted until that is known
 	}
 	k.place(now)
+	k.limit(now)
 	for _, s := range k.shares {
 		k.balance(now, s)
 		for _, sp := range s.spans {
@@ -209,6 +217,11 @@
 			delete(k.ended, h)
 		}
 	}
+	for h := range k.fewKeys {
+		if s, ok := k.fleet.Find(h.Server); !ok || holder(s) != h {
+			delete(k.fewKeys, h)
+		}
+	}
 	for h := range k.quiet {
 		if s, ok := k.fleet.Find(h.Server); !ok || holder(s) != h {
 			delete(k.quiet, h)
@@ -228,7 +241,10 @@
 	return false
 }
 
-func (k *Keeper) loadIs(m LoadMsg) {
+func (k *Keeper) applyLoad(m LoadMsg) {
+	for _, r := range m.Reports {
+		k.congestion.Report(r.Server, r.Answers, r.Full)
+	}
 	for _, s := range k.shares {
 		if s.service == m.Service {
 			s.work, s.factors, s.each, s.aim, s.coldRate = m.Work, m.Factors, m.Each, m.Aim, m.ColdRate
--- /dev/null
+++ b/core/process/keeper/limits.go
@@ -0,0 +1,70 @@
+package keeper
+
+import (
+	"time"
+
+	"catkinstep/core/request/admit"
+	"catkinstep/core/version/fleet"
+	"catkinstep/core/version/grant"
+)
+
+// limit tells the daemons what part of the requests they may send to holders that are
+// offered more than they can answer in time. It goes on until no holder is.
+func (k *Keeper) limit(now time.Time) {
+	if now.Sub(k.limitedAt) < limitEvery {
+		return
+	}
+	k.limitedAt = now
+	k.congestion.Round(now)
+	var limits []admit.Limit
+	for _, s := range k.shares {
+		limits = append(limits, k.limitsOf(now, s)...)
+	}
+	if len(limits) > 0 || k.limits > 0 {
+		k.cmds = append(k.cmds, LimitCmd{Limits: limits})
+	}
+	k.limits = len(limits)
+}
+
+// limitsOf returns the limits of one service. Keys on their way count where they go.
+func (k *Keeper) limitsOf(now time.Time, s *share) []admit.Limit {
+	if s.work == nil {
+		return nil
+	}
+	buckets := map[grant.Holder][]int{}
+	for _, sp := range s.spans {
+		h := sp.Holder
+		if sp.Next.Server != "" {
+			h = sp.Next
+		}
+		for b := Bucket(sp.From); b <= Bucket(sp.To); b++ {
+			buckets[h] = append(buckets[h], b)
+		}
+	}
+	var out []admit.Limit
+	for _, v := range k.fleet.Of(s.service) {
+		out = append(out, k.limitsAt(now, s, v, buckets[holder(v)])...)
+	}
+	return out
+}
+
+// limitsAt returns the limits of the buckets that one server holds.
+func (k *Keeper) limitsAt(now time.Time, s *share, v fleet.Server, buckets []int) []admit.Limit {
+	demands, sum := make([]float64, 0, len(buckets)), 0.0
+	for _, b := range buckets {
+		demands = append(demands, s.work[b])
+		sum += s.work[b]
+	}
+	capacity, limited := k.congestion.Capacity(now, v.ID, fullAt*s.power(v), sum)
+	if !limited {
+		return nil
+	}
+	level := admit.Level(demands, capacity)
+	var out []admit.Limit
+	for i, b := range buckets {
+		if part := level / demands[i]; part < 1 {
+			out = append(out, admit.Limit{Service: s.service, Bucket: b, Part: part})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/process/keeper/limits_test.go
@@ -0,0 +1,98 @@
+package keeper
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"catkinstep/core/version/grant"
+)
+
+// partsOf reads the newest limits, by bucket.
+func partsOf(s *story) map[int]float64 {
+	out := map[int]float64{}
+	for _, c := range s.cmds {
+		if l, ok := c.(LimitCmd); ok {
+			clear(out)
+			for _, x := range l.Limits {
+				out[x.Bucket] = x.Part
+			}
+		}
+	}
+	return out
+}
+
+// admitted is the load of each server that limits leave, as a share of its slots.
+func (l *load) admitted(s *story, parts map[int]float64) map[string]float64 {
+	out := map[string]float64{}
+	for _, r := range s.k.Table().Shares[0].Ranges {
+		for b := Bucket(r.From); r.Open() && b <= Bucket(r.To); b++ {
+			part, limited := parts[b]
+			if !limited {
+				part = 1
+			}
+			out[r.Holder.Server] += l.rates[b] * l.work * l.speeds[r.Holder.Server] / l.slots * part
+		}
+	}
+	return out
+}
+
+// passReporting plays requests for a while, with what the servers tell of their queues.
+func (l *load) passReporting(s *story, d time.Duration, result grant.Result) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		m := l.count(s.now, time.Second/2)
+		for server, busy := range l.admitted(s, partsOf(s)) {
+			full := 0
+			if busy > 1 {
+				full = 4
+			}
+			m.Reports = append(m.Reports, Report{Server: server, Answers: 4, Full: full})
+		}
+		s.tell(m)
+		s.pass(time.Second/2, always(result), always(result))
+	}
+}
+
+// Guards against one hot key, asked for by all daemons at once, that fills its holder's
+// queue with late requests and holds up the other keys there.
+func TestOneHotKeyIsLimited(t *testing.T) {
+	Convey("What its holder cannot run is cut, and no other key", t, func() {
+		l, _, s := started(200)
+		before := partsOf(s)
+		So(before, ShouldBeEmpty)
+		const hot = 700
+		l.rates[hot] = 400
+		l.passReporting(s, 2*time.Second, grant.Done)
+		parts := partsOf(s)
+		So(parts, ShouldHaveLength, 1)
+		So(parts[hot], ShouldBeBetween, 0.05, 0.4)
+		Convey("When nobody asks for it any more the limit goes", func() {
+			l.rates[hot] = 1
+			l.passReporting(s, 2*time.Second, grant.Done)
+			So(partsOf(s), ShouldBeEmpty)
+		})
+	})
+}
+
+// Guards against a hot stretch of neighbouring keys, held by few servers, whose
+// requests wait in full queues until moves have spread the keys.
+func TestHotNeighboursAreLimited(t *testing.T) {
+	Convey("No server is sent much more than its slots can run", t, func() {
+		l, _, s := started(200)
+		for b := 700; b < 780; b++ {
+			l.rates[b] += 6
+		}
+		l.passReporting(s, time.Second, grant.NotSent) // nothing has moved yet
+		unlimited, limited := 0.0, 0.0
+		for _, busy := range l.admitted(s, nil) {
+			unlimited = max(unlimited, busy)
+		}
+		for _, busy := range l.admitted(s, partsOf(s)) {
+			limited = max(limited, busy)
+		}
+		t.Logf("the busiest server is sent %.2f of its slots, without limits %.2f", limited, unlimited)
+		So(unlimited, ShouldBeGreaterThan, 2)
+		So(limited, ShouldBeLessThan, 1.3)
+	})
+}
--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"catkinstep/core/request/admit"
 	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/grant"
 )
@@ -40,6 +41,16 @@
 	Aim time.Duration
 	// ColdRate is how many requests a second a cold server bears.
 	ColdRate float64
+	// Reports are what servers of any service told of their queues since the last
+	// LoadMsg.
+	Reports []Report
+}
+
+// Report is how many answers of a server told of its load, and how many of these of
+// a long queue.
+type Report struct {
+	Server        string
+	Answers, Full int
 }
 
 // GrantedMsg is the end of a GrantCmd.
@@ -125,6 +136,10 @@
 // PublishCmd tells all daemons of a table.
 type PublishCmd struct{ Table grant.Table }
 
+// LimitCmd tells all daemons what part of the requests for some buckets of keys they
+// may send on, in place of all limits before.
+type LimitCmd struct{ Limits []admit.Limit }
+
 // ResignCmd ends this leadership.
 type ResignCmd struct{ Reason string }
 
@@ -144,5 +159,6 @@
 func (SaveCmd) cmd()    {}
 func (ReadCmd) cmd()    {}
 func (PublishCmd) cmd() {}
+func (LimitCmd) cmd()   {}
 func (ResignCmd) cmd()  {}
 func (NoteCmd) cmd()    {}
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -86,6 +86,12 @@
 	// Buckets is the number of stretches of equal length that loads are counted in:
 	// ten for each of 200 servers, so that keys can be dealt out evenly among them.
 	Buckets = 2048
+	// limitEvery is the pause between two rounds of limits for overloaded holders: the
+	// counts that they are worked out from change as often.
+	limitEvery = 500 * time.Millisecond
+	// fullAt is the part of a holder's slots that limits let requests fill. Daemons do
+	// not see its queue: with more, most answers from it would be late.
+	fullAt = 0.9
 	// fenceShift leaves room for so many fences in one epoch (2^24).
 	fenceShift = 24
 )
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -182,6 +182,22 @@
 	return n
 }
 
+// NearPlace is this daemon's place among those of its data centre that there may be, by
+// name, and how many these are.
+func (c *Cluster) NearPlace() (place, count int) {
+	count = 1
+	for name, p := range c.peers {
+		if p.DataCentre != c.self.DataCentre {
+			continue
+		}
+		count++
+		if name < c.self.Name {
+			place++
+		}
+	}
+	return place, count
+}
+
 // Reads tells whether this daemon should read the platform for the others: the
 // news it has is old, and no other daemon of its data centre would come first.
 // current is when the news was last known to be in force. Daemons that are not
--- a/core/process/rate/rate.go
+++ b/core/process/rate/rate.go
@@ -97,17 +97,13 @@
 	weight := max(1-math.Exp(-float64(took)/float64(lasting)), 1/float64(c.windows))
 	for i, n := range c.now {
 		c.slow[i] += weight * (n/took.Seconds() - c.slow[i])
-		out.Slots[i] = c.present(i, took.Seconds()) * out.Each.Seconds()
-		c.last[i], c.now[i] = n, 0
 	}
+	e := newEstimate(c, took.Seconds())
+	e.fill(out.Slots, 0, len(c.now), e.slow[len(c.now)])
+	for i := range out.Slots {
+		out.Slots[i] *= out.Each.Seconds()
+	}
+	c.last, c.now = c.now, c.last
+	clear(c.now)
 	return out
 }
-
-// present is a bucket's rate: the lasting one, unless the last two windows show
-// that it is another now.
-func (c *counts) present(i int, took float64) float64 {
-	recent := c.now[i] + c.last[i]
-	spread := chance * math.Sqrt(recent)
-	least, most := (recent-spread)/(2*took), (recent+spread+chance)/(2*took)
-	return max(least, min(most, c.slow[i]))
-}
--- a/core/process/rate/rate_test.go
+++ b/core/process/rate/rate_test.go
@@ -97,3 +97,27 @@
 		}
 	})
 }
+
+// Guards against a few hundred neighbouring keys that become hot unseen: none of their
+// buckets gets enough in a second to stand out from chance.
+func TestHotNeighbours(t *testing.T) {
+	Convey("The stretch is seen as a whole within two windows, and the others stay as they are", t, func() {
+		const from, to, before, hot = 700, 780, 0.3, 3.0
+		c := newCallers(even(2048, before))
+		c.pass(20)
+		for b := from; b < to; b++ {
+			c.rates[b] = hot
+		}
+		l := c.pass(2)
+		busy := (to - from) * hot * work.Seconds()
+		So(sum(l.Slots[from:to]), ShouldBeBetween, 0.7*busy, 1.2*busy)
+		others := (2048 - to + from) * before * work.Seconds()
+		So(sum(l.Slots)-sum(l.Slots[from:to]), ShouldBeBetween, 0.85*others, 1.15*others)
+		Convey("So is its end", func() {
+			for b := from; b < to; b++ {
+				c.rates[b] = before
+			}
+			So(sum(c.pass(2).Slots[from:to]), ShouldBeLessThan, 0.5*busy)
+		})
+	})
+}
--- /dev/null
+++ b/core/request/admit/admit_test.go
@@ -0,0 +1,169 @@
+package admit
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+var t0 = time.Unix(1000, 0)
+
+// Guards against a hot key that takes the place of all others at its holder.
+func TestLevel(t *testing.T) {
+	Convey("Small demands are met in full, the large one gets the rest", t, func() {
+		So(Level([]float64{0.2, 30, 0.3, 0.5}, 3), ShouldEqual, 2)
+	})
+	Convey("Equal ones share equally", t, func() {
+		So(Level([]float64{2, 2, 2, 2}, 3), ShouldEqual, 0.75)
+	})
+	Convey("What fits is not cut", t, func() {
+		So(Level([]float64{0.2, 0.3}, 3), ShouldEqual, 0.3)
+		So(Level(nil, 3), ShouldEqual, 0)
+	})
+}
+
+// holder is a server with slots and a queue, to which many daemons send that know
+// nothing of its queue.
+type holder struct {
+	free   []time.Duration // when each slot is free
+	queued int
+}
+
+// answered plays requests that come by chance for a while, and returns how many of
+// the hot key's and of the other keys' were answered within their aim.
+func answered(gates []*Gate, hot, others float64) (hotInAim, othersInAim int) {
+	const work, aim, most, length = 670 * time.Millisecond, 1500 * time.Millisecond, 12, 20 * time.Second
+	random := rand.New(rand.NewPCG(5, 5))
+	h := holder{free: make([]time.Duration, 3)}
+	for at := time.Duration(0); at < length; at += time.Duration(random.ExpFloat64() / (hot + others) * float64(time.Second)) {
+		isHot := random.Float64() < hot/(hot+others)
+		number := 1
+		if isHot {
+			number = 0
+		}
+		if _, ok := gates[random.IntN(len(gates))].Admit(t0.Add(at%time.Second), "s", number); !ok {
+			continue
+		}
+		slot := 0
+		for i, f := range h.free {
+			if f < h.free[slot] {
+				slot = i
+			}
+		}
+		begin := max(at, h.free[slot])
+		if begin-at > time.Duration(float64(most)/3*float64(work)) {
+			continue // the server's queue is full
+		}
+		took := time.Duration(float64(work) * random.ExpFloat64())
+		h.free[slot] = begin + took
+		switch {
+		case begin+took-at > aim:
+		case isHot:
+			hotInAim++
+		default:
+			othersInAim++
+		}
+	}
+	return hotInAim, othersInAim
+}
+
+// Guards against daemons that fill a holder's queue with requests which will be late,
+// each knowing nothing of the others.
+func TestHotKeyOverManyDaemons(t *testing.T) {
+	Convey("What is let through is answered in time, the other keys' requests first", t, func() {
+		const hot, others, slots, work = 100.0, 2.0, 3.0, 0.67
+		demands := []float64{hot * work, others * work}
+		level := Level(demands, 0.85*slots)
+		open, limited := make([]*Gate, 195), make([]*Gate, 195)
+		for i := range open {
+			open[i], limited[i] = NewGate(uint64(i)), NewGate(uint64(i))
+			limited[i].Set(t0, []Limit{{Service: "s", Bucket: 0, Part: level / demands[0]}})
+		}
+		hotBefore, othersBefore := answered(open, hot, others)
+		hotAfter, othersAfter := answered(limited, hot, others)
+		So(othersAfter, ShouldBeGreaterThan, 5*max(1, othersBefore))
+		So(hotAfter+othersAfter, ShouldBeGreaterThan, 2*(hotBefore+othersBefore))
+	})
+}
+
+func TestGate(t *testing.T) {
+	Convey("Nothing is refused without a limit, for other keys, or by an old one", t, func() {
+		g := NewGate(1)
+		_, ok := g.Admit(t0, "s", 1)
+		So(ok, ShouldBeTrue)
+		g.Set(t0, []Limit{{Service: "s", Bucket: 1}})
+		_, ok = g.Admit(t0, "s", 2)
+		So(ok, ShouldBeTrue)
+		_, ok = g.Admit(t0, "t", 1)
+		So(ok, ShouldBeTrue)
+		_, ok = g.Admit(t0.Add(lasts), "s", 1)
+		So(ok, ShouldBeTrue)
+		_, ok = g.Admit(t0, "s", 1)
+		So(ok, ShouldBeFalse)
+	})
+	Convey("Callers are asked back at a rate that can be served", t, func() {
+		g := NewGate(1)
+		g.Set(t0, []Limit{{Service: "s", Bucket: 1, Part: 0.5}, {Service: "s", Bucket: 2, Part: 0.001}})
+		sum, refused := 0.0, 0
+		for range 1000 {
+			if back, ok := g.Admit(t0, "s", 1); !ok {
+				sum += back.Seconds()
+				refused++
+			}
+		}
+		So(refused, ShouldBeBetween, 400, 600)
+		So(math.Abs(sum/float64(refused)-2*backSoonest.Seconds()), ShouldBeLessThan, 0.02)
+		back, ok := g.Admit(t0, "s", 2)
+		So(ok, ShouldBeFalse)
+		So(back, ShouldBeBetween, backLatest/2, 2*backLatest)
+	})
+}
+
+// Guards against callers who are refused for ever by a wrong guess: nobody had learned
+// yet how short the requests are, and who is refused teaches nothing.
+func TestLimitsFollowWhatHoldersReport(t *testing.T) {
+	const thought, offered = 3.0, 12.0
+	round := func(c *Control, i, answers, full int) (float64, bool) {
+		now := t0.Add(time.Duration(i) * time.Second / 2)
+		c.Report("a", answers, full)
+		c.Round(now)
+		return c.Capacity(now, "a", thought, offered)
+	}
+	Convey("A holder that reports no queue is not limited, whatever is thought of it", t, func() {
+		c := NewControl()
+		_, limited := c.Capacity(t0, "a", thought, offered)
+		So(limited, ShouldBeFalse)
+		for i := range 10 {
+			_, limited = round(c, i, 5, 0)
+			So(limited, ShouldBeFalse)
+		}
+	})
+	Convey("A full one is", t, func() {
+		capacity, limited := round(NewControl(), 0, 5, 4)
+		So(limited, ShouldBeTrue)
+		So(capacity, ShouldBeBetween, 0.8*thought, thought)
+	})
+	Convey("One that turns out to bear more gets more, until nothing is refused", t, func() {
+		c := NewControl()
+		_, limited := round(c, 0, 5, 4)
+		So(limited, ShouldBeTrue)
+		rounds := 1
+		for ; limited && rounds < 20; rounds++ {
+			_, limited = round(c, rounds, 5, 0)
+		}
+		So(rounds, ShouldBeLessThan, 10)
+	})
+	Convey("One whose queue stays long gets less", t, func() {
+		c := NewControl()
+		first, _ := round(c, 0, 5, 5)
+		last := first
+		for i := 1; i < 6; i++ {
+			last, _ = round(c, i, 5, 5)
+		}
+		So(last, ShouldBeLessThan, 0.9*first)
+		So(last, ShouldBeGreaterThan, 0.6*thought)
+	})
+}
--- /dev/null
+++ b/core/request/spread/blind_test.go
@@ -0,0 +1,31 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// inAim is the part of the requests that a data centre answers in time.
+func inAim(daemons, servers int, perSecond float64) float64 {
+	p := newPlace(daemons, servers, 240*time.Millisecond, 660*time.Millisecond)
+	p.run(perSecond, 40*time.Second)
+	return float64(p.inAim) / float64(p.asked)
+}
+
+// Guards against daemons that, each knowing little of the others' requests, take the same
+// servers for idle: callers wait in queues there while other servers have free slots.
+func TestManyDaemonsServeAsWellAsFew(t *testing.T) {
+	const nearly = 0.05
+	for _, v := range []struct {
+		daemons, servers int
+		perSecond        float64
+	}{{12, 40, 300}, {32, 40, 250}, {32, 40, 300}} {
+		Convey("Requests of many daemons are answered nearly as often in time as those of two", t, func() {
+			few, many := inAim(2, v.servers, v.perSecond), inAim(v.daemons, v.servers, v.perSecond)
+			t.Logf("%d daemons, %d servers, %.0f requests/s: %.3f in time, with two daemons %.3f", v.daemons, v.servers, v.perSecond, many, few)
+			So(many, ShouldBeGreaterThan, few-nearly)
+		})
+	}
+}
--- a/core/request/spread/options.go
+++ b/core/request/spread/options.go
@@ -30,6 +30,12 @@
 	// time that it must save for each kilobyte: bytes between data centres are
 	// dear, and the way itself takes a millisecond or two only.
 	farPerKilobyte = 60 * time.Millisecond
+	// rankStep is the price of a server for each group of daemons that turns to it
+	// before this one, as a part of the usual time of the request, and rankMost from
+	// which on it is not raised: a server thought to be idle that far away may as well
+	// have a queue of others' requests.
+	rankStep = 0.4
+	rankMost = 5
 	// firstKilobytes is taken for the size of answers before the first.
 	firstKilobytes = 1.0
 	// jitter spreads daemons that know the same over servers that look alike.
@@ -64,6 +70,9 @@
 	Daemons int
 	// Place is this daemon's place among them, from 0.
 	Place int
+	// Near is how many daemons there are in this one's data centre, and NearPlace its
+	// place among them, from 0.
+	Near, NearPlace int
 }
 
 // WithDaemons returns the limits among another number of daemons.
@@ -71,3 +80,9 @@
 	l.Daemons, l.Place = max(1, n), place
 	return l
 }
+
+// WithNear returns the limits among another number of daemons of the data centre.
+func (l Limits) WithNear(n, place int) Limits {
+	l.Near, l.NearPlace = n, place
+	return l
+}
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -87,6 +87,7 @@
 	// led is set once this daemon has led: the next leader waits for its word.
 	led     bool
 	heats   *heats
+	limits  limits
 	started time.Time
 }
 
@@ -258,7 +259,8 @@
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
 	c.r.daemons = c.members.Count()
-	c.r.spread.Limit(c.r.limits(c.members.Count(), c.members.Place()))
+	place, near := c.members.NearPlace()
+	c.r.spread.Limit(c.r.limits().WithDaemons(c.members.Count(), c.members.Place()).WithNear(near, place))
 	for _, b := range c.r.budgets {
 		b.SetShare(c.r.retryShare() * retryMargin)
 		b.SetBurst(c.r.burst())
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -73,15 +73,20 @@
 		if a == c.r.self.Address || c.calling[a] {
 			continue
 		}
-		c.calling[a] = true
 		h := c.word(now)
 		if near {
 			c.tellWork(now, h, "")
 		}
-		go c.r.sendGossip(a, h)
+		c.send(a, h)
 	}
 }
 
+// send tells a daemon a word; one at a time.
+func (c *control) send(address string, h *wire.Gossip) {
+	c.calling[address] = true
+	go c.r.sendGossip(address, h)
+}
+
 // word is what this daemon says to everybody.
 func (c *control) word(now time.Time) *wire.Gossip {
 	t := c.r.current.Load().table
@@ -95,6 +100,7 @@
 		h.Known = append(h.Known, &wire.Known{Kind: string(k), Through: s.Through(), AgeMillis: age(now, s.At())})
 	}
 	h.Suspects = c.r.suspectNews()
+	h.LimitsEpoch, h.LimitsSeq = c.limits.epoch, c.limits.seq
 	return h
 }
 
@@ -150,6 +156,9 @@
 		if h.DataCentre == c.r.self.DataCentre {
 			c.tellWork(now, reply, h.Name)
 		}
+		if c.limits.newer(limits{epoch: h.LimitsEpoch, seq: h.LimitsSeq}) {
+			reply.Limits = c.limits.message(now)
+		}
 		m.reply <- reply
 	}
 	before := c.members.Count()
@@ -166,6 +175,7 @@
 		c.spreadNews(now, false)
 	}
 	c.takeHeat(now, h)
+	c.heardLimits(now, h.Limits)
 	t := c.r.current.Load().table
 	if (grant.Table{Epoch: h.Epoch, Seq: h.Seq}).Newer(t) {
 		c.fetch(h.Address, &wire.Fetch{Kind: tableKind, Since: t.Seq, Epoch: t.Epoch})
@@ -415,16 +425,16 @@
 	}
 	sums := map[string]pace{}
 	for _, p := range told {
-		sums[p.Server] = sums[p.Server].with(float64(p.Factor), float64(p.Answers))
+		sums[p.Server] = sums[p.Server].with(paceOf(p))
 	}
-	for _, p := range r.spread.Paces() {
+	for _, p := range r.spread.TakePaces() {
 		if v, ok := r.current.Load().fleet.Find(p.Server); ok && keyed[v.Service] {
-			sums[p.Server] = sums[p.Server].with(p.Factor, float64(p.Answers))
+			sums[p.Server] = sums[p.Server].with(newPace(p.Factor, p.Answers, p.Heard, p.Full))
 		}
 	}
 	var paces []*wire.Pace
 	for server, p := range sums {
-		paces = append(paces, &wire.Pace{Server: server, Factor: float32(p.factor / p.answers), Answers: uint32(p.answers)})
+		paces = append(paces, p.message(server))
 	}
 	return heat, paces
 }
--- a/io/process/router/heats.go
+++ b/io/process/router/heats.go
@@ -18,14 +18,40 @@
 type heats struct {
 	meter *rate.Meter
 	paces map[string]map[string]pace // by daemon and server
+	// heard are reports of the servers' queues since the last window.
+	heard []keeper.Report
 }
 
 // pace sums up findings of how slow a server is: the factors, each weighted by
 // the answers that it was learnt from, and those answers.
-type pace struct{ factor, answers float64 }
+type pace struct {
+	factor, answers float64
+	// heard and full are how many answers told of the load, and of a long queue.
+	heard, full int
+}
+
+// newPace is one finding.
+func newPace(factor float64, answers, heard, full int) pace {
+	return pace{factor: factor * float64(answers), answers: float64(answers), heard: heard, full: full}
+}
+
+// paceOf reads what another daemon found.
+func paceOf(p *wire.Pace) pace {
+	return newPace(float64(p.Factor), int(p.Answers), int(p.Heard), int(p.Full))
+}
 
-func (p pace) with(factor, answers float64) pace {
-	return pace{factor: p.factor + factor*answers, answers: p.answers + answers}
+// with adds other findings.
+func (p pace) with(o pace) pace {
+	return pace{factor: p.factor + o.factor, answers: p.answers + o.answers, heard: p.heard + o.heard, full: p.full + o.full}
+}
+
+// message is what other daemons are told.
+func (p pace) message(server string) *wire.Pace {
+	out := &wire.Pace{Server: server, Answers: uint32(p.answers), Heard: uint32(p.heard), Full: uint32(p.full)}
+	if p.answers > 0 {
+		out.Factor = float32(p.factor / p.answers)
+	}
+	return out
 }
 
 func newHeats() *heats {
@@ -42,7 +68,10 @@
 	}
 	by := map[string]pace{}
 	for _, p := range gossip.Paces {
-		by[p.Server] = pace{}.with(float64(p.Factor), float64(p.Answers))
+		by[p.Server] = paceOf(p)
+		if p.Heard > 0 {
+			h.heard = append(h.heard, keeper.Report{Server: p.Server, Answers: int(p.Heard), Full: int(p.Full)})
+		}
 	}
 	h.paces[daemon] = by
 }
@@ -56,7 +85,8 @@
 	for _, l := range h.meter.Roll(now) {
 		service, _ := c.Service(l.Service)
 		out = append(out, keeper.LoadMsg{Service: l.Service, Work: l.Slots, Each: l.Each.Seconds(), Aim: l.Aim,
-			Factors: factors, ColdRate: service.ColdRate})
+			Factors: factors, ColdRate: service.ColdRate, Reports: h.heard})
+		h.heard = nil // they are for the holders of all services
 	}
 	return out
 }
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -106,6 +106,8 @@
 	case keeper.PublishCmd:
 		c.applyTable(now, cmd.Table)
 		c.spreadNews(now, true)
+	case keeper.LimitCmd:
+		c.setLimits(now, limits{epoch: c.keeper.Table().Epoch, seq: c.limits.seq + 1, at: now, each: cmd.Limits}, true)
 	case keeper.ResignCmd:
 		c.r.log.Info("keys: no longer leading", "reason", cmd.Reason)
 		c.keeper = nil
--- /dev/null
+++ b/io/process/router/limits.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"time"
+
+	"catkinstep/core/connection/wire"
+	"catkinstep/core/process/keeper"
+	"catkinstep/core/request/admit"
+	"catkinstep/core/request/spread"
+)
+
+// overloaded is why a request for a key is refused whose holder is offered more, by all
+// daemons together, than it can answer in time.
+const overloaded spread.Reason = "keyOverloaded"
+
+// limits are the leader's newest limits for overloaded holders.
+type limits struct {
+	epoch, seq uint64
+	at         time.Time
+	each       []admit.Limit
+}
+
+func (l limits) newer(o limits) bool {
+	if l.epoch != o.epoch {
+		return l.epoch > o.epoch
+	}
+	return l.seq > o.seq
+}
+
+// message is what other daemons are told.
+func (l limits) message(now time.Time) *wire.Limits {
+	out := &wire.Limits{Epoch: l.epoch, Seq: l.seq, AgeMillis: age(now, l.at)}
+	for _, x := range l.each {
+		out.Limits = append(out.Limits, &wire.Limit{Service: x.Service, Bucket: uint32(x.Bucket), Part: float32(x.Part)})
+	}
+	return out
+}
+
+// heardLimits takes in what another daemon passed on.
+func (c *control) heardLimits(now time.Time, m *wire.Limits) {
+	if m == nil {
+		return
+	}
+	l := limits{epoch: m.Epoch, seq: m.Seq, at: ago(now, m.AgeMillis)}
+	for _, x := range m.Limits {
+		l.each = append(l.each, admit.Limit{Service: x.Service, Bucket: int(x.Bucket), Part: float64(x.Part)})
+	}
+	c.setLimits(now, l, false)
+}
+
+// setLimits puts newer limits in force and passes them on: who made them tells all heads
+// and its own data centre, a head that was told tells its own.
+func (c *control) setLimits(now time.Time, l limits, made bool) {
+	if !l.newer(c.limits) {
+		return
+	}
+	if len(l.each) == 0 != (len(c.limits.each) == 0) {
+		c.r.log.Info("limits: changed", "buckets", len(l.each), "epoch", l.epoch, "seq", l.seq, "age", now.Sub(l.at).String())
+	}
+	c.limits = l
+	c.r.mu.Lock()
+	c.r.gate.Set(time.Now().Add(l.at.Sub(now)), l.each)
+	c.r.mu.Unlock()
+	var to []string
+	if made || c.members.IsHead(now) {
+		to = c.members.Near(now)
+	}
+	if made {
+		to = append(to, c.members.FarHeads(now)...)
+	}
+	for _, a := range to {
+		if c.calling[a] {
+			continue // its next word asks for them
+		}
+		h := c.word(now)
+		h.Limits = l.message(now)
+		c.send(a, h)
+	}
+}
+
+// admitted draws whether a request for a key may go to its holder. The caller must hold
+// the lock. Another attempt of one that was let in is not drawn for again.
+func (r *Router) admitted(o *order, now time.Time) (back time.Duration, ok bool) {
+	if o.admitted {
+		return 0, true
+	}
+	back, o.admitted = r.gate.Admit(now, o.service.Name, keeper.Bucket(o.key))
+	return back, o.admitted
+}
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -18,6 +18,7 @@
 	"catkinstep/core/process/burn"
 	"catkinstep/core/process/keeper"
 	"catkinstep/core/process/member"
+	"catkinstep/core/request/admit"
 	"catkinstep/core/request/crash"
 	"catkinstep/core/request/retry"
 	"catkinstep/core/request/spread"
@@ -61,6 +62,7 @@
 	burn       *burn.Meter
 	// gaps are how long ranges stayed closed.
 	gaps *gaps.Meter
+	gate *admit.Gate
 
 	bounds  setup.Settings // those that can be reloaded
 	daemons int
@@ -106,9 +108,10 @@
 	r.links.names = sp.Names()
 	r.burn = burn.New(r.now())
 	r.gaps = gaps.New()
+	r.gate = admit.NewGate(r.self.Incarnation)
 	r.opened.Store(new(make(chan struct{})))
 	r.random = rand.New(rand.NewPCG(r.self.Incarnation, 23))
-	r.spread = spread.New(r.self.Incarnation, r.limits(1, 0))
+	r.spread = spread.New(r.self.Incarnation, r.limits().WithDaemons(1, 0))
 	r.current.Store((&snap{}).withFleet(fleet.New(nil), nil))
 	r.control = newControl(r, r.now())
 	r.callers = caller.New(r.serve, caller.WithLimits(r.callerLimits))
@@ -263,8 +266,8 @@
 	return r.bounds.RetryShare
 }
 
-func (r *Router) limits(daemons, place int) spread.Limits {
-	return spread.Limits{ColdFactor: r.bounds.ColdFactor, ColdSlack: r.bounds.ColdSlack}.WithDaemons(daemons, place)
+func (r *Router) limits() spread.Limits {
+	return spread.Limits{ColdFactor: r.bounds.ColdFactor, ColdSlack: r.bounds.ColdSlack}
 }
 
 func (r *Router) callerLimits() caller.Limits {
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -45,6 +45,7 @@
 	arrived  int       // attempts that may have reached a server
 	unsent   int       // attempts that reached none
 	began    time.Time // of the present attempt
+	admitted bool      // whether it may go to an overloaded holder
 	opensBy  time.Time // when its range has surely opened, if that is closed
 	maybeRan bool
 	// held is a server's own failure, given to the caller if nothing better comes.
@@ -190,6 +191,9 @@
 	lives := found && v.Born == g.Holder.Born
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if back, ok := r.admitted(o, now); !ok {
+		return v, spread.Choice{Server: v, Reason: overloaded, RetryAfter: back}
+	}
 	if !ok || !g.Open() || !lives || !s.mayServe(v) {
 		return v, r.closedChoice(now, o, g, lives)
 	}
