Overload of unkeyed requests is refused in time; resets within milliseconds say that a server is full; moves cost what they take

Planned moves were thought to take 200 ms, they take a second.

Change: what is not known of a server by its own reports is taken from those of its service and data centre (spread/crowd.go). A failure without an answer within a tenth of the usual time counts as a full server. The keeper learns how long its moves keep ranges closed.

--- a/core/process/keeper/balance.go
+++ b/core/process/keeper/balance.go
@@ -190,7 +190,7 @@
 // whole range around it, and nothing is moved for a gain that is next to nothing.
 func (s *share) worth(saved float64, p piece, moveCosts float64) float64 {
 	keys := float64(p.to-p.from+1) / (grant.LastKey + 1)
-	return saved*loadLasts.Seconds() - s.rate(p.load)*moveTakes.Seconds() - moveCosts - keys*allKeysCost
+	return saved*loadLasts.Seconds() - s.rate(p.load)*s.moveTakes.Seconds() - moveCosts - keys*allKeysCost
 }
 
 // worstServers lists the servers that lose most.
--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -37,6 +37,9 @@
 	// due is when the next call may be made.
 	due      time.Time
 	handover string
+	// closed is since when a planned move has kept the range from its callers; zero
+	// where its holder was lost.
+	closed time.Time
 }
 
 // share is one service's keys.
@@ -51,6 +54,8 @@
 	each        float64            // slot seconds of a request
 	aim         time.Duration
 	coldRate    float64
+	// moveTakes is how long ranges are closed while they move.
+	moveTakes time.Duration
 }
 
 // Keeper holds the decisions of one leadership.
@@ -119,7 +124,7 @@
 // long as its right lasts, until an answer to a grant or a release of this leader
 // shows that a server has seen a higher fence.
 func (k *Keeper) takeOver(now time.Time, s grant.Share) *share {
-	out := &share{service: s.Service, balanced: now, firstKeysAt: now}
+	out := &share{service: s.Service, balanced: now, firstKeysAt: now, moveTakes: moveTakes}
 	for _, r := range s.Ranges {
 		sp := &span{Range: r, until: k.runsOut(now.Add(k.right + onTheWay)), due: now}
 		sp.Fence = k.mint()
--- a/core/process/keeper/limits_test.go
+++ b/core/process/keeper/limits_test.go
@@ -96,3 +96,22 @@
 		So(limited, ShouldBeLessThan, 1.3)
 	})
 }
+
+// Guards against moves that close keys of long requests for longer than they save.
+func TestMovesCostWhatTheyTake(t *testing.T) {
+	Convey("The time that moves take is learned from moves", t, func() {
+		s := begin(grant.Range{Holder: holder(named("a", false))})
+		s.fleet(named("a", false), named("b", false))
+		s.tell(OldLeaderMsg{At: s.now})
+		s.pass(time.Second, always(grant.Done), always(grant.Done))
+		before := s.k.shares[0].moveTakes
+		sp := s.k.shares[0].spans[0]
+		s.k.move(s.k.shares[0], sp, holder(named("b", false)), "balance")
+		s.pass(200*time.Millisecond, always(grant.Done), always(grant.Unsure)) // work still runs there
+		s.now = s.now.Add(3 * time.Second)
+		s.tell(ReleasedMsg{Cmd: ReleaseCmd{Service: oneService, Holder: sp.Holder, Call: grant.Call{From: sp.From, To: sp.To}}, Result: grant.Done, Handover: "h"})
+		s.pass(time.Second, always(grant.Done), always(grant.Done))
+		So(sp.Holder.Server, ShouldEqual, "b")
+		So(s.k.shares[0].moveTakes, ShouldBeGreaterThan, before+200*time.Millisecond)
+	})
+}
--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -126,6 +126,9 @@
 // passOn makes the next holder the holder, which has yet to confirm.
 func (k *Keeper) passOn(now time.Time, s *share, sp *span) {
 	k.note(NoteCmd{Text: "range is free", Service: s.service, From: sp.From, To: sp.To, Holder: sp.Holder, Next: sp.Next, Fence: sp.Fence})
+	if sp.handover == "" {
+		sp.closed = time.Time{} // the holder did not let go: this tells nothing of planned moves
+	}
 	sp.Holder, sp.Next, sp.Pending = sp.Next, grant.Holder{}, true
 	sp.Fence, sp.step, sp.due = k.mint(), granting, now
 	sp.until, sp.next = sp.next, time.Time{}
@@ -182,9 +185,25 @@
 	}
 	sp.step, sp.Pending = held, false
 	k.lazy, k.visible = true, true
+	k.learnMove(now, m.Cmd.Service, sp)
 	k.note(NoteCmd{Text: "range is held", Service: m.Cmd.Service, From: sp.From, To: sp.To, Holder: sp.Holder, Fence: sp.Fence})
 }
 
+// learnMove notes how long a range was closed. Work that runs on its keys has to end
+// first, which takes as long as requests of the service do.
+func (k *Keeper) learnMove(now time.Time, service string, sp *span) {
+	if sp.closed.IsZero() {
+		return
+	}
+	took := now.Sub(sp.closed)
+	sp.closed = time.Time{}
+	for _, s := range k.shares {
+		if s.service == service {
+			s.moveTakes += time.Duration(moveLearn * float64(took-s.moveTakes))
+		}
+	}
+}
+
 func (k *Keeper) released(now time.Time, m ReleasedMsg) {
 	k.heardFrom(now, m.Cmd.Holder, m.Result, false)
 	sp := k.find(m.Cmd.Service, m.Cmd.From, m.Cmd.To)
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -54,9 +54,10 @@
 	// loadLasts is how long a load is taken to stay as it was counted: longer than a
 	// key stays hot, since most of the load lasts, and much shorter than it lasts.
 	loadLasts = 8 * time.Second
-	// moveTakes is how long requests are refused while their keys move: until the
-	// work that runs on them has ended.
+	// moveTakes is how long a range that moves is taken to be closed before the first
+	// move of its service was seen, and moveLearn the weight of one move in that time.
 	moveTakes = 200 * time.Millisecond
+	moveLearn = 0.1
 	// moveCosts is what a move must save at least, in requests, and moveCostsEach
 	// what it costs for each daemon: it changes the table three times, and all of
 	// them fetch each change.
--- a/core/process/keeper/place.go
+++ b/core/process/keeper/place.go
@@ -34,7 +34,7 @@
 	if slots == 0 {
 		return nil
 	}
-	s := &share{service: service, balanced: now, firstKeysAt: now}
+	s := &share{service: service, balanced: now, firstKeysAt: now, moveTakes: moveTakes}
 	from, sum := 0, 0
 	k.seq++
 	for _, v := range fit {
--- a/core/process/keeper/save.go
+++ b/core/process/keeper/save.go
@@ -41,7 +41,7 @@
 				k.dirty = true
 				continue
 			}
-			sp.step, sp.due = releasing, now
+			sp.step, sp.due, sp.closed = releasing, now, now
 			k.visible = true
 		}
 	}
--- a/core/request/spread/blind_test.go
+++ b/core/request/spread/blind_test.go
@@ -14,6 +14,19 @@
 	return float64(p.inAim) / float64(p.asked)
 }
 
+// Guards against an overload in which nobody refuses: each daemon takes the servers that
+// it has heard nothing of lately for idle, and nearly all answers are late.
+func TestOverloadIsRefusedInTime(t *testing.T) {
+	Convey("Of half as much again as servers can run, most is answered in time or refused at once", t, func() {
+		const capacity = 350
+		p := newPlace(32, 40, 240*time.Millisecond, 660*time.Millisecond)
+		p.run(1.5*capacity, 30*time.Second)
+		t.Logf("%d asked, %d in time, %d late, %d refused", p.asked, p.inAim, p.late, p.refused)
+		So(p.refused, ShouldBeGreaterThan, p.asked/5)
+		So(p.late, ShouldBeLessThan, p.inAim/2)
+	})
+}
+
 // Guards against daemons that, each knowing little of the others' requests, take the same
 // servers for idle: callers wait in queues there while other servers have free slots.
 func TestManyDaemonsServeAsWellAsFew(t *testing.T) {
--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -45,7 +45,7 @@
 		if v.Draining || tried(n, v.ID) {
 			continue
 		}
-		o := s.weigh(now, n, v)
+		o := s.weigh(now, n, v, s.crowd(v).expected(now))
 		o.cost += s.detour(n, near, subset.Rank(s.limits.NearPlace, s.limits.Near, at, count))
 		if best.Reason == None || better(o, best) {
 			best = o
@@ -66,7 +66,7 @@
 
 // Judge decides about the only server that may run a request.
 func (s *Spread) Judge(now time.Time, n Need, v fleet.Server) Choice {
-	o := s.weigh(now, n, v)
+	o := s.weigh(now, n, v, 0)
 	if o.Reason == Sick {
 		o.Reason = ""
 	}
@@ -81,10 +81,10 @@
 	return a.cost < b.cost
 }
 
-func (s *Spread) weigh(now time.Time, n Need, v fleet.Server) offer {
+func (s *Spread) weigh(now time.Time, n Need, v fleet.Server, others float64) offer {
 	st := s.server(v)
 	usual := s.usual(n)
-	ahead := s.ahead(now, v.ID, st)
+	ahead := s.ahead(now, v.ID, st, others)
 	factor := s.factorOf(now, st, usual)
 	work := usual * factor
 	wait := max(0, (ahead+1-float64(max(1, v.Slots)))/float64(max(1, v.Slots))) * work
--- a/core/request/spread/others.go
+++ b/core/request/spread/others.go
@@ -49,9 +49,11 @@
 	return out
 }
 
-// ahead estimates the requests running and waiting at a server.
-func (s *Spread) ahead(now time.Time, id string, st *state) float64 {
-	reported := st.reported * fade(now.Sub(st.at))
+// ahead estimates the requests running and waiting at a server. What it reported counts
+// less as it grows old, and what servers like it usually have counts instead.
+func (s *Spread) ahead(now time.Time, id string, st *state, usual float64) float64 {
+	known := fade(now.Sub(st.at))
+	reported := st.reported*known + (1-known)*usual
 	others := 0.0
 	for _, w := range s.others {
 		if now.Sub(w.at) < wordCounts {
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -33,11 +33,12 @@
 	kinds   map[string]*kind
 	servers map[string]*state
 	others  map[string]word // by daemon
+	crowds  map[group]*crowd
 }
 
 // New returns a Spread that has measured nothing.
 func New(seed uint64, l Limits) *Spread {
-	return &Spread{random: rand.New(rand.NewPCG(seed, 11)), limits: l, kinds: map[string]*kind{}, servers: map[string]*state{}, others: map[string]word{}}
+	return &Spread{random: rand.New(rand.NewPCG(seed, 11)), limits: l, kinds: map[string]*kind{}, servers: map[string]*state{}, others: map[string]word{}, crowds: map[group]*crowd{}}
 }
 
 // Limit follows a change of the number of daemons.
@@ -64,9 +65,12 @@
 	if r != nil {
 		st.reported = max(0, float64(r.Running+r.Waiting-st.own-1))
 		st.at = now
-		st.heard++
-		if r.Waiting >= r.Slots {
-			st.full++
+		s.crowd(v).add(now, st.reported)
+		if o != Shed {
+			st.heard++
+			if r.Waiting >= r.Slots {
+				st.full++
+			}
 		}
 		if r.Pace > 0 {
 			st.slowness.told(now, r.Pace)
@@ -78,15 +82,15 @@
 		st.failing *= 1 - forget
 		s.learned(n, st, now.Sub(began), r)
 	case Failed:
+		if r == nil && now.Sub(began).Seconds() < turnedAwayShare*s.usual(n) {
+			// Servers with long queues reset connections. Sent again there at once,
+			// the request would only be reset once more.
+			st.tookNoMore(now, 2*v.Slots)
+		}
 		st.failing += forget * (1 - st.failing)
 	case Shed:
-		if r == nil {
-			st.heard++
-			st.full++
-		}
 		if r == nil || r.Running >= r.Slots {
-			st.reported = max(st.reported, float64(v.Slots))
-			st.at = now
+			st.tookNoMore(now, v.Slots)
 		}
 		st.failing += forget / 3 * (1 - st.failing)
 	case Unreachable:
@@ -99,6 +103,13 @@
 	}
 }
 
+// tookNoMore notes that a server turned a request away, and so has at least so many.
+func (st *state) tookNoMore(now time.Time, requests int) {
+	st.heard++
+	st.full++
+	st.reported, st.at = max(st.reported, float64(requests)), now
+}
+
 // Told takes a server's own word of how long it stays cold.
 func (s *Spread) Told(now time.Time, v fleet.Server) {
 	st := s.server(v)
--- a/core/request/spread/spread_test.go
+++ b/core/request/spread/spread_test.go
@@ -236,3 +236,28 @@
 		}
 	})
 }
+
+// Guards against requests for a hot key that are sent to its full holder twice: servers
+// with long queues reset connections, and do so again at once.
+func TestServerThatResetsIsFull(t *testing.T) {
+	reset := func(after time.Duration) (*Spread, Choice) {
+		s, v := fresh(), servers(1)[0]
+		for range 20 {
+			answer(s, t0, v, 300*time.Millisecond, Answered)
+		}
+		s.TakePaces()
+		answer(s, t0, v, after, Failed)
+		now := t0.Add(after)
+		return s, s.Judge(now, need(now), v)
+	}
+	Convey("A reset within milliseconds says that the queue is long", t, func() {
+		s, c := reset(2 * time.Millisecond)
+		So(c.Reason, ShouldEqual, Busy)
+		So(s.TakePaces()[0].Full, ShouldEqual, 1)
+	})
+	Convey("One after as long as a run says that an answer was lost", t, func() {
+		s, c := reset(250 * time.Millisecond)
+		So(c.Refused(), ShouldBeFalse)
+		So(s.TakePaces()[0].Full, ShouldEqual, 0)
+	})
+}
