Names of the field in spread, keeper, member and router; a keeper's flags in small types

No behaviour changes. Cause: words of our own (told, word, lazy, visible, quiet, calm, roomiest, lookAfter, right) that a newcomer has to look up. Change: peer load, SetCold, AssumeCold, unresponsive, idle, least loaded, runKeeper, leader lease, saver, publisher, limiter.

--- a/core/process/keeper/balance.go
+++ b/core/process/keeper/balance.go
@@ -61,8 +61,8 @@
 	return 1
 }
 
-// roomiest is the fitting server that loses least by a range.
-func (k *Keeper) roomiest(s *share, sp *span) (grant.Holder, bool) {
+// leastLoaded is the fitting server that loses least by a range.
+func (k *Keeper) leastLoaded(s *share, sp *span) (grant.Holder, bool) {
 	est, load := k.estimateOf(s), k.load(s, sp.From, sp.To)
 	best, least, found := fleet.Server{}, 0.0, false
 	for _, v := range k.fitting(s.service) {
@@ -119,20 +119,20 @@
 	out := s.spans[:1]
 	for _, sp := range s.spans[1:] {
 		last := out[len(out)-1]
-		if !last.calm() || !sp.calm() || last.Holder != sp.Holder || last.handover != "" || sp.handover != "" {
+		if !last.idle() || !sp.idle() || last.Holder != sp.Holder || last.handover != "" || sp.handover != "" {
 			out = append(out, sp)
 			continue
 		}
 		last.To, last.until = sp.To, later(last.until, sp.until)
 		last.Fence, last.renewal, last.due = k.mint(), false, now
-		k.lazy, k.visible = true, true
+		k.saver.later, k.publisher.due = true, true
 	}
 	clear(s.spans[len(out):])
 	s.spans = out
 }
 
-// calm tells whether nothing happens to a range.
-func (sp *span) calm() bool { return sp.step == held && !sp.busy && !sp.Pending }
+// idle tells whether nothing happens to a range.
+func (sp *span) idle() bool { return sp.step == held && !sp.busy && !sp.Pending }
 
 // settledOf leaves out servers that a move takes keys from or to.
 func (k *Keeper) settledOf(s *share, fit []fleet.Server) []fleet.Server {
--- a/core/process/keeper/calls_test.go
+++ b/core/process/keeper/calls_test.go
@@ -175,7 +175,7 @@
 	}
 	w.say("%s leads with epoch %d", d.name, next.Epoch)
 	d.before = before
-	d.keeper = New(w.now, next, w.stored, WithHold(worldHold), WithRight(worldRight))
+	d.keeper = New(w.now, next, w.stored, WithHold(worldHold), WithLeaderLease(worldRight))
 }
 
 // faults draws what goes wrong in this step.
--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -58,9 +58,15 @@
 	moveTakes time.Duration
 }
 
+// publisher tells when daemons are to learn of a newer table.
+type publisher struct {
+	due bool
+	at  time.Time // when they last did
+}
+
 // Keeper holds the decisions of one leadership.
 type Keeper struct {
-	hold, right time.Duration
+	hold, leaderLease time.Duration
 
 	epoch     uint64
 	leader    grant.Leader
@@ -77,39 +83,29 @@
 	keyed   []string
 	out     map[string]bool
 	keep    bool      // no moves for balance
-	daemons int       // that learn of each move
+	daemons int       // how many learn of each move
 	settled time.Time // since when the list of servers is unchanged
 	servers int
 	ended   map[grant.Holder]bool
-	// quiet is when a server last left a call unanswered, since it last answered one.
-	quiet map[grant.Holder]time.Time
+	// unresponsive is when a server last left a call unanswered, since it last answered one.
+	unresponsive map[grant.Holder]time.Time
 	// fewKeys are servers that were cold when they got their first keys.
 	fewKeys map[grant.Holder]bool
 
-	asked   uint64 // the sequence of the last save
-	dirty   bool   // the stored table lacks an intent
-	lazy    bool   // the stored table lacks something that may be lost
-	saved   time.Time
-	waiting bool // a save or read is out
-	reread  bool // the stored table is in doubt
-	again   time.Time
-	visible bool // the published table is out of date
-	told    time.Time
-	// limits is how many were sent at limitedAt.
-	limits     int
-	limitedAt  time.Time
-	congestion *admit.Control
-	cmds       []Cmd
+	saver     saver
+	publisher publisher
+	limiter   limiter
+	cmds      []Cmd
 }
 
 // New returns the Keeper of a leadership that began with a conditional update
 // of the stored table, which now is at a revision.
 func New(now time.Time, t grant.Table, revision uint64, opts ...Option) *Keeper {
 	k := &Keeper{
-		hold: DefaultHold, right: defaultRight,
+		hold: DefaultHold, leaderLease: defaultLeaderLease,
 		epoch: t.Epoch, leader: t.Leader, seq: t.Seq, revision: revision,
-		since: now, confirmed: now, ticked: now, saved: now,
-		fleet: fleet.New(nil), ended: map[grant.Holder]bool{}, quiet: map[grant.Holder]time.Time{}, fewKeys: map[grant.Holder]bool{}, congestion: admit.NewControl(), visible: true,
+		since: now, confirmed: now, ticked: now, saver: saver{at: now},
+		fleet: fleet.New(nil), ended: map[grant.Holder]bool{}, unresponsive: map[grant.Holder]time.Time{}, fewKeys: map[grant.Holder]bool{}, limiter: limiter{control: admit.NewControl()}, publisher: publisher{due: true},
 	}
 	for _, o := range opts {
 		o(k)
@@ -126,7 +122,7 @@
 func (k *Keeper) takeOver(now time.Time, s grant.Share) *share {
 	out := &share{service: s.Service, balanced: now, firstKeysAt: now, moveTakes: moveTakes}
 	for _, r := range s.Ranges {
-		sp := &span{Range: r, until: k.runsOut(now.Add(k.right + onTheWay)), due: now}
+		sp := &span{Range: r, until: k.runsOut(now.Add(k.leaderLease + onTheWay)), due: now}
 		sp.Fence = k.mint()
 		switch {
 		case r.Next.Server != "":
@@ -156,7 +152,7 @@
 	case StoredMsg:
 		k.stored(now, m)
 	case UnstoredMsg:
-		k.waiting, k.reread, k.again = false, true, now.Add(rereadAfter)
+		k.saver.busy, k.saver.reread, k.saver.rereadAt = false, true, now.Add(rereadAfter)
 	case CurrentMsg:
 		k.current(m)
 	case OldLeaderMsg:
@@ -192,12 +188,12 @@
 	k.ticked = now
 	if pause > wokeAfter {
 		k.note(NoteCmd{Text: "clock jumped, epoch is checked before the next call", Reason: pause.String()})
-		k.reread, k.again = true, now
-		k.confirmed = now.Add(-k.right)
+		k.saver.reread, k.saver.rereadAt = true, now
+		k.confirmed = now.Add(-k.leaderLease)
 	}
-	k.reread = k.reread || now.Sub(k.confirmed) > k.right/confirmShare
+	k.saver.reread = k.saver.reread || now.Sub(k.confirmed) > k.leaderLease/confirmShare
 	k.store(now)
-	if now.Sub(k.confirmed) >= k.right {
+	if now.Sub(k.confirmed) >= k.leaderLease {
 		return // others may have taken over: nothing is granted until that is known
 	}
 	k.place(now)
@@ -227,9 +223,9 @@
 			delete(k.fewKeys, h)
 		}
 	}
-	for h := range k.quiet {
+	for h := range k.unresponsive {
 		if s, ok := k.fleet.Find(h.Server); !ok || holder(s) != h {
-			delete(k.quiet, h)
+			delete(k.unresponsive, h)
 		}
 	}
 }
@@ -248,7 +244,7 @@
 
 func (k *Keeper) applyLoad(m LoadMsg) {
 	for _, r := range m.Reports {
-		k.congestion.Report(r.Server, r.Answers, r.Full)
+		k.limiter.control.Report(r.Server, r.Answers, r.Full)
 	}
 	for _, s := range k.shares {
 		if s.service == m.Service {
@@ -282,10 +278,10 @@
 }
 
 func (k *Keeper) publish(now time.Time) {
-	if !k.visible || now.Sub(k.told) < publishEvery {
+	if !k.publisher.due || now.Sub(k.publisher.at) < publishEvery {
 		return // a tick comes soon
 	}
-	k.visible, k.told = false, now
+	k.publisher.due, k.publisher.at = false, now
 	k.seq++
 	k.cmds = append(k.cmds, PublishCmd{Table: k.table(false)})
 }
--- a/core/process/keeper/limits.go
+++ b/core/process/keeper/limits.go
@@ -8,22 +8,30 @@
 	"catkinstep/core/version/grant"
 )
 
+// limiter works out limits for overloaded holders.
+type limiter struct {
+	control *admit.Control
+	// sent is how many limits were sent at the last round.
+	sent int
+	at   time.Time
+}
+
 // limit tells the daemons what part of the requests they may send to holders that are
 // offered more than they can answer in time. It goes on until no holder is.
 func (k *Keeper) limit(now time.Time) {
-	if now.Sub(k.limitedAt) < limitEvery {
+	if now.Sub(k.limiter.at) < limitEvery {
 		return
 	}
-	k.limitedAt = now
-	k.congestion.Round(now)
+	k.limiter.at = now
+	k.limiter.control.Round(now)
 	var limits []admit.Limit
 	for _, s := range k.shares {
 		limits = append(limits, k.limitsOf(now, s)...)
 	}
-	if len(limits) > 0 || k.limits > 0 {
+	if len(limits) > 0 || k.limiter.sent > 0 {
 		k.cmds = append(k.cmds, LimitCmd{Limits: limits})
 	}
-	k.limits = len(limits)
+	k.limiter.sent = len(limits)
 }
 
 // limitsOf returns the limits of one service. Keys on their way count where they go.
@@ -55,7 +63,7 @@
 		demands = append(demands, s.work[b])
 		sum += s.work[b]
 	}
-	capacity, limited := k.congestion.Capacity(now, v.ID, fullAt*s.power(v), sum)
+	capacity, limited := k.limiter.control.Capacity(now, v.ID, fullAt*s.power(v), sum)
 	if !limited {
 		return nil
 	}
--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -16,7 +16,7 @@
 	if reason == "" {
 		return
 	}
-	to, ok := k.roomiest(s, sp)
+	to, ok := k.leastLoaded(s, sp)
 	if !ok {
 		return
 	}
@@ -60,26 +60,26 @@
 
 // fits tells whether a server may get keys.
 func (k *Keeper) fits(v fleet.Server) bool {
-	return !v.Draining && !k.out[v.DataCentre] && !k.ended[holder(v)] && !k.isQuiet(holder(v))
+	return !v.Draining && !k.out[v.DataCentre] && !k.ended[holder(v)] && !k.isUnresponsive(holder(v))
 }
 
-// isQuiet tells whether a server left a call unanswered lately.
-func (k *Keeper) isQuiet(h grant.Holder) bool {
-	at, ok := k.quiet[h]
-	return ok && k.ticked.Sub(at) < quietFor
+// isUnresponsive tells whether a server left a call unanswered lately.
+func (k *Keeper) isUnresponsive(h grant.Holder) bool {
+	at, ok := k.unresponsive[h]
+	return ok && k.ticked.Sub(at) < unresponsiveFor
 }
 
-// heardFrom notes whether a call was answered. A renewal that was not sent for
+// noteAnswered notes whether a call was answered. A renewal that was not sent for
 // want of a kept connection says nothing.
-func (k *Keeper) heardFrom(now time.Time, h grant.Holder, r grant.Result, renewal bool) {
+func (k *Keeper) noteAnswered(now time.Time, h grant.Holder, r grant.Result, renewal bool) {
 	switch r {
 	case grant.Done, grant.Fenced, grant.Ended:
-		delete(k.quiet, h)
+		delete(k.unresponsive, h)
 	case grant.Unsure:
-		k.quiet[h] = now
+		k.unresponsive[h] = now
 	case grant.NotSent:
 		if !renewal {
-			k.quiet[h] = now
+			k.unresponsive[h] = now
 		}
 	}
 }
@@ -88,7 +88,7 @@
 func (k *Keeper) move(s *share, sp *span, to grant.Holder, reason string) {
 	k.seq++
 	sp.Next, sp.step, sp.intent = to, saving, k.seq
-	k.dirty = true
+	k.saver.now = true
 	k.note(NoteCmd{Text: "range is to move", Service: s.service, From: sp.From, To: sp.To,
 		Holder: sp.Holder, Next: sp.Next, Fence: sp.Fence, Reason: reason})
 }
@@ -132,13 +132,13 @@
 	sp.Holder, sp.Next, sp.Pending = sp.Next, grant.Holder{}, true
 	sp.Fence, sp.step, sp.due = k.mint(), granting, now
 	sp.until, sp.next = sp.next, time.Time{}
-	k.lazy, k.visible = true, true
+	k.saver.later, k.publisher.due = true, true
 }
 
 // granted takes in the end of a grant. Whatever its result, the server may hold
 // the range from it until it runs out, unless it surely never left.
 func (k *Keeper) granted(now time.Time, m GrantedMsg) {
-	k.heardFrom(now, m.Cmd.Holder, m.Result, m.Cmd.Renewal)
+	k.noteAnswered(now, m.Cmd.Holder, m.Result, m.Cmd.Renewal)
 	sp := k.find(m.Cmd.Service, m.Cmd.From, m.Cmd.To)
 	if sp == nil || sp.Holder != m.Cmd.Holder {
 		return
@@ -156,7 +156,7 @@
 		// Another leader has granted it, or an older fence of ours was late. A new
 		// fence goes out only once the epoch is known to be in force.
 		sp.Fence, sp.due = k.mint(), now.Add(retryCall)
-		k.reread, k.again, k.confirmed = true, now, now.Add(-k.right)
+		k.saver.reread, k.saver.rereadAt, k.confirmed = true, now, now.Add(-k.leaderLease)
 		k.note(NoteCmd{Text: "server has seen a higher fence", Service: m.Cmd.Service, From: sp.From, To: sp.To, Holder: sp.Holder, Fence: m.Cmd.Fence})
 	case grant.Unsure:
 		// The next try bears a new fence: its answer shuts this one out.
@@ -184,7 +184,7 @@
 		return
 	}
 	sp.step, sp.Pending = held, false
-	k.lazy, k.visible = true, true
+	k.saver.later, k.publisher.due = true, true
 	k.learnMove(now, m.Cmd.Service, sp)
 	k.note(NoteCmd{Text: "range is held", Service: m.Cmd.Service, From: sp.From, To: sp.To, Holder: sp.Holder, Fence: sp.Fence})
 }
@@ -205,7 +205,7 @@
 }
 
 func (k *Keeper) released(now time.Time, m ReleasedMsg) {
-	k.heardFrom(now, m.Cmd.Holder, m.Result, false)
+	k.noteAnswered(now, m.Cmd.Holder, m.Result, false)
 	sp := k.find(m.Cmd.Service, m.Cmd.From, m.Cmd.To)
 	if sp == nil || sp.Holder != m.Cmd.Holder || sp.step != releasing {
 		return
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -14,11 +14,11 @@
 	clockRate = 1.02
 	// flightSlack covers a call that arrives just as its connection is given up.
 	flightSlack = 200 * time.Millisecond
-	// defaultRight is how long a leader that cannot confirm its epoch goes on
+	// defaultLeaderLease is how long a leader that cannot confirm its epoch goes on
 	// renewing, so that a data centre that is cut off together with its leader
 	// keeps its keys. A new leader takes that time for granted when it cannot
 	// reach the old one.
-	defaultRight = 30 * time.Second
+	defaultLeaderLease = 30 * time.Second
 	// grantTime bounds one grant, from its writing to the end of its connection.
 	grantTime = time.Second
 	// onTheWay is how long after a leader decided on a grant it may still arrive.
@@ -72,10 +72,10 @@
 	hotShare = 0.05
 	// sameLoss is the difference in lost requests a second that says nothing.
 	sameLoss = 0.05
-	// quietFor is how long a server that did not answer a call gets no further keys:
+	// unresponsiveFor is how long a server that did not answer a call gets no further keys:
 	// one that died while its entry stays listed would else get some back at once,
 	// and each try costs their callers a whole hold.
-	quietFor = 10 * time.Second
+	unresponsiveFor = 10 * time.Second
 	// movesAtOnce bounds the moves under way for balance; a range is refused while
 	// the work that runs on it ends, up to a second. Large services may move one
 	// for each serversAMove servers, or it would take minutes to even them out.
@@ -103,5 +103,5 @@
 // WithHold sets how long a grant lasts.
 func WithHold(d time.Duration) Option { return func(k *Keeper) { k.hold = d } }
 
-// WithRight sets how long a leader without word of its epoch goes on renewing.
-func WithRight(d time.Duration) Option { return func(k *Keeper) { k.right = d } }
+// WithLeaderLease sets how long a leader without word of its epoch goes on renewing.
+func WithLeaderLease(d time.Duration) Option { return func(k *Keeper) { k.leaderLease = d } }
--- a/core/process/keeper/place.go
+++ b/core/process/keeper/place.go
@@ -19,7 +19,7 @@
 		}
 		if s := k.divide(now, service); s != nil {
 			k.shares = append(k.shares, s)
-			k.dirty = true
+			k.saver.now = true
 		}
 	}
 }
--- a/core/process/keeper/story_test.go
+++ b/core/process/keeper/story_test.go
@@ -106,7 +106,7 @@
 	quiet := always(grant.NotSent)
 	holdersRange := grant.Range{Holder: holder(named("a", false))}
 	Convey("Its keys wait for the old leader's right and the hold after it", t, func() {
-		s := begin(holdersRange, WithHold(2*time.Second), WithRight(8*time.Second))
+		s := begin(holdersRange, WithHold(2*time.Second), WithLeaderLease(8*time.Second))
 		s.fleet(named("b", false))
 		s.pass(10*time.Second, quiet, quiet)
 		So(s.grantsTo("b"), ShouldBeEmpty)
@@ -114,7 +114,7 @@
 		So(s.grantsTo("b"), ShouldNotBeEmpty)
 	})
 	Convey("They wait for the hold alone once the old leader is known to have stopped", t, func() {
-		s := begin(holdersRange, WithHold(2*time.Second), WithRight(8*time.Second))
+		s := begin(holdersRange, WithHold(2*time.Second), WithLeaderLease(8*time.Second))
 		s.fleet(named("b", false))
 		s.tell(OldLeaderMsg{At: s.now})
 		s.pass(2*time.Second, quiet, quiet)
@@ -197,7 +197,7 @@
 		return grant.Done
 	}
 	start := func() *story {
-		s := begin(grant.Range{Holder: holder(named("a", false))}, WithHold(2*time.Second), WithRight(4*time.Second))
+		s := begin(grant.Range{Holder: holder(named("a", false))}, WithHold(2*time.Second), WithLeaderLease(4*time.Second))
 		s.fleet(named("a", false), named("b", false), named("c", false))
 		s.tell(OldLeaderMsg{At: s.now})
 		s.pass(6*time.Second, answer, answer)
@@ -206,7 +206,7 @@
 	Convey("It gets none for as long as nothing says that it lives", t, func() {
 		s := start()
 		had := len(s.grantsTo("a"))
-		s.pass(quietFor-3*time.Second, answer, answer)
+		s.pass(unresponsiveFor-3*time.Second, answer, answer)
 		So(len(s.grantsTo("a")), ShouldEqual, had)
 		So(s.k.Table().Shares[0].Ranges, ShouldNotBeEmpty)
 		for _, r := range s.k.Table().Shares[0].Ranges {
@@ -217,7 +217,7 @@
 	Convey("It is tried again after a while, and has keys once it answers", t, func() {
 		s := start()
 		dead["a"] = false
-		s.pass(2*quietFor, answer, answer)
+		s.pass(2*unresponsiveFor, answer, answer)
 		So(s.k.loads(s.k.shares[0])[holder(named("a", false))], ShouldBeGreaterThan, 0)
 	})
 }
@@ -227,7 +227,7 @@
 // tick, and callers of those keys were refused until the old grants had run out.
 func TestEndOfAHolderIsRemembered(t *testing.T) {
 	Convey("Its keys go on at once, and the end is noted once", t, func() {
-		s := begin(grant.Range{Holder: holder(named("a", false))}, WithHold(2*time.Second), WithRight(8*time.Second))
+		s := begin(grant.Range{Holder: holder(named("a", false))}, WithHold(2*time.Second), WithLeaderLease(8*time.Second))
 		s.fleet(named("b", false))
 		answer := func(address string) grant.Result {
 			if address == "a" {
@@ -256,7 +256,7 @@
 func TestSuccessorCompletesAMove(t *testing.T) {
 	Convey("The range opens at the next holder once the holder before has released it", t, func() {
 		s := begin(grant.Range{Holder: holder(named("a", false)), Next: holder(named("b", false))},
-			WithHold(2*time.Second), WithRight(8*time.Second))
+			WithHold(2*time.Second), WithLeaderLease(8*time.Second))
 		s.fleet(named("a", false), named("b", false))
 		s.pass(time.Second, always(grant.Done), always(grant.Done))
 		r := s.k.Table().Shares[0].Ranges[0]
@@ -273,7 +273,7 @@
 func TestReplacedLeaderGrantsAfterARelease(t *testing.T) {
 	start := func() *story {
 		old := named("a", false)
-		s := begin(grant.Range{Holder: holder(old)}, WithHold(2*time.Second), WithRight(8*time.Second))
+		s := begin(grant.Range{Holder: holder(old)}, WithHold(2*time.Second), WithLeaderLease(8*time.Second))
 		reborn := old
 		reborn.Born, reborn.Draining = 2, true
 		s.fleet(reborn, named("b", false))
@@ -304,7 +304,7 @@
 	})
 	Convey("A grant that the new life answers shuts the leader before out", t, func() {
 		old := named("a", false)
-		s := begin(grant.Range{Holder: holder(old)}, WithHold(2*time.Second), WithRight(8*time.Second))
+		s := begin(grant.Range{Holder: holder(old)}, WithHold(2*time.Second), WithLeaderLease(8*time.Second))
 		reborn := old
 		reborn.Born, reborn.Draining = 2, true
 		s.fleet(reborn, named("b", false))
--- a/core/process/member/head.go
+++ b/core/process/member/head.go
@@ -95,14 +95,14 @@
 // heads are the strongest daemons of a data centre that are not known to be
 // lost, by name among equals. Strong hosts bear the words of the others best.
 func (c *Cluster) heads(now time.Time, place string) []Member {
-	if c.spoken == nil || !c.spokenAt.Equal(now) {
-		c.spoken, c.spokenAt = map[string][]Member{}, now
+	if c.headsAt == nil || !c.headsTime.Equal(now) {
+		c.headsAt, c.headsTime = map[string][]Member{}, now
 	}
-	if have, ok := c.spoken[place]; ok {
+	if have, ok := c.headsAt[place]; ok {
 		return have
 	}
-	c.spoken[place] = c.findHeads(now, place)
-	return c.spoken[place]
+	c.headsAt[place] = c.findHeads(now, place)
+	return c.headsAt[place]
 }
 
 func (c *Cluster) findHeads(now time.Time, place string) []Member {
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -73,11 +73,11 @@
 	// missed is the leader that is missed, and since when.
 	missed      grant.Leader
 	missedSince time.Time
-	// spoken are the heads of each data centre as they were at a moment; they are
+	// headsAt are the heads of each data centre as they were at a moment; they are
 	// asked for many times in one.
-	spoken   map[string][]Member
-	spokenAt time.Time
-	near     int // daemons of the own data centre, this one included; 0 if not counted
+	headsAt   map[string][]Member
+	headsTime time.Time
+	near      int // daemons of the own data centre, this one included; 0 if not counted
 }
 
 // New returns a Cluster that has heard of nobody.
@@ -149,7 +149,7 @@
 }
 
 // changed makes what was worked out from the peers void.
-func (c *Cluster) changed() { c.spoken, c.near = nil, 0 }
+func (c *Cluster) changed() { c.headsAt, c.near = nil, 0 }
 
 // HeardAt is when a daemon was last heard, of itself or by others.
 func (c *Cluster) HeardAt(name string) time.Time {
--- a/core/request/spread/fleet_test.go
+++ b/core/request/spread/fleet_test.go
@@ -120,8 +120,8 @@
 func (p *place) tell(i int) {
 	head, name := p.daemons[0], fmt.Sprintf("d%d", i)
 	if i > 0 {
-		head.Others(p.now, name, p.daemons[i].Own())
-		p.daemons[i].Around(p.now, head.Summed(p.now, name))
+		head.SetPeer(p.now, name, p.daemons[i].Own())
+		p.daemons[i].SetPeers(p.now, head.Summed(p.now, name))
 	}
 	p.after(p.round, func() { p.tell(i) })
 }
--- a/core/request/spread/options.go
+++ b/core/request/spread/options.go
@@ -16,9 +16,9 @@
 	// reportFades is how fast a report of a server's load loses its weight: about
 	// the time that a request runs, after which the queue is another one.
 	reportFades = 400 * time.Millisecond
-	// wordCounts is how long another daemon's word of its requests counts: until
+	// peerLoadLasts is how long another daemon's count of its requests holds: until
 	// the next one should have come, in a data centre of twenty daemons.
-	wordCounts = 2 * reportFades
+	peerLoadLasts = 2 * reportFades
 	// freeFactor is how slow a near server with a free slot may be for far ones not
 	// to be looked at: servers of one service differ by up to three times.
 	freeFactor = 1.6
--- a/core/request/spread/others.go
+++ b/core/request/spread/others.go
@@ -2,33 +2,33 @@
 
 import "time"
 
-// word is what another daemon said that it has under way, by server.
-type word struct {
+// peerLoad is what another daemon said that it has under way, by server.
+type peerLoad struct {
 	at    time.Time
 	under map[string]int
 }
 
-// Others notes what another daemon of the data centre has under way, by server.
-func (s *Spread) Others(now time.Time, daemon string, at map[string]int) {
-	s.others[daemon] = word{at: now, under: at}
+// SetPeer notes what another daemon of the data centre has under way, by server.
+func (s *Spread) SetPeer(now time.Time, daemon string, at map[string]int) {
+	s.peers[daemon] = peerLoad{at: now, under: at}
 }
 
-// Around notes what all other daemons of the data centre have under way together,
+// SetPeers notes what all other daemons of the data centre have under way together,
 // in place of what each of them said.
-func (s *Spread) Around(now time.Time, at map[string]int) {
-	clear(s.others)
-	s.others[allOthers] = word{at: now, under: at}
+func (s *Spread) SetPeers(now time.Time, at map[string]int) {
+	clear(s.peers)
+	s.peers[allPeers] = peerLoad{at: now, under: at}
 }
 
-// allOthers stands for every other daemon; none has this name.
-const allOthers = ""
+// allPeers stands for every other daemon; none has this name.
+const allPeers = ""
 
 // Summed returns what this daemon and the others that told it have under way, a
 // named one apart.
 func (s *Spread) Summed(now time.Time, apart string) map[string]int {
 	out := s.Own()
-	for name, w := range s.others {
-		if name == apart || name == allOthers || now.Sub(w.at) >= wordCounts {
+	for name, w := range s.peers {
+		if name == apart || name == allPeers || now.Sub(w.at) >= peerLoadLasts {
 			continue
 		}
 		for id, n := range w.under {
@@ -55,8 +55,8 @@
 	known := fade(now.Sub(st.at))
 	reported := st.reported*known + (1-known)*usual
 	others := 0.0
-	for _, w := range s.others {
-		if now.Sub(w.at) < wordCounts {
+	for _, w := range s.peers {
+		if now.Sub(w.at) < peerLoadLasts {
 			others += float64(w.under[id])
 		}
 	}
--- a/core/request/spread/slowness.go
+++ b/core/request/spread/slowness.go
@@ -21,16 +21,16 @@
 	lasting float64
 	last    float64
 	at      time.Time
-	words   int
+	reports int
 }
 
 // known tells whether the server ever said how fast it is.
-func (t *slowness) known() bool { return t.words > 0 }
+func (t *slowness) known() bool { return t.reports > 0 }
 
-// told takes in the server's word.
-func (t *slowness) told(now time.Time, pace float64) {
-	t.words++
-	t.lasting += max(slownessLearn, 1/float64(t.words)) * (pace - t.lasting)
+// add takes in what the server said.
+func (t *slowness) add(now time.Time, pace float64) {
+	t.reports++
+	t.lasting += max(slownessLearn, 1/float64(t.reports)) * (pace - t.lasting)
 	t.last, t.at = pace, now
 }
 
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -32,13 +32,13 @@
 	limits  Limits
 	kinds   map[string]*kind
 	servers map[string]*state
-	others  map[string]word // by daemon
+	peers   map[string]peerLoad // by daemon
 	crowds  map[group]*crowd
 }
 
 // New returns a Spread that has measured nothing.
 func New(seed uint64, l Limits) *Spread {
-	return &Spread{random: rand.New(rand.NewPCG(seed, 11)), limits: l, kinds: map[string]*kind{}, servers: map[string]*state{}, others: map[string]word{}, crowds: map[group]*crowd{}}
+	return &Spread{random: rand.New(rand.NewPCG(seed, 11)), limits: l, kinds: map[string]*kind{}, servers: map[string]*state{}, peers: map[string]peerLoad{}, crowds: map[group]*crowd{}}
 }
 
 // Limit follows a change of the number of daemons.
@@ -73,7 +73,7 @@
 			}
 		}
 		if r.Pace > 0 {
-			st.slowness.told(now, r.Pace)
+			st.slowness.add(now, r.Pace)
 			st.factor = st.slowness.lasting
 		}
 	}
@@ -110,14 +110,14 @@
 	st.reported, st.at = max(st.reported, float64(requests)), now
 }
 
-// Told takes a server's own word of how long it stays cold.
-func (s *Spread) Told(now time.Time, v fleet.Server) {
+// SetCold takes in how long a server says that it stays cold.
+func (s *Spread) SetCold(now time.Time, v fleet.Server) {
 	st := s.server(v)
 	st.coldTill = now.Add(v.Cold)
 }
 
-// Doubt takes a server for cold until its entry tells or a time has passed.
-func (s *Spread) Doubt(v fleet.Server, until time.Time) { s.server(v).coldTill = until }
+// AssumeCold takes a server for cold until its entry tells or a time has passed.
+func (s *Spread) AssumeCold(v fleet.Server, until time.Time) { s.server(v).coldTill = until }
 
 func (s *Spread) server(v fleet.Server) *state {
 	st := s.servers[v.ID]
--- a/core/request/spread/spread_test.go
+++ b/core/request/spread/spread_test.go
@@ -64,7 +64,7 @@
 	})
 	Convey("What other daemons have under way counts", t, func() {
 		s, vs := fresh(), servers(2)
-		s.Others(t0, "d2", map[string]int{"s0": 9})
+		s.SetPeer(t0, "d2", map[string]int{"s0": 9})
 		So(s.Choose(t0, need(t0), vs).Server.ID, ShouldEqual, "s1")
 	})
 	Convey("Another data centre is chosen only when waiting here costs more", t, func() {
@@ -104,7 +104,7 @@
 		So(s.Choose(t0.Add(100*time.Millisecond), need(t0), vs).Reason, ShouldEqual, Unreached)
 		now := t0.Add(refusedPause + 10*time.Millisecond)
 		So(s.Choose(now, need(now), vs).Reason, ShouldEqual, ColdFull)
-		s.Told(now, vs[0])
+		s.SetCold(now, vs[0])
 		So(s.Choose(now, need(now), vs).Refused(), ShouldBeFalse)
 	})
 }
@@ -209,7 +209,7 @@
 			l := limits
 			l.Place = i
 			s := New(uint64(i), l)
-			s.Doubt(v, t0.Add(time.Minute))
+			s.AssumeCold(v, t0.Add(time.Minute))
 			spreads = append(spreads, s)
 		}
 		var sent []time.Time
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -75,8 +75,8 @@
 	calling  map[string]bool
 	fetching map[string]bool
 	heated   time.Time
-	// told are paces of servers that others of the data centre told this head of.
-	told []*wire.Pace
+	// relayed are paces of servers that others of the data centre told this head of.
+	relayed []*wire.Pace
 	// tables are those that were in force before, the newest last.
 	tables []grant.Table
 	// stored is the stored table, read once for each change: a large one takes a
@@ -114,7 +114,7 @@
 	case deltaMsg:
 		c.delta(now, m)
 	case gossipMsg:
-		c.heard(now, m)
+		c.applyGossip(now, m)
 	case fetchMsg:
 		m.reply <- c.fetched(now, m.fetch)
 	case fetchedMsg:
@@ -152,7 +152,7 @@
 	c.expire(now)
 	c.tryLead(now)
 	if c.keeper != nil {
-		c.lookAfter(now)
+		c.runKeeper(now)
 	}
 	c.gossip(now)
 	c.r.ready.Store(!c.leaving && c.isReady(now))
--- a/io/process/router/entries.go
+++ b/io/process/router/entries.go
@@ -134,7 +134,7 @@
 	a := c.entries.apply(now, changed)
 	for _, it := range changed {
 		if v, ok := c.entries.listed[it.Name]; ok {
-			c.r.heardCold(v)
+			c.r.setCold(v)
 		}
 	}
 	c.logServers(now, a)
@@ -198,7 +198,7 @@
 	for _, it := range changed {
 		c.r.log.Info("outs: changed", "dataCentre", it.Name, "out", !it.Removed, "revision", it.Revision)
 		if it.Removed {
-			c.r.doubtAll(it.Name)
+			c.r.assumeCold(it.Name)
 		}
 	}
 	c.rebuild()
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -73,9 +73,9 @@
 		if a == c.r.self.Address || c.calling[a] {
 			continue
 		}
-		h := c.word(now)
+		h := c.gossipNow(now)
 		if near {
-			c.tellWork(now, h, "")
+			c.addUnderWay(now, h, "")
 		}
 		c.send(a, h)
 	}
@@ -87,8 +87,8 @@
 	go c.r.sendGossip(address, h)
 }
 
-// word is what this daemon says to everybody.
-func (c *control) word(now time.Time) *wire.Gossip {
+// gossipNow is what this daemon says to everybody.
+func (c *control) gossipNow(now time.Time) *wire.Gossip {
 	t := c.r.current.Load().table
 	h := &wire.Gossip{
 		Name: c.r.self.Name, Address: c.r.self.Address, DataCentre: c.r.self.DataCentre, Incarnation: c.r.self.Incarnation, Strength: c.r.self.Strength,
@@ -104,10 +104,10 @@
 	return h
 }
 
-// tellWork adds what this daemon has under way, for others of its data centre. To
+// addUnderWay adds what this daemon has under way, for others of its data centre. To
 // one that asks, a head adds up what all the rest have, so that it need not ask
 // them.
-func (c *control) tellWork(now time.Time, h *wire.Gossip, asker string) {
+func (c *control) addUnderWay(now time.Time, h *wire.Gossip, asker string) {
 	head := c.members.IsHead(now)
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
@@ -148,13 +148,13 @@
 	}
 }
 
-// heard takes in another daemon's word, and fetches what it knows and we do not.
-func (c *control) heard(now time.Time, m gossipMsg) {
+// applyGossip takes in what another daemon said, and fetches what it knows and we do not.
+func (c *control) applyGossip(now time.Time, m gossipMsg) {
 	h := m.gossip
 	if m.reply != nil {
-		reply := c.word(now)
+		reply := c.gossipNow(now)
 		if h.DataCentre == c.r.self.DataCentre {
-			c.tellWork(now, reply, h.Name)
+			c.addUnderWay(now, reply, h.Name)
 		}
 		if c.limits.newer(limits{epoch: h.LimitsEpoch, seq: h.LimitsSeq}) {
 			reply.Limits = c.limits.message(now)
@@ -211,10 +211,10 @@
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
 	if h.Summed {
-		c.r.spread.Around(now, at)
+		c.r.spread.SetPeers(now, at)
 		return
 	}
-	c.r.spread.Others(now, h.Name, at)
+	c.r.spread.SetPeer(now, h.Name, at)
 }
 
 // fetch asks another daemon for changes; one call for each kind at a time.
@@ -370,9 +370,9 @@
 		return
 	}
 	c.heated = now
-	h := c.word(now)
-	h.Heat, h.Paces = c.r.takeHeat(c.told)
-	c.told = nil
+	h := c.gossipNow(now)
+	h.Heat, h.Paces = c.r.takeHeat(c.relayed)
+	c.relayed = nil
 	if c.keeper != nil {
 		c.heats.add(h.Name, h)
 		return
@@ -394,7 +394,7 @@
 		c.heats.add(h.Name, h)
 	case len(h.Heat) > 0 && h.DataCentre == c.r.self.DataCentre && c.members.IsHead(now):
 		c.r.addHeat(h.Heat)
-		c.told = append(c.told, h.Paces...)
+		c.relayed = append(c.relayed, h.Paces...)
 	}
 }
 
@@ -410,7 +410,7 @@
 
 // takeHeat returns the counts since it last did, and how slow servers were found
 // to be, here and by others that told this daemon.
-func (r *Router) takeHeat(told []*wire.Pace) ([]*wire.Heat, []*wire.Pace) {
+func (r *Router) takeHeat(relayed []*wire.Pace) ([]*wire.Heat, []*wire.Pace) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var heat []*wire.Heat
@@ -424,7 +424,7 @@
 		keyed[s] = true
 	}
 	sums := map[string]pace{}
-	for _, p := range told {
+	for _, p := range relayed {
 		sums[p.Server] = sums[p.Server].with(paceOf(p))
 	}
 	for _, p := range r.spread.TakePaces() {
--- a/io/process/router/late.go
+++ b/io/process/router/late.go
@@ -26,12 +26,12 @@
 	}
 	reason := lateReason(o.attempts(), a.Load)
 	r.meters.add("late." + reason)
-	told := link.Load{}
+	load := link.Load{}
 	if a.Load != nil {
-		told = *a.Load
+		load = *a.Load
 	}
 	r.log.Info("request: answered late", append([]any{"id", o.id, "route", o.route.Name, "reason", reason, "took", took.String(),
-		"running", told.Running, "waiting", told.Waiting, "slots", told.Slots, "pace", told.Pace}, r.grounds(o, c)...)...)
+		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "pace", load.Pace}, r.grounds(o, c)...)...)
 }
 
 // lateReason tells what the server said with the answer from what went before it.
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -56,13 +56,13 @@
 	c.keeper = keeper.New(now, m.table, m.revision, keeper.WithHold(c.r.hold))
 	c.heats = newHeats()
 	c.r.log.Info("keys: leading", "epoch", m.table.Epoch, "before", c.before.Daemon, "revision", m.revision)
-	c.tellFleet(now)
-	c.lookAfter(now)
+	c.updateFleet(now)
+	c.runKeeper(now)
 }
 
-// lookAfter lets the keeper act on what is known now.
-func (c *control) lookAfter(now time.Time) {
-	c.tellFleet(now)
+// runKeeper lets the keeper act on what is known now.
+func (c *control) runKeeper(now time.Time) {
+	c.updateFleet(now)
 	c.keep(now, keeper.CurrentMsg{Epoch: c.stored.Epoch, At: c.caches[news.Tables].At()})
 	if c.keeper != nil && c.members.GaveWay(c.before, c.keeper.Table().Epoch) {
 		c.keep(now, keeper.OldLeaderMsg{At: now})
@@ -75,7 +75,7 @@
 	c.keep(now, keeper.TickMsg{})
 }
 
-func (c *control) tellFleet(now time.Time) {
+func (c *control) updateFleet(now time.Time) {
 	s := c.r.current.Load()
 	c.keep(now, keeper.FleetMsg{Fleet: s.fleet, Keyed: s.keyed(), Out: s.out, Keep: s.config.KeepKeys, Daemons: c.members.Count()})
 }
--- a/io/process/router/limits.go
+++ b/io/process/router/limits.go
@@ -72,7 +72,7 @@
 		if c.calling[a] {
 			continue // its next word asks for them
 		}
-		h := c.word(now)
+		h := c.gossipNow(now)
 		h.Limits = l.message(now)
 		c.send(a, h)
 	}
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -336,7 +336,7 @@
 	after = max(after, minRetry)
 	r.meters.add("refused." + reason)
 	r.log.Info("request: refused, not run", append([]any{"id", id, "route", route, "reason", reason, "retryAfter", after.String()}, grounds...)...)
-	return r.told(caller.Refusal{ID: id, Status: http.StatusServiceUnavailable, Reason: reason, After: after})
+	return r.refusal(caller.Refusal{ID: id, Status: http.StatusServiceUnavailable, Reason: reason, After: after})
 }
 
 // minRetry keeps callers from coming back within the time that an answer takes.
@@ -345,11 +345,11 @@
 // plain is a final answer that asks nobody to come back. One of 500 and above
 // says that the request may have run.
 func (r *Router) plain(id string, status int, reason string) *caller.Reply {
-	reply := r.told(caller.Refusal{ID: id, Status: status, Reason: reason, MaybeRan: status >= http.StatusInternalServerError})
+	reply := r.refusal(caller.Refusal{ID: id, Status: status, Reason: reason, MaybeRan: status >= http.StatusInternalServerError})
 	return &reply
 }
 
-func (r *Router) told(f caller.Refusal) caller.Reply {
+func (r *Router) refusal(f caller.Refusal) caller.Reply {
 	h, body := r.speech.Refused(f)
 	return caller.Reply{Status: f.Status, Header: h, Body: body}
 }
@@ -419,22 +419,22 @@
 		"expected", c.Expected.String(), "left", time.Until(o.deadline).String(), "status", status, "err", err, "then", then)
 }
 
-// heardCold takes in a server's own word of how long it stays cold.
-func (r *Router) heardCold(v fleet.Server) {
+// setCold takes in how long a server says that it stays cold.
+func (r *Router) setCold(v fleet.Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.spread.Told(time.Now(), v)
+	r.spread.SetCold(time.Now(), v)
 }
 
-// doubtAll takes the servers of a data centre for cold until they tell.
-func (r *Router) doubtAll(dataCentre string) {
+// assumeCold takes the servers of a data centre for cold until they tell.
+func (r *Router) assumeCold(dataCentre string) {
 	s := r.current.Load()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, v := range s.fleet.All() {
 		service, _ := s.config.Service(v.Service)
 		if v.DataCentre == dataCentre {
-			r.spread.Doubt(v, time.Now().Add(service.Cold))
+			r.spread.AssumeCold(v, time.Now().Add(service.Cold))
 		}
 	}
 }
