Resets on kept connections say nothing of a server's load

Change: link errors say whether their connection had been kept; spread has an outcome of its own for it.

--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -88,6 +88,8 @@
 			st.tookNoMore(now, 2*v.Slots)
 		}
 		st.failing += forget * (1 - st.failing)
+	case Dropped:
+		st.failing += forget * (1 - st.failing)
 	case Shed:
 		if r == nil || r.Running >= r.Slots {
 			st.tookNoMore(now, v.Slots)
--- a/core/request/spread/spread_test.go
+++ b/core/request/spread/spread_test.go
@@ -255,6 +255,14 @@
 		So(c.Reason, ShouldEqual, Busy)
 		So(s.TakePaces()[0].Full, ShouldEqual, 1)
 	})
+	Convey("On a kept connection, which the server may have forgotten, it says nothing", t, func() {
+		s, v := fresh(), servers(1)[0]
+		for range 20 {
+			answer(s, t0, v, 300*time.Millisecond, Answered)
+		}
+		answer(s, t0, v, 2*time.Millisecond, Dropped)
+		So(s.Judge(t0, need(t0), v).Refused(), ShouldBeFalse)
+	})
 	Convey("One after as long as a run says that an answer was lost", t, func() {
 		s, c := reset(250 * time.Millisecond)
 		So(c.Refused(), ShouldBeFalse)
--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -80,6 +80,10 @@
 	stopped := stop()
 	if err != nil {
 		discard(c)
+		var e *Error
+		if errors.As(err, &e) {
+			e.Kept = c.kept
+		}
 		if ctx.Err() != nil && !NotRun(err) {
 			return nil, &Error{Op: "do", Kind: Late, Err: context.Cause(ctx)}
 		}
--- a/io/connection/link/error.go
+++ b/io/connection/link/error.go
@@ -23,6 +23,8 @@
 	Op   string
 	Kind Kind
 	Err  error
+	// Kept means that the connection had been kept from an earlier request.
+	Kept bool
 }
 
 // Error implements the error interface.
@@ -40,6 +42,13 @@
 	return ""
 }
 
+// WasKept tells whether an error came on a connection that had been kept: the server
+// may have forgotten that, which says nothing of its load.
+func WasKept(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kept
+}
+
 // NotRun tells whether an error proves that the request did not run.
 func NotRun(err error) bool {
 	k := KindOf(err)
--- a/io/connection/link/link.go
+++ b/io/connection/link/link.go
@@ -47,6 +47,7 @@
 	net.Conn
 	r     *bufio.Reader
 	until time.Time // when it must no longer be used
+	kept  bool      // it has served a request before
 }
 
 // New returns a Link to a server's address that keeps so many idle connections.
@@ -76,6 +77,7 @@
 			return l.dial(ctx)
 		}
 		if now.Before(c.until) && quiet(c) {
+			c.kept = true
 			return c, nil
 		}
 		_ = c.Close()
--- a/io/process/router/serve_test.go
+++ b/io/process/router/serve_test.go
@@ -26,6 +26,8 @@
 		So(failed(link.NoWay), ShouldEqual, spread.Silent)
 		So(failed(link.NotSent), ShouldEqual, spread.Failed)
 		So(failed(link.Refused), ShouldEqual, spread.Unreachable)
+		kept := &link.Error{Op: "read", Kind: link.Unsure, Kept: true, Err: errors.New("reset")}
+		So(outcome(context.Background(), nil, kept), ShouldEqual, spread.Dropped)
 	})
 }
 
