--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -309,6 +309,26 @@
 	return n
 }
 
+// Turn is how many living daemons of the data centre come before this one, whether the
+// platform answers them or not.
+func (c *Cluster) Turn(now time.Time) int {
+	n := 0
+	for _, p := range c.peers {
+		if p.DataCentre == c.self.DataCentre && c.lives(now, p) && !p.Leaving && before(p.Member, c.self) < 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// RetryPause is how long after a call to the platform that failed a daemon should try
+// again, by its turn and the pause that a daemon alone would make. When the platform is
+// away the news of all daemons grows old, and all of them would ask for it again and
+// again; the first ones are enough to find out that it is back.
+func RetryPause(turn int, pause time.Duration) time.Duration {
+	return pause + pause*time.Duration(turn)/2
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/core/process/member/member_test.go
+++ b/core/process/member/member_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -112,3 +113,28 @@
 		So(c.peers["a"].Leaving, ShouldBeFalse)
 	})
 }
+
+// Guards against hundreds of daemons that all call the platform again and again while
+// it is away.
+func TestFewDaemonsRetryThePlatform(t *testing.T) {
+	const outage, pause, daemons = 8 * time.Second, 600 * time.Millisecond, 32
+	Convey("In an outage a data centre makes a few times the calls of one daemon", t, func() {
+		calls := 0
+		for i := range daemons {
+			c := New(member(fmt.Sprintf("d%02d", i), "x", 1), t0)
+			for j := range daemons {
+				c.Heard(at(9), member(fmt.Sprintf("d%02d", j), "x", 1), Word{})
+			}
+			So(c.Turn(at(9.1)), ShouldEqual, i)
+			calls += int(outage/RetryPause(c.Turn(at(9.1)), pause)) + 1
+		}
+		alone := int(outage/pause) + 1
+		So(calls, ShouldBeLessThan, daemons*alone/3)
+	})
+	Convey("When those before it are lost a daemon comes first", t, func() {
+		c := New(member("d2", "x", 1), t0)
+		c.Heard(at(9), member("d1", "x", 1), Word{})
+		c.Refused("d1:1")
+		So(RetryPause(c.Turn(at(9.1)), pause), ShouldEqual, pause)
+	})
+}
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -62,7 +62,10 @@
 	r       *Router
 	caches  map[news.Kind]*news.Cache
 	known   map[news.Kind]*atomic.Uint64
+	// reads tells whether this daemon reads the store, and turn how many of its data
+	// centre come before it; any goroutine may ask.
 	reads   atomic.Bool
+	turn    atomic.Int64
 	members *member.Cluster
 	keeper  *keeper.Keeper
 	// before is the leader that this daemon took the lead from.
@@ -149,6 +152,7 @@
 
 func (c *control) tick(now time.Time) {
 	c.reads.Store(c.members.Reads(now, c.caches[news.Servers].At(), c.keeper != nil))
+	c.turn.Store(int64(c.members.Turn(now)))
 	c.expire(now)
 	c.tryLead(now)
 	if c.keeper != nil {
--- a/io/process/router/follow.go
+++ b/io/process/router/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"catkinstep/core/process/member"
 	"catkinstep/core/version/news"
 )
 
@@ -30,7 +31,7 @@
 			}
 			listed, sure = listed && !isForgotten(err), isForgotten(err)
 			r.log.Warn("store: no news", "kind", kind, "since", r.control.through(kind), "err", err)
-			sleep(ctx, pause)
+			r.rest(ctx, pause)
 			pause = min(2*pause, backoffMost)
 			continue
 		}
@@ -48,6 +49,16 @@
 	return nil
 }
 
+// rest waits after a failed call, the longer the more daemons of the data centre come
+// before this one, and until none is needed any more.
+func (r *Router) rest(ctx context.Context, pause time.Duration) {
+	began := r.now()
+	sleep(ctx, pause)
+	for ctx.Err() == nil && r.control.reads.Load() && r.now().Sub(began) < member.RetryPause(int(r.control.turn.Load()), pause) {
+		sleep(ctx, idlePoll)
+	}
+}
+
 // ask lists a kind at first and after its history was lost, and else waits for
 // changes. The first list of all may be old: whatever came after it is in the
 // first watch, or in the words of daemons that started earlier, and the lists of
