--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -59,9 +59,9 @@
 
 // control is the state that the control loop owns.
 type control struct {
-	r       *Router
-	caches  map[news.Kind]*news.Cache
-	known   map[news.Kind]*atomic.Uint64
+	r      *Router
+	caches map[news.Kind]*news.Cache
+	known  map[news.Kind]*atomic.Uint64
 	// reads tells whether this daemon reads the store, and turn how many of its data
 	// centre come before it; any goroutine may ask.
 	reads   atomic.Bool
