--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -45,7 +45,7 @@
 		if v.Draining || tried(n, v.ID) {
 			continue
 		}
-		o := s.weigh(now, n, v, s.crowd(v).expected(now))
+		o := s.weigh(now, n, v, s.usualLoad(now, n, v))
 		o.cost += s.detour(n, near, subset.Rank(s.limits.NearPlace, s.limits.Near, at, count))
 		if best.Reason == None || better(o, best) {
 			best = o
@@ -54,12 +54,12 @@
 	return best
 }
 
-// detour is what it costs to turn to a server that other daemons turn to first, or
-// that is far: this daemon knows less of how busy it is.
+// detour is what it costs to turn to a server that other daemons turn to first, of
+// which this daemon knows less how busy it is, or to one that is far.
 func (s *Spread) detour(n Need, near bool, rank int) float64 {
 	cost := rankStep * float64(min(rankMost, rank)) * s.usual(n)
 	if !near {
-		cost += rankStep*rankMost*s.usual(n) + farPerKilobyte.Seconds()*s.kind(n).size
+		cost += farPerKilobyte.Seconds() * s.kind(n).size
 	}
 	return cost
 }
--- a/core/request/spread/crowd.go
+++ b/core/request/spread/crowd.go
@@ -12,6 +12,10 @@
 	// crowdLasts is how long that counts without a report: longer than the queues
 	// take to empty when nothing more is sent.
 	crowdLasts = 2 * time.Second
+	// farGuess is how crowded a data centre of which nothing is known is taken to be,
+	// as a part of how crowded this one is: most overloads are everywhere, but one that
+	// is not should be found out by a few requests that would be refused here.
+	farGuess = 0.75
 )
 
 // group is the servers of one service in one data centre, among which requests are
@@ -26,8 +30,18 @@
 	at   time.Time
 }
 
-func (s *Spread) crowd(v fleet.Server) *crowd {
-	g := group{service: v.Service, dataCentre: v.DataCentre}
+// usualLoad is how many requests of others a server is expected to have of which nothing
+// is known now.
+func (s *Spread) usualLoad(now time.Time, n Need, v fleet.Server) float64 {
+	load, known := s.crowd(group{service: v.Service, dataCentre: v.DataCentre}).expected(now)
+	if v.DataCentre == n.Near || known == 1 {
+		return load
+	}
+	near, _ := s.crowd(group{service: v.Service, dataCentre: n.Near}).expected(now)
+	return load + (1-known)*farGuess*near
+}
+
+func (s *Spread) crowd(g group) *crowd {
 	c := s.crowds[g]
 	if c == nil {
 		c = &crowd{}
@@ -42,7 +56,8 @@
 	c.at = now
 }
 
-// expected is what a server has of which nothing is known now.
-func (c *crowd) expected(now time.Time) float64 {
-	return c.mean * max(0, 1-float64(now.Sub(c.at))/float64(crowdLasts))
+// expected is what servers of the group have, by how much of that is still known.
+func (c *crowd) expected(now time.Time) (load, known float64) {
+	known = max(0, 1-float64(now.Sub(c.at))/float64(crowdLasts))
+	return c.mean * known, known
 }
--- a/core/request/spread/options.go
+++ b/core/request/spread/options.go
@@ -35,7 +35,7 @@
 	// which on it is not raised: a server thought to be idle that far away may as well
 	// have a queue of others' requests.
 	rankStep = 0.4
-	rankMost = 5
+	rankMost = 3
 	// turnedAwayShare is the part of a request's usual time within which a failure
 	// without an answer means that the server took no more, and not that it was lost
 	// with the request.
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -65,7 +65,7 @@
 	if r != nil {
 		st.reported = max(0, float64(r.Running+r.Waiting-st.own-1))
 		st.at = now
-		s.crowd(v).add(now, st.reported)
+		s.crowd(group{service: v.Service, dataCentre: v.DataCentre}).add(now, st.reported)
 		if o != Shed {
 			st.heard++
 			if r.Waiting >= r.Slots {
--- a/core/request/spread/spread_test.go
+++ b/core/request/spread/spread_test.go
@@ -237,6 +237,34 @@
 	})
 }
 
+// Guards against an overload everywhere in which requests cross to other data centres,
+// of which nothing is known, as if these were idle.
+func TestUnknownDataCentresAreNoBetter(t *testing.T) {
+	crowded := func(waiting int) (*Spread, []fleet.Server) {
+		s, vs := fresh(), servers(12)
+		for i := range vs {
+			if i >= 6 {
+				vs[i].DataCentre = "y"
+			}
+		}
+		for i := range 30 {
+			n := need(t0)
+			s.Begin(t0, vs[i%6], n)
+			s.End(t0.Add(200*time.Millisecond), vs[i%6], n, t0, Answered, &Report{Running: 4, Waiting: waiting, Slots: 4, Bytes: 5000})
+		}
+		return s, vs
+	}
+	now := t0.Add(600 * time.Millisecond)
+	Convey("With some room left here nothing crosses", t, func() {
+		s, vs := crowded(1)
+		So(s.Choose(now, need(now), vs).Server.DataCentre, ShouldEqual, "x")
+	})
+	Convey("In deep overload all are refused", t, func() {
+		s, vs := crowded(12)
+		So(s.Choose(now, need(now), vs).Reason, ShouldEqual, Busy)
+	})
+}
+
 // Guards against requests for a hot key that are sent to its full holder twice: servers
 // with long queues reset connections, and do so again at once.
 func TestServerThatResetsIsFull(t *testing.T) {
