--- a/cmd/catkinstep/edge.go
+++ b/cmd/catkinstep/edge.go
@@ -16,7 +16,7 @@
 	Settings string `help:"Settings file of the platform." required:"" env:"${settingsEnv}"`
 }
 
-// Run runs a daemon on the users' platform until it is told to stop.
+// Run runs a daemon on the users' platform until it is asked to stop.
 func (e *edgeCmd) Run(ctx context.Context, c *commands) error {
 	s, err := bridge.Load(e.Settings)
 	if err != nil {
--- a/cmd/catkinstep/losses.go
+++ b/cmd/catkinstep/losses.go
@@ -16,7 +16,7 @@
 
 type lossesCmd struct {
 	Logs   []string      `arg:"" help:"Logs of daemons, as they wrote them or with something before each line." type:"existingfile"`
-	Window time.Duration `help:"Spans of time that are told apart." default:"2s"`
+	Window time.Duration `help:"Spans of time to count by." default:"2s"`
 	Most   int           `help:"Longest table." default:"20"`
 }
 
--- a/cmd/catkinstep/serve.go
+++ b/cmd/catkinstep/serve.go
@@ -19,7 +19,7 @@
 	Settings string `help:"Settings file of this host." required:""`
 }
 
-// Run runs a daemon until it is told to stop.
+// Run runs a daemon until it is asked to stop.
 func (s *serveCmd) Run(ctx context.Context, c *commands) error {
 	p, err := prefs.Load(s.Settings)
 	if err != nil {
--- a/core/connection/names/names.go
+++ b/core/connection/names/names.go
@@ -1,5 +1,5 @@
 // Package names holds the header names that callers and backend servers speak.
-// The decisions are the same whatever the names; who speaks others builds
+// The decisions are the same whatever the names; who uses others builds
 // another Names.
 //
 // # Usage
--- a/core/process/keeper/load_test.go
+++ b/core/process/keeper/load_test.go
@@ -289,7 +289,7 @@
 	})
 }
 
-// Every move is told to all daemons, which fetch each change of the table: with
+// Every move is published to all daemons, which fetch each change of the table: with
 // eighty of them moves that save next to nothing took as much processor time as
 // the requests.
 func TestMovesCostMoreWithManyDaemons(t *testing.T) {
--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -41,12 +41,12 @@
 	Aim time.Duration
 	// ColdRate is how many requests a second a cold server bears.
 	ColdRate float64
-	// Reports are what servers of any service told of their queues since the last
+	// Reports are what servers of any service reported of their queues since the last
 	// LoadMsg.
 	Reports []Report
 }
 
-// Report is how many answers of a server told of its load, and how many of these of
+// Report is how many answers of a server reported its load, and how many of these
 // a long queue.
 type Report struct {
 	Server        string
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -24,7 +24,7 @@
 	// onTheWay is how long after a leader decided on a grant it may still arrive.
 	onTheWay = sendWithin + grantTime
 	// confirmShare is the part of the right after which the epoch is read anew if
-	// no watch has told of it.
+	// no watch has shown it.
 	confirmShare = 3
 	// retryCall paces calls to a server that did not answer the last one.
 	retryCall = 300 * time.Millisecond
@@ -81,7 +81,7 @@
 	// for each serversAMove servers, or it would take minutes to even them out.
 	movesAtOnce  = 3
 	serversAMove = 12
-	// publishEvery is the shortest pause between two tables that are told to all
+	// publishEvery is the shortest pause between two tables that are published to all
 	// daemons: many moves at once would send one for each step of each.
 	publishEvery = 50 * time.Millisecond
 	// Buckets is the number of stretches of equal length that loads are counted in:
--- a/core/process/keeper/story_test.go
+++ b/core/process/keeper/story_test.go
@@ -235,7 +235,7 @@
 			}
 			return grant.Done
 		}
-		for range 10 { // the list is told again before each tick
+		for range 10 { // the list is given again before each tick
 			s.fleet(named("b", false))
 			s.pass(50*time.Millisecond, answer, answer)
 		}
--- a/core/process/keeper/world_test.go
+++ b/core/process/keeper/world_test.go
@@ -21,7 +21,7 @@
 	daemons []*daemon
 	table   grant.Table
 	stored  uint64
-	// published is the newest table that a leader told of.
+	// published is the newest table that a leader published.
 	published grant.Table
 	events    []event
 	trace     []string
--- a/core/process/loss/line.go
+++ b/core/process/loss/line.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// keyParts is how many parts of the keys are told apart.
+// keyParts is how many parts the keys are counted in.
 const keyParts = 64
 
 // keys names the part of the keys that a request was for.
--- a/core/process/member/head.go
+++ b/core/process/member/head.go
@@ -38,7 +38,7 @@
 	return max(paceLeast, time.Duration(c.near)*paceEach)
 }
 
-// IsHead tells whether this daemon speaks for its data centre.
+// IsHead tells whether this daemon relays for its data centre.
 func (c *Cluster) IsHead(now time.Time) bool {
 	return slices.ContainsFunc(c.heads(now, c.self.DataCentre), func(m Member) bool { return m.Name == c.self.Name })
 }
--- a/core/process/member/head_test.go
+++ b/core/process/member/head_test.go
@@ -45,7 +45,7 @@
 		So(c.Heads(at(1.1)), ShouldResemble, []string{"d00:1", "d07:1"})
 		So(c.Heads(at(1).Add(missedFor)), ShouldResemble, []string{"d07:1", "d11:1"})
 	})
-	Convey("When all others are lost a daemon speaks for itself", t, func() {
+	Convey("When all others are lost a daemon is its own head", t, func() {
 		c := place()
 		for i := range 20 {
 			c.Refused(fmt.Sprintf("d%02d:1", i))
--- a/core/request/admit/admit_test.go
+++ b/core/request/admit/admit_test.go
@@ -25,19 +25,12 @@
 	})
 }
 
-// holder is a server with slots and a queue, to which many daemons send that know
-// nothing of its queue.
-type holder struct {
-	free   []time.Duration // when each slot is free
-	queued int
-}
-
-// answered plays requests that come by chance for a while, and returns how many of
+// answered plays requests of many daemons to one holder that come by chance, and returns how many of
 // the hot key's and of the other keys' were answered within their aim.
 func answered(gates []*Gate, hot, others float64) (hotInAim, othersInAim int) {
 	const work, aim, most, length = 670 * time.Millisecond, 1500 * time.Millisecond, 12, 20 * time.Second
 	random := rand.New(rand.NewPCG(5, 5))
-	h := holder{free: make([]time.Duration, 3)}
+	slots := make([]time.Duration, 3) // when each is free
 	for at := time.Duration(0); at < length; at += time.Duration(random.ExpFloat64() / (hot + others) * float64(time.Second)) {
 		isHot := random.Float64() < hot/(hot+others)
 		number := 1
@@ -48,17 +41,17 @@
 			continue
 		}
 		slot := 0
-		for i, f := range h.free {
-			if f < h.free[slot] {
+		for i, f := range slots {
+			if f < slots[slot] {
 				slot = i
 			}
 		}
-		begin := max(at, h.free[slot])
+		begin := max(at, slots[slot])
 		if begin-at > time.Duration(float64(most)/3*float64(work)) {
 			continue // the server's queue is full
 		}
 		took := time.Duration(float64(work) * random.ExpFloat64())
-		h.free[slot] = begin + took
+		slots[slot] = begin + took
 		switch {
 		case begin+took-at > aim:
 		case isHot:
--- a/core/request/admit/control.go
+++ b/core/request/admit/control.go
@@ -26,7 +26,7 @@
 	holders map[string]*reports
 }
 
-// reports are what answers of a holder told since the last round, and what was made of
+// reports are what answers of a holder reported since the last round, and what was made of
 // them.
 type reports struct {
 	answers, full int
@@ -38,7 +38,7 @@
 // NewControl returns a Control that has heard nothing.
 func NewControl() *Control { return &Control{holders: map[string]*reports{}} }
 
-// Report adds answers of a holder, and how many of them told of a long queue.
+// Report adds answers of a holder, and how many of them reported a long queue.
 func (c *Control) Report(holder string, answers, full int) {
 	r := c.holders[holder]
 	if r == nil {
--- a/core/request/spread/learn.go
+++ b/core/request/spread/learn.go
@@ -13,8 +13,8 @@
 	Server  string
 	Factor  float64
 	Answers int
-	// Heard is how many answers told of its load since the paces were last taken, and
-	// Full how many of these told that as many requests waited as it has slots.
+	// Heard is how many answers reported its load since the paces were last taken, and
+	// Full how many of these reported that as many requests waited as it has slots.
 	Heard, Full int
 }
 
--- a/core/request/spread/options.go
+++ b/core/request/spread/options.go
@@ -8,7 +8,7 @@
 	firstGuessShare = 0.5
 	// learn is the weight of one answer in the usual times.
 	learn = 0.08
-	// paceMemory is how many answers a server's factor speaks for: what the
+	// paceMemory is how many answers a server's factor stands for: what the
 	// weights above leave of older ones is little.
 	paceMemory = 25
 	// forget is the weight of one outcome in the share of failures.
--- a/core/request/spread/others.go
+++ b/core/request/spread/others.go
@@ -23,7 +23,7 @@
 // allPeers stands for every other daemon; none has this name.
 const allPeers = ""
 
-// Summed returns what this daemon and the others that told it have under way, a
+// Summed returns what this daemon and the others that reported to it have under way, a
 // named one apart.
 func (s *Spread) Summed(now time.Time, apart string) map[string]int {
 	out := s.Own()
--- a/core/request/spread/slowness_test.go
+++ b/core/request/spread/slowness_test.go
@@ -7,8 +7,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// told plays an answered request after which the server says how fast it is now.
-func told(s *Spread, now time.Time, i int, took time.Duration, pace float64) {
+// reported plays an answered request after which the server says how fast it is now.
+func reported(s *Spread, now time.Time, i int, took time.Duration, pace float64) {
 	v, n := servers(i + 1)[i], need(now)
 	s.Begin(now, v, n)
 	s.End(now.Add(took), v, n, now, Answered, &Report{Slots: 4, Pace: pace})
@@ -23,11 +23,11 @@
 		s, now := fresh(), t0
 		for range 20 {
 			for i := range 2 {
-				told(s, now, i, 100*time.Millisecond, 1)
+				reported(s, now, i, 100*time.Millisecond, 1)
 			}
 			now = now.Add(time.Second)
 		}
-		told(s, now, 0, 100*time.Millisecond, 3)
+		reported(s, now, 0, 100*time.Millisecond, 3)
 		return s, now.Add(100 * time.Millisecond)
 	}
 	first := func(s *Spread, now time.Time) (n int) {
@@ -57,7 +57,7 @@
 	Convey("The server's own pace tells work from slowness", t, func() {
 		s, now := fresh(), t0
 		for range 100 {
-			told(s, now, 0, 150*time.Millisecond, 1.5)
+			reported(s, now, 0, 150*time.Millisecond, 1.5)
 			now = now.Add(time.Second)
 		}
 		So(s.Usual(need(now)), ShouldAlmostEqual, 100*time.Millisecond, 5*time.Millisecond)
@@ -66,7 +66,7 @@
 		s, now := fresh(), t0
 		for i := range 200 {
 			pace := []float64{1, 3}[i%2]
-			told(s, now, 0, time.Duration(pace*float64(100*time.Millisecond)), pace)
+			reported(s, now, 0, time.Duration(pace*float64(100*time.Millisecond)), pace)
 			now = now.Add(time.Second)
 			if i >= 150 { // the first guess is forgotten
 				So(s.Usual(need(now)), ShouldAlmostEqual, 100*time.Millisecond, 500*time.Microsecond)
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -21,7 +21,7 @@
 	cold     bucket
 	born     int64
 	coldTill time.Time
-	// heard and full count the answers that told of the load, and of a long queue,
+	// heard and full count the answers that reported the load, and a long queue,
 	// since the paces were last taken.
 	heard, full int
 }
--- a/core/request/spread/spread_test.go
+++ b/core/request/spread/spread_test.go
@@ -159,7 +159,7 @@
 }
 
 // More requests come than the servers can answer within the aim. Those that
-// would wait past it are refused at once, the less urgent first, and told when
+// would wait past it are refused at once, the less urgent first, and asked back when
 // the queue has moved on; an idle slot is always used.
 func TestBurst(t *testing.T) {
 	Convey("A request that would come late is refused at once", t, func() {
--- a/core/version/gaps/gaps.go
+++ b/core/version/gaps/gaps.go
@@ -81,8 +81,8 @@
 }
 
 func (m *Meter) add(k kind, took time.Duration) {
-	all := append(m.took[k], took)
-	m.took[k] = all[max(0, len(all)-remembered):]
+	m.took[k] = append(m.took[k], took)
+	m.took[k] = m.took[k][max(0, len(m.took[k])-remembered):]
 }
 
 // Opens estimates when the range with a key opens. One that is still open in the
--- a/io/connection/caller/caller_test.go
+++ b/io/connection/caller/caller_test.go
@@ -104,7 +104,7 @@
 		_, body = send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n1\r\nz\r\n0\r\n\r\n")
 		So(body, ShouldEqual, "/axyz")
 	})
-	Convey("What is beyond the limits is told so, and no more is read", t, func() {
+	Convey("What is beyond the limits is refused, and no more is read", t, func() {
 		resp, _ := send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n")
 		So(resp.StatusCode, ShouldEqual, 413)
 		So(resp.Close, ShouldBeTrue)
@@ -115,7 +115,7 @@
 		resp, _ = send("nonsense\r\n\r\n")
 		So(resp.StatusCode, ShouldEqual, 400)
 	})
-	Convey("A head that does not arrive in time is told so", t, func() {
+	Convey("A head that does not arrive in time is refused", t, func() {
 		resp, _ := send("GET /a HTTP/1.1\r\nHost:")
 		So(resp.StatusCode, ShouldEqual, 408)
 	})
@@ -138,7 +138,7 @@
 		select {
 		case <-gone:
 		case <-time.After(2 * time.Second):
-			So("the handler", ShouldEqual, "told")
+			So("the handler", ShouldEqual, "notified")
 		}
 	})
 }
--- a/io/connection/link/link_test.go
+++ b/io/connection/link/link_test.go
@@ -124,7 +124,7 @@
 		So(err, ShouldBeNil)
 		So(a.Status, ShouldEqual, 200)
 	})
-	Convey("A refusal marked as not run is told", t, func() {
+	Convey("A refusal marked as not run is recognised", t, func() {
 		s := serve(t, raw("HTTP/1.1 503 No\r\nCatkinstep-Request-Id: ID\r\nCatkinstep-Not-Run: 1\r\nCatkinstep-Load: 3,2,3,100\r\nContent-Length: 0\r\n\r\n"))
 		a, err := ask(s.link(), "1")
 		So(err, ShouldBeNil)
@@ -243,7 +243,7 @@
 		select {
 		case <-closed:
 		case <-time.After(2 * time.Second):
-			So("the server", ShouldEqual, "told")
+			So("the server", ShouldEqual, "notified")
 		}
 	})
 }
--- a/io/connection/mesh/mesh_test.go
+++ b/io/connection/mesh/mesh_test.go
@@ -43,7 +43,7 @@
 			So(r.Status.Daemon, ShouldEqual, name)
 		}
 	})
-	Convey("Nobody at the address is told from no reply", t, func() {
+	Convey("Nobody at the address is distinguished from no reply", t, func() {
 		stuck := make(chan struct{})
 		b := listen(func(ctx context.Context, _ *wire.Call) *wire.Reply {
 			<-ctx.Done()
--- a/io/connection/plat/plat_test.go
+++ b/io/connection/plat/plat_test.go
@@ -34,7 +34,7 @@
 		So(err, ShouldBeNil)
 		So(second.Version, ShouldBeGreaterThan, first.Version)
 	})
-	Convey("A write whose reply was lost is told as unsure, and was made once", t, func() {
+	Convey("A write whose reply was lost is reported as unsure, and was made once", t, func() {
 		s, c, stop := platform()
 		defer stop()
 		s.SetFaults(store.Faults{LoseReplies: 1})
--- a/io/process/admin/change_test.go
+++ b/io/process/admin/change_test.go
@@ -27,7 +27,7 @@
 }
 
 // Two yards' operators change the configuration at the same moment. Each
-// change must either be in force or its operator be told who came first; none
+// change must either be in force or its operator learn who came first; none
 // may vanish under the other's.
 func TestRacingOperators(t *testing.T) {
 	Convey("Of a hundred racing changes none is lost without a word", t, func() {
@@ -36,7 +36,7 @@
 		address := strings.TrimPrefix(httptest.NewServer(s).URL, "http://")
 		var mu sync.Mutex
 		var kept []string
-		told := 0
+		refused := 0
 		var wg sync.WaitGroup
 		for operator := range 2 {
 			c := plat.New(address, "toledo")
@@ -49,9 +49,9 @@
 					case err == nil:
 						kept = append(kept, host)
 					case Is(err, Conflict) && strings.Contains(err.Error(), "out 10."):
-						told++
+						refused++
 					default:
-						t.Errorf("neither kept nor told: %v", err)
+						t.Errorf("neither kept nor refused: %v", err)
 					}
 					mu.Unlock()
 				}
@@ -61,7 +61,7 @@
 		data, _ := s.Value("site")
 		v, err := site.Unmarshal(data)
 		So(err, ShouldBeNil)
-		So(len(kept)+told, ShouldEqual, 100)
+		So(len(kept)+refused, ShouldEqual, 100)
 		So(v.Outs, ShouldHaveLength, len(kept))
 		for _, host := range kept {
 			So(v.HostOut(host+":9000"), ShouldBeTrue)
--- a/io/process/native/daemon_test.go
+++ b/io/process/native/daemon_test.go
@@ -161,7 +161,7 @@
 			So(second.status, ShouldEqual, http.StatusOK)
 			So(second.answer.Server, ShouldEqual, first.answer.Server)
 		})
-		Convey("what cannot be served is told from what may have run", func() {
+		Convey("what cannot be served is distinguished from what may have run", func() {
 			for _, v := range []struct {
 				path, code string
 				status     int
@@ -231,7 +231,7 @@
 }
 
 // A booking's answer is lost on its way, as its server breaks off. Nobody can know whether it ran:
-// the caller is told so, and no daemon sends it again. A lookup is sent again.
+// the caller learns so, and no daemon sends it again. A lookup is sent again.
 func TestLostAnswer(t *testing.T) {
 	Convey("What may have run is never said not to have, and never runs twice", t, func() {
 		y := newYard(t, 1)
--- a/io/process/native/speech.go
+++ b/io/process/native/speech.go
@@ -30,7 +30,7 @@
 	headerIdem    = "Idempotency-Key"
 )
 
-// Outcomes that callers are told.
+// Outcomes that callers get.
 const (
 	OutcomeAnswered = "answered"
 	OutcomeNotRun   = "notRun"
@@ -132,7 +132,7 @@
 	return parts[n-1]
 }
 
-// Answered adds what callers are told beside a server's own answer.
+// Answered adds what callers get beside a server's own answer.
 func (Speech) Answered(h http.Header, id, server string) {
 	h.Set(names.Default().ID, id)
 	h.Set(HeaderOutcome, OutcomeAnswered)
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -78,7 +78,7 @@
 	calling  map[string]bool
 	fetching map[string]bool
 	heated   time.Time
-	// relayed are paces of servers that others of the data centre told this head of.
+	// relayed are paces of servers that others of the data centre reported to this head.
 	relayed []*wire.Pace
 	// tables are those that were in force before, the newest last.
 	tables []grant.Table
--- a/io/process/router/heats.go
+++ b/io/process/router/heats.go
@@ -26,7 +26,7 @@
 // the answers that it was learnt from, and those answers.
 type pace struct {
 	factor, answers float64
-	// heard and full are how many answers told of the load, and of a long queue.
+	// heard and full are how many answers reported the load, and a long queue.
 	heard, full int
 }
 
@@ -45,7 +45,7 @@
 	return pace{factor: p.factor + o.factor, answers: p.answers + o.answers, heard: p.heard + o.heard, full: p.full + o.full}
 }
 
-// message is what other daemons are told.
+// message is the form for other daemons.
 func (p pace) message(server string) *wire.Pace {
 	out := &wire.Pace{Server: server, Answers: uint32(p.answers), Heard: uint32(p.heard), Full: uint32(p.full)}
 	if p.answers > 0 {
--- a/io/process/router/late_test.go
+++ b/io/process/router/late_test.go
@@ -9,9 +9,9 @@
 )
 
 // A caller complains of a late answer. The line in the log says which of four
-// things made it late, by what the server told with the answer.
+// things made it late, by what the server reported with the answer.
 func TestLateReason(t *testing.T) {
-	Convey("Each is told apart", t, func() {
+	Convey("Each is named", t, func() {
 		So(lateReason(2, &link.Load{Waiting: 3}), ShouldEqual, lateRepeated)
 		So(lateReason(1, &link.Load{Running: 2, Waiting: 3, Slots: 4}), ShouldEqual, lateWaited)
 		So(lateReason(1, &link.Load{Running: 4, Slots: 4}), ShouldEqual, lateWaited)
--- a/io/process/router/limits.go
+++ b/io/process/router/limits.go
@@ -27,7 +27,7 @@
 	return l.seq > o.seq
 }
 
-// message is what other daemons are told.
+// message is the form for other daemons.
 func (l limits) message(now time.Time) *wire.Limits {
 	out := &wire.Limits{Epoch: l.epoch, Seq: l.seq, AgeMillis: age(now, l.at)}
 	for _, x := range l.each {
@@ -49,7 +49,7 @@
 }
 
 // setLimits puts newer limits in force and passes them on: who made them tells all heads
-// and its own data centre, a head that was told tells its own.
+// and its own data centre, a head that receives them tells its own.
 func (c *control) setLimits(now time.Time, l limits, made bool) {
 	if !l.newer(c.limits) {
 		return
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -78,7 +78,7 @@
 	idleMost     = 15 * time.Second
 	// statusTimeout bounds the question what is in force at another daemon.
 	statusTimeout = 700 * time.Millisecond
-	// notReadyRetry is what callers are told who come before there is a
+	// notReadyRetry is when callers are asked back who come before there is a
 	// configuration; reading it takes some milliseconds.
 	notReadyRetry = 250 * time.Millisecond
 )
@@ -98,7 +98,7 @@
 	Save(ctx context.Context, kind news.Kind, name string, value []byte, revision uint64) (news.Item, error)
 }
 
-// Speech is how backend servers are spoken to.
+// Speech is the protocol of backend servers.
 type Speech interface {
 	Names() names.Names
 	Grant(grant.Call) link.Request
@@ -108,7 +108,7 @@
 	Callers
 }
 
-// Callers is how callers are spoken to.
+// Callers is the protocol of callers.
 type Callers interface {
 	// ID names one try of a caller.
 	ID(h http.Header) string
@@ -117,7 +117,7 @@
 	// Key is the number of the key that a request for a service is about; the
 	// path is the one that goes to the server.
 	Key(s config.Service, path string, h http.Header) (int, bool)
-	// Answered adds to a server's answer what callers are told beside it.
+	// Answered adds to a server's answer what callers get beside it.
 	Answered(h http.Header, id, server string)
 	// Refused puts an answer that is not a server's into words.
 	Refused(f caller.Refusal) (http.Header, []byte)
--- a/io/process/router/status.go
+++ b/io/process/router/status.go
@@ -82,7 +82,7 @@
 }
 
 // reachedWithin is how long ago the store may have answered a daemon that is
-// said to reach it. Daemons that do not read it themselves are told by others.
+// said to reach it. Daemons that do not read it themselves learn from others.
 const reachedWithin = 10 * time.Second
 
 func (r *Router) readStatus(s *wire.StatusReply) DaemonStatus {
--- a/io/process/router/suspect.go
+++ b/io/process/router/suspect.go
@@ -14,14 +14,14 @@
 	crashBound = 3
 	// crashKeep is how long that is remembered; a server is back after seconds.
 	crashKeep = time.Minute
-	// crashTell is how long a loss is told to the other daemons, with every word:
+	// crashTell is how long a loss is passed on to the other daemons, with all gossip:
 	// such a request comes again at any of them.
 	crashTell = 1500 * time.Millisecond
-	// crashTold bounds the losses that are told at once.
+	// crashTold bounds the losses that are passed on at once.
 	crashTold = 32
 )
 
-// suspicion is a loss that the other daemons are told of.
+// suspicion is a loss that is passed on to the other daemons.
 type suspicion struct {
 	at      time.Time
 	suspect *wire.Suspect
--- a/io/standin/load/load.go
+++ b/io/standin/load/load.go
@@ -9,7 +9,7 @@
 //	g.Run(ctx)
 //	r := g.Result()
 //
-// What goes wrong is counted in the Result and told to the oracle; nothing
+// What goes wrong is counted in the Result and reported to the oracle; nothing
 // fails.
 package load
 
@@ -43,8 +43,8 @@
 	Killed(address string) bool
 }
 
-// Judge is told what callers were told; oracle.Oracle is one.
-type Judge interface{ Told(oracle.Told) }
+// Judge learns what callers got; oracle.Oracle is one.
+type Judge interface{ Got(oracle.Reply) }
 
 // Config describes one service's callers.
 type Config struct {
@@ -178,7 +178,7 @@
 
 // outcome is what one try brought.
 type outcome struct {
-	told  oracle.Told
+	reply oracle.Reply
 	code  string
 	again bool
 }
@@ -195,19 +195,19 @@
 		g.mu.Unlock()
 	}
 	took := time.Since(c.due)
-	g.judge.Told(o.told)
+	g.judge.Got(o.reply)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := &g.result
 	r.Requests++
 	if !c.booking {
 		all := took
-		if o.told.Outcome != "answered" {
+		if o.reply.Outcome != "answered" {
 			all = max(took, g.config.Timeout)
 		}
 		_ = r.All.RecordValue(min(max(1, all.Microseconds()), histogramMost))
 	}
-	switch o.told.Outcome {
+	switch o.reply.Outcome {
 	case "answered":
 		r.Answered++
 		h := r.Latency
@@ -243,7 +243,7 @@
 	}
 }
 
-// buckets is how finely outages are told apart.
+// buckets is how finely outages are counted.
 const buckets = 256
 
 func bucketOf(key string) int { return grant.KeyOf(key) * buckets / (grant.LastKey + 1) }
@@ -267,7 +267,7 @@
 	path := "http://" + host + "/" + g.config.Service + strings.ReplaceAll(g.config.Path, "KEY", c.key)
 	req, err := http.NewRequestWithContext(ctx, method, path, io.NopCloser(bytes.NewReader([]byte(body))))
 	if err != nil {
-		return outcome{told: oracle.Told{ID: c.id, Outcome: "notRun"}, code: err.Error()}
+		return outcome{reply: oracle.Reply{ID: c.id, Outcome: "notRun"}, code: err.Error()}
 	}
 	req.ContentLength = int64(len(body))
 	req.Header.Set("Catkinstep-Request-Id", c.id)
@@ -292,23 +292,23 @@
 	late := errors.As(err, &timeout) && timeout.Timeout()
 	if refused || g.balancer.Killed(host) {
 		// A booking that was read may have run: only its caller can decide to book anew.
-		return outcome{told: oracle.Told{ID: c.id, Outcome: "unknown"}, code: "hostLost", again: refused || !c.booking}
+		return outcome{reply: oracle.Reply{ID: c.id, Outcome: "unknown"}, code: "hostLost", again: refused || !c.booking}
 	}
-	return outcome{told: oracle.Told{ID: c.id, Outcome: "unknown", Cut: !late}, code: "noAnswer"}
+	return outcome{reply: oracle.Reply{ID: c.id, Outcome: "unknown", Cut: !late}, code: "noAnswer"}
 }
 
 func read(c call, resp *http.Response, data []byte) outcome {
-	told := oracle.Told{ID: c.id, Outcome: resp.Header.Get("Catkinstep-Outcome")}
-	if told.Outcome == "answered" {
+	reply := oracle.Reply{ID: c.id, Outcome: resp.Header.Get("Catkinstep-Outcome")}
+	if reply.Outcome == "answered" {
 		var a struct {
 			ID, Path string
 		}
-		told.Wrong = json.Unmarshal(data, &a) != nil || a.ID != c.id || !strings.Contains(a.Path, c.key)
-		return outcome{told: told}
+		reply.Wrong = json.Unmarshal(data, &a) != nil || a.ID != c.id || !strings.Contains(a.Path, c.key)
+		return outcome{reply: reply}
 	}
 	var f struct{ Code string }
 	_ = json.Unmarshal(data, &f)
-	return outcome{told: told, code: f.Code}
+	return outcome{reply: reply, code: f.Code}
 }
 
 func until(ctx context.Context, due time.Time) bool {
--- a/io/standin/oracle/oracle.go
+++ b/io/standin/oracle/oracle.go
@@ -29,8 +29,8 @@
 	Overload bool `json:"overload"`
 }
 
-// Told is the final answer that a caller got.
-type Told struct {
+// Reply is the final answer that a caller got.
+type Reply struct {
 	ID string
 	// Outcome is answered, notRun or unknown.
 	Outcome string
@@ -60,10 +60,10 @@
 
 // Oracle collects what happened.
 type Oracle struct {
-	mu   sync.Mutex
-	runs []Run
-	told []Told
-	outs []out
+	mu      sync.Mutex
+	runs    []Run
+	replies []Reply
+	outs    []out
 }
 
 type out struct {
@@ -81,11 +81,11 @@
 	o.runs = append(o.runs, r)
 }
 
-// Told notes what a caller was told in the end.
-func (o *Oracle) Told(t Told) {
+// Got notes what a caller got in the end.
+func (o *Oracle) Got(t Reply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.told = append(o.told, t)
+	o.replies = append(o.replies, t)
 }
 
 // Out notes that the operator's command to take out a data centre or a server
@@ -131,7 +131,7 @@
 			v.find("%s in %s began %s after it was out", r.Server, r.DataCentre, r.ID)
 		}
 	}
-	for _, t := range o.told {
+	for _, t := range o.replies {
 		switch {
 		case t.Cut:
 			v.CutRequest++
@@ -141,7 +141,7 @@
 			v.find("the caller of %s got another answer, or half of one", t.ID)
 		case t.Outcome == "notRun" && ran[t.ID] > 0:
 			v.FalseNotRun++
-			v.find("%s ran, and its caller was told that it did not", t.ID)
+			v.find("%s ran, and its caller was answered that it did not", t.ID)
 		}
 	}
 	return v
--- a/io/standin/server/doc.go
+++ b/io/standin/server/doc.go
@@ -1,6 +1,6 @@
 // Package server stands in for a backend server of the product's own kind: it
 // enforces grants of keys, has slots, a cold start, deadlines and cancellation,
-// and marks refusals as not run. It can be told to slow down, freeze, crash,
+// and marks refusals as not run. It can be made to slow down, freeze, crash,
 // turn cold, and to cross or cut its answers.
 //
 // # Usage
--- a/io/standin/server/server.go
+++ b/io/standin/server/server.go
@@ -26,7 +26,7 @@
 	waiting = 2
 )
 
-// Recorder is told of each execution; oracle.Oracle is one.
+// Recorder learns of each execution; oracle.Oracle is one.
 type Recorder interface{ Ran(oracle.Run) }
 
 // Config describes one server.
--- a/io/standin/store/store.go
+++ b/io/standin/store/store.go
@@ -21,7 +21,7 @@
 	maxWait         = time.Minute
 )
 
-// Faults are what the platform can be told to do wrong.
+// Faults are what the platform can be made to do wrong.
 type Faults struct {
 	// Down makes every call fail.
 	Down bool `json:"down"`
