Only a reset of a new connection says that a server takes no more

Change: a new outcome, TurnedAway, for resets of connections that were new, and only once the usual time is known; everything else is a failure as before.

--- a/core/request/spread/need.go
+++ b/core/request/spread/need.go
@@ -60,7 +60,7 @@
 const (
 	Answered    Outcome = iota
 	Failed              // an answer of failure, a broken one, or none
-	Dropped             // none, on a connection that had been kept
+	TurnedAway          // none: a new connection was reset
 	Shed                // the server did not run it
 	Unreachable         // its address refuses connections
 	Silent              // no connection to it could be made
--- a/core/request/spread/options.go
+++ b/core/request/spread/options.go
@@ -36,9 +36,8 @@
 	// have a queue of others' requests.
 	rankStep = 0.4
 	rankMost = 3
-	// turnedAwayShare is the part of a request's usual time within which a failure
-	// without an answer means that the server took no more, and not that it was lost
-	// with the request.
+	// turnedAwayShare is the part of a request's usual time within which a reset
+	// means that the server took no more, and not that it was lost with the request.
 	turnedAwayShare = 0.1
 	// firstKilobytes is taken for the size of answers before the first.
 	firstKilobytes = 1.0
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -81,14 +81,14 @@
 	case Answered:
 		st.failing *= 1 - forget
 		s.learned(n, st, now.Sub(began), r)
-	case Failed:
-		if r == nil && now.Sub(began).Seconds() < turnedAwayShare*s.usual(n) {
+	case TurnedAway:
+		if k := s.kind(n); k.known > 0 && now.Sub(began).Seconds() < turnedAwayShare*k.usual {
 			// Servers with long queues reset connections. Sent again there at once,
 			// the request would only be reset once more.
 			st.tookNoMore(now, 2*v.Slots)
 		}
 		st.failing += forget * (1 - st.failing)
-	case Dropped:
+	case Failed:
 		st.failing += forget * (1 - st.failing)
 	case Shed:
 		if r == nil || r.Running >= r.Slots {
--- a/core/request/spread/spread_test.go
+++ b/core/request/spread/spread_test.go
@@ -268,31 +268,27 @@
 // Guards against requests for a hot key that are sent to its full holder twice: servers
 // with long queues reset connections, and do so again at once.
 func TestServerThatResetsIsFull(t *testing.T) {
-	reset := func(after time.Duration) (*Spread, Choice) {
+	ended := func(after time.Duration, o Outcome) (*Spread, Choice) {
 		s, v := fresh(), servers(1)[0]
 		for range 20 {
 			answer(s, t0, v, 300*time.Millisecond, Answered)
 		}
 		s.TakePaces()
-		answer(s, t0, v, after, Failed)
+		answer(s, t0, v, after, o)
 		now := t0.Add(after)
 		return s, s.Judge(now, need(now), v)
 	}
 	Convey("A reset within milliseconds says that the queue is long", t, func() {
-		s, c := reset(2 * time.Millisecond)
+		s, c := ended(2*time.Millisecond, TurnedAway)
 		So(c.Reason, ShouldEqual, Busy)
 		So(s.TakePaces()[0].Full, ShouldEqual, 1)
 	})
-	Convey("On a kept connection, which the server may have forgotten, it says nothing", t, func() {
-		s, v := fresh(), servers(1)[0]
-		for range 20 {
-			answer(s, t0, v, 300*time.Millisecond, Answered)
-		}
-		answer(s, t0, v, 2*time.Millisecond, Dropped)
-		So(s.Judge(t0, need(t0), v).Refused(), ShouldBeFalse)
+	Convey("Another failure, or a kept connection that broke, says nothing of that", t, func() {
+		_, c := ended(2*time.Millisecond, Failed)
+		So(c.Refused(), ShouldBeFalse)
 	})
 	Convey("One after as long as a run says that an answer was lost", t, func() {
-		s, c := reset(250 * time.Millisecond)
+		s, c := ended(250*time.Millisecond, TurnedAway)
 		So(c.Refused(), ShouldBeFalse)
 		So(s.TakePaces()[0].Full, ShouldEqual, 0)
 	})
--- a/io/connection/link/error.go
+++ b/io/connection/link/error.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"syscall"
 )
 
 // Kind sorts the errors of this package.
@@ -42,11 +43,11 @@
 	return ""
 }
 
-// WasKept tells whether an error came on a connection that had been kept: the server
-// may have forgotten that, which says nothing of its load.
-func WasKept(err error) bool {
+// ResetNew tells whether a server reset a connection that was new, as full ones do. A
+// kept one it may just have forgotten.
+func ResetNew(err error) bool {
 	var e *Error
-	return errors.As(err, &e) && e.Kept
+	return errors.As(err, &e) && !e.Kept && errors.Is(err, syscall.ECONNRESET)
 }
 
 // NotRun tells whether an error proves that the request did not run.
--- a/io/connection/link/link_test.go
+++ b/io/connection/link/link_test.go
@@ -197,7 +197,7 @@
 		So(err, ShouldBeNil)
 		_, err = ask(l, "2")
 		So(KindOf(err), ShouldEqual, Unsure)
-		So(WasKept(err), ShouldBeTrue)
+		So(ResetNew(err), ShouldBeFalse)
 		So(s.requests.Load(), ShouldEqual, 2)
 	})
 	Convey("A kept connection that was closed meanwhile is noticed before anything is written", t, func() {
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -239,8 +239,8 @@
 		return spread.Silent
 	case err != nil && errors.Is(context.Cause(ctx), context.Canceled):
 		return spread.CalledOff
-	case err != nil && link.WasKept(err):
-		return spread.Dropped
+	case err != nil && link.ResetNew(err):
+		return spread.TurnedAway
 	case err != nil:
 		return spread.Failed
 	case a.NotRun:
--- a/io/process/router/serve_test.go
+++ b/io/process/router/serve_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"testing"
 	"time"
 
@@ -26,8 +27,10 @@
 		So(failed(link.NoWay), ShouldEqual, spread.Silent)
 		So(failed(link.NotSent), ShouldEqual, spread.Failed)
 		So(failed(link.Refused), ShouldEqual, spread.Unreachable)
-		kept := &link.Error{Op: "read", Kind: link.Unsure, Kept: true, Err: errors.New("reset")}
-		So(outcome(context.Background(), nil, kept), ShouldEqual, spread.Dropped)
+		reset := &link.Error{Op: "read", Kind: link.Unsure, Err: syscall.ECONNRESET}
+		So(outcome(context.Background(), nil, reset), ShouldEqual, spread.TurnedAway)
+		reset.Kept = true
+		So(outcome(context.Background(), nil, reset), ShouldEqual, spread.Failed)
 	})
 }
 
