Limits leave more to daemons that are few and know a holder's queue

Change: up to 1.2 of the slots where there are up to four daemons a slot, 0.9 where there are hundreds. TestHotNeighboursAreLimited names its 195 daemons now; its bound is as it was.

--- a/core/process/keeper/limits.go
+++ b/core/process/keeper/limits.go
@@ -56,6 +56,12 @@
 	return out
 }
 
+// fillable is the part of a holder's slots that limits let requests fill.
+func (k *Keeper) fillable(v fleet.Server) float64 {
+	known := min(1, fewDaemons*float64(max(1, v.Slots))/float64(max(1, k.daemons)))
+	return fullAt + knownMore*known
+}
+
 // limitsAt returns the limits of the buckets that one server holds.
 func (k *Keeper) limitsAt(now time.Time, s *share, v fleet.Server, buckets []int) []admit.Limit {
 	demands, sum := make([]float64, 0, len(buckets)), 0.0
@@ -63,7 +69,7 @@
 		demands = append(demands, s.work[b])
 		sum += s.work[b]
 	}
-	capacity, limited := k.limiter.control.Capacity(now, v.ID, fullAt*s.power(v), sum)
+	capacity, limited := k.limiter.control.Capacity(now, v.ID, k.fillable(v)*s.power(v), sum)
 	if !limited {
 		return nil
 	}
--- a/core/process/keeper/limits_test.go
+++ b/core/process/keeper/limits_test.go
@@ -83,6 +83,7 @@
 		for b := 700; b < 780; b++ {
 			l.rates[b] += 6
 		}
+		s.tell(FleetMsg{Fleet: s.k.fleet, Keyed: []string{oneService}, Daemons: 195})
 		l.passReporting(s, time.Second, grant.NotSent) // nothing has moved yet
 		unlimited, limited := 0.0, 0.0
 		for _, busy := range l.admitted(s, nil) {
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -90,9 +90,14 @@
 	// limitEvery is the pause between two rounds of limits for overloaded holders: the
 	// counts that they are worked out from change as often.
 	limitEvery = 500 * time.Millisecond
-	// fullAt is the part of a holder's slots that limits let requests fill. Daemons do
-	// not see its queue: with more, most answers from it would be late.
-	fullAt = 0.9
+	// fullAt is the part of a holder's slots that limits let requests fill where hundreds
+	// of daemons send to it, none of which knows its queue: with more, most answers from
+	// it would be late. Few daemons know it well enough to refuse by it themselves, and
+	// only what is beyond fullAt and knownMore is kept from them.
+	fullAt    = 0.9
+	knownMore = 0.3
+	// fewDaemons is how many daemons for each slot of a holder know its queue.
+	fewDaemons = 4.0
 	// fenceShift leaves room for so many fences in one epoch (2^24).
 	fenceShift = 24
 )
