--- a/core/request/spread/options.go
+++ b/core/request/spread/options.go
@@ -29,7 +29,7 @@
 	// farPerKilobyte is the price of an answer from another data centre, as the
 	// time that it must save for each kilobyte: bytes between data centres are
 	// dear, and the way itself takes a millisecond or two only.
-	farPerKilobyte = 60 * time.Millisecond
+	farPerKilobyte = 100 * time.Millisecond
 	// rankStep is the price of a server for each group of daemons that turns to it
 	// before this one, as a part of the usual time of the request, and rankMost from
 	// which on it is not raised: a server thought to be idle that far away may as well
