--- a/core/request/spread/crowd.go
+++ b/core/request/spread/group.go
@@ -7,13 +7,13 @@
 )
 
 const (
-	// crowdLearn is the weight of one report in what servers usually have.
-	crowdLearn = 0.2
-	// crowdLasts is how long that counts without a report: longer than the queues
+	// groupLearn is the weight of one report in what servers usually have.
+	groupLearn = 0.2
+	// groupLasts is how long that counts without a report: longer than the queues
 	// take to empty when nothing more is sent.
-	crowdLasts = 2 * time.Second
-	// farGuess is how crowded a data centre of which nothing is known is taken to be,
-	// as a part of how crowded this one is: most overloads are everywhere, but one that
+	groupLasts = 2 * time.Second
+	// farGuess is how loaded a data centre of which nothing is known is taken to be,
+	// as a part of how loaded this one is: most overloads are everywhere, but one that
 	// is not should be found out by a few requests that would be refused here.
 	farGuess = 0.75
 )
@@ -22,10 +22,10 @@
 // spread alike.
 type group struct{ service, dataCentre string }
 
-// crowd is how many requests of others the servers of a group have, as the last ones that
+// groupLoad is how many requests of others the servers of a group have, as the last ones that
 // reported it. When more comes than all of them can run, a daemon that has heard nothing
 // of a server lately would take it for idle, and send it requests that will be late.
-type crowd struct {
+type groupLoad struct {
 	mean float64
 	at   time.Time
 }
@@ -33,31 +33,31 @@
 // usualLoad is how many requests of others a server is expected to have of which nothing
 // is known now.
 func (s *Spread) usualLoad(now time.Time, n Need, v fleet.Server) float64 {
-	load, known := s.crowd(group{service: v.Service, dataCentre: v.DataCentre}).expected(now)
+	load, known := s.groupLoad(group{service: v.Service, dataCentre: v.DataCentre}).expected(now)
 	if v.DataCentre == n.Near || known == 1 {
 		return load
 	}
-	near, _ := s.crowd(group{service: v.Service, dataCentre: n.Near}).expected(now)
+	near, _ := s.groupLoad(group{service: v.Service, dataCentre: n.Near}).expected(now)
 	return load + (1-known)*farGuess*near
 }
 
-func (s *Spread) crowd(g group) *crowd {
-	c := s.crowds[g]
+func (s *Spread) groupLoad(g group) *groupLoad {
+	c := s.groups[g]
 	if c == nil {
-		c = &crowd{}
-		s.crowds[g] = c
+		c = &groupLoad{}
+		s.groups[g] = c
 	}
 	return c
 }
 
 // add takes in a report.
-func (c *crowd) add(now time.Time, requests float64) {
-	c.mean += crowdLearn * (requests - c.mean)
+func (c *groupLoad) add(now time.Time, requests float64) {
+	c.mean += groupLearn * (requests - c.mean)
 	c.at = now
 }
 
 // expected is what servers of the group have, by how much of that is still known.
-func (c *crowd) expected(now time.Time) (load, known float64) {
-	known = max(0, 1-float64(now.Sub(c.at))/float64(crowdLasts))
+func (c *groupLoad) expected(now time.Time) (load, known float64) {
+	known = max(0, 1-float64(now.Sub(c.at))/float64(groupLasts))
 	return c.mean * known, known
 }
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -33,12 +33,12 @@
 	kinds   map[string]*kind
 	servers map[string]*state
 	peers   map[string]peerLoad // by daemon
-	crowds  map[group]*crowd
+	groups  map[group]*groupLoad
 }
 
 // New returns a Spread that has measured nothing.
 func New(seed uint64, l Limits) *Spread {
-	return &Spread{random: rand.New(rand.NewPCG(seed, 11)), limits: l, kinds: map[string]*kind{}, servers: map[string]*state{}, peers: map[string]peerLoad{}, crowds: map[group]*crowd{}}
+	return &Spread{random: rand.New(rand.NewPCG(seed, 11)), limits: l, kinds: map[string]*kind{}, servers: map[string]*state{}, peers: map[string]peerLoad{}, groups: map[group]*groupLoad{}}
 }
 
 // Limit follows a change of the number of daemons.
@@ -65,7 +65,7 @@
 	if r != nil {
 		st.reported = max(0, float64(r.Running+r.Waiting-st.own-1))
 		st.at = now
-		s.crowd(group{service: v.Service, dataCentre: v.DataCentre}).add(now, st.reported)
+		s.groupLoad(group{service: v.Service, dataCentre: v.DataCentre}).add(now, st.reported)
 		if o != Shed {
 			st.heard++
 			if r.Waiting >= r.Slots {
--- a/core/request/spread/spread_test.go
+++ b/core/request/spread/spread_test.go
@@ -240,7 +240,7 @@
 // Guards against an overload everywhere in which requests cross to other data centres,
 // of which nothing is known, as if these were idle.
 func TestUnknownDataCentresAreNoBetter(t *testing.T) {
-	crowded := func(waiting int) (*Spread, []fleet.Server) {
+	loaded := func(waiting int) (*Spread, []fleet.Server) {
 		s, vs := fresh(), servers(12)
 		for i := range vs {
 			if i >= 6 {
@@ -256,11 +256,11 @@
 	}
 	now := t0.Add(600 * time.Millisecond)
 	Convey("With some room left here nothing crosses", t, func() {
-		s, vs := crowded(1)
+		s, vs := loaded(1)
 		So(s.Choose(now, need(now), vs).Server.DataCentre, ShouldEqual, "x")
 	})
 	Convey("In deep overload all are refused", t, func() {
-		s, vs := crowded(12)
+		s, vs := loaded(12)
 		So(s.Choose(now, need(now), vs).Reason, ShouldEqual, Busy)
 	})
 }
