--- a/core/process/keeper/fuzz_test.go
+++ b/core/process/keeper/fuzz_test.go
@@ -49,10 +49,7 @@
 	return n
 }
 
-// Leaders are frozen, killed, cut from servers and from the store, and replaced
-// for no reason; grants and releases lose their answers, grants are carried out
-// seconds late, servers drain, die and come back under the same id. No two
-// servers may ever hold a key at once, and all keys are held again afterwards.
+// Guards against two servers that hold a key at once, and against keys that nobody holds after the faults.
 func TestFuzzOneHolder(t *testing.T) {
 	for seed := range uint64(60) {
 		play(t, seed)
--- a/core/process/keeper/load_test.go
+++ b/core/process/keeper/load_test.go
@@ -122,9 +122,7 @@
 	return lost, even
 }
 
-// A large service starts with its keys dealt out by their number. Some servers
-// get twice what they can run and refuse half of it, while others idle. A few
-// moves a round, and none while any other key moves, left it so for minutes.
+// Guards against a large service whose servers are overloaded beside idle ones for minutes.
 func TestManyServersAreEvenedOut(t *testing.T) {
 	for _, v := range []struct {
 		servers    int
@@ -167,10 +165,7 @@
 	return l, list, s
 }
 
-// Everybody asks for one thing for five seconds. Its holder is one of the slow
-// servers, which can run a third of that, and refuses the rest together with all
-// its other keys. Counts that take seconds to reach the leader and to be believed
-// move the key when nobody asks for it any more.
+// Guards against a hot key that stays with a slow holder until nobody asks for it any more.
 func TestHotKeyGetsAFastServer(t *testing.T) {
 	Convey("Within two seconds a fast server has it, and hardly anything else is lost", t, func() {
 		l, _, s := started(200)
@@ -191,9 +186,7 @@
 	})
 }
 
-// One key gets half of all requests, in the middle of its holder's range. Moved
-// together with half of that range, thousands of keys that nobody asks for change
-// hands with it, and their callers are refused meanwhile.
+// Guards against thousands of keys that nobody asks for changing hands with a hot one.
 func TestHotBucketMovesAlone(t *testing.T) {
 	Convey("Hardly any other key moves with it", t, func() {
 		l, _, s := started(200)
@@ -213,9 +206,7 @@
 	})
 }
 
-// Four keys of one server become hot. Keys on their way are counted where they will
-// be, while their requests still come where they are: judged by that, several moves
-// at once would close most of what the server holds, for more than is needed.
+// Guards against several moves that close most of what one server holds.
 func TestOneMoveAtATimeForAServer(t *testing.T) {
 	Convey("No server takes part in two moves for balance", t, func() {
 		l, _, s := started(200)
@@ -242,9 +233,7 @@
 	})
 }
 
-// Six of thirteen servers are lost while six others come back cold, with no keys
-// and idle. By their slots they look like the best place for the keys of the lost
-// ones; all but a few requests a second would be refused there.
+// Guards against idle cold servers that get the keys of lost ones, and refuse their callers.
 func TestLostKeysDoNotGoToColdServers(t *testing.T) {
 	Convey("Cold servers get what they bear", t, func() {
 		l, list, s := started(200)
@@ -266,9 +255,7 @@
 	})
 }
 
-// A server is added to a busy service, or comes back with others after a loss of
-// power, and is cold: it bears a few requests a second for some seconds. Given half
-// of the keys of the busiest server, it refuses most of their callers.
+// Guards against a cold server that gets half of the keys of the busiest one.
 func TestColdServerGetsFewKeys(t *testing.T) {
 	Convey("Its first keys bring no more than it bears, later ones come when it is warm", t, func() {
 		l, list, s := started(400)
@@ -289,9 +276,7 @@
 	})
 }
 
-// Every move is published to all daemons, which fetch each change of the table: with
-// eighty of them moves that save next to nothing took as much processor time as
-// the requests.
+// Guards against moves that save next to nothing and are published to many daemons.
 func TestMovesCostMoreWithManyDaemons(t *testing.T) {
 	Convey("With many daemons keys move less, and still better than evenly", t, func() {
 		moves := func(daemons int) (n int) {
@@ -316,9 +301,7 @@
 	})
 }
 
-// Half of the servers are gone at once and the rest can hardly bear the load.
-// Where a key more is thought to cost least at a server that is overloaded anyhow,
-// all of the lost servers' keys are given to one, whose callers are all refused.
+// Guards against one overloaded server that gets the keys of all lost ones.
 func TestKeysOfLostServersAreShared(t *testing.T) {
 	Convey("No server gets much more than the others", t, func() {
 		l, list, s := started(250)
@@ -333,10 +316,7 @@
 	})
 }
 
-// Two neighbouring ranges have one holder, and a renewal of one of them is still
-// on its way. Were they made one range now, nobody would wait for that call any
-// more: the server could hold those keys from it for longer than the leader
-// thinks, while another server is given them.
+// Guards against a renewal on its way that nobody waits for, since its range was joined with another.
 func TestOnlyCalmRangesAreJoined(t *testing.T) {
 	start := func() *story {
 		a := holder(named("a", false))
--- a/core/process/keeper/story_test.go
+++ b/core/process/keeper/story_test.go
@@ -75,9 +75,7 @@
 	return func(string) grant.Result { return r }
 }
 
-// The leader before was replaced in the middle of a move, and the holder's life
-// has ended. The successor cannot reach the next holder, which drains, and would give the range to a third
-// server; but the old leader may have granted it to the next holder already.
+// Guards against a third holder beside one to which the leader before may have granted the range.
 func TestSuccessorOfAnUnfinishedMove(t *testing.T) {
 	Convey("The next holder counts as one until its grant has run out", t, func() {
 		a, b := holder(named("a", false)), holder(named("b", false))
@@ -100,8 +98,7 @@
 	})
 }
 
-// The old leader is out of sight with the holder: cut off together, it may go on
-// renewing. The holder is no longer listed here.
+// Guards against keys that are moved while a leader out of sight may go on renewing them.
 func TestSilentHolderOfAnOldLeader(t *testing.T) {
 	quiet := always(grant.NotSent)
 	holdersRange := grant.Range{Holder: holder(named("a", false))}
@@ -139,8 +136,7 @@
 	})
 }
 
-// The leader's host is suspended. When it wakes it believes that it leads, while
-// another has taken over and moved keys.
+// Guards against a leader that was suspended, replaced, and grants by what it believed.
 func TestLeaderWakes(t *testing.T) {
 	Convey("It asks who leads before it calls any server", t, func() {
 		s := begin(grant.Range{Holder: holder(named("a", false))})
@@ -163,8 +159,7 @@
 	})
 }
 
-// A server dies and comes back under its id and at its address between two
-// renewals. The new life must not take the keys with the old life's fence.
+// Guards against a restarted server that takes the keys with the fence of its life before.
 func TestRenewalMeetsTheSameLife(t *testing.T) {
 	Convey("A renewal needs the connection of the grant before; without it a new fence goes out", t, func() {
 		s := begin(grant.Range{Holder: holder(named("a", false))})
@@ -184,10 +179,7 @@
 	})
 }
 
-// A server dies while its entry stays in the list, as in an outage of the store
-// or where servers are named by a file. Its keys run out and move. Then it looks
-// like the idlest server: keys are given back to it, to wait for nothing, again
-// and again, and their callers are refused for seconds each time.
+// Guards against keys that are given back, again and again, to a server that died while listed.
 func TestSilentServerGetsNoMoreKeys(t *testing.T) {
 	dead := map[string]bool{"a": true}
 	answer := func(address string) grant.Result {
@@ -222,9 +214,7 @@
 	})
 }
 
-// The holder has ended and left the list, and its address belongs to another
-// server, which says so. The leader forgot that answer at once, asked again in each
-// tick, and callers of those keys were refused until the old grants had run out.
+// Guards against keys whose callers are refused until grants run out, although the holder is known to have ended.
 func TestEndOfAHolderIsRemembered(t *testing.T) {
 	Convey("Its keys go on at once, and the end is noted once", t, func() {
 		s := begin(grant.Range{Holder: holder(named("a", false))}, WithHold(2*time.Second), WithLeaderLease(8*time.Second))
@@ -250,9 +240,7 @@
 	})
 }
 
-// All daemons lose power while keys move for balance. Callers of those keys were
-// refused for seconds after the others were served again: the successor waited
-// until grants of the leader before it had run out, although both servers answer.
+// Guards against a successor that waits for old grants although both servers of a move answer.
 func TestSuccessorCompletesAMove(t *testing.T) {
 	Convey("The range opens at the next holder once the holder before has released it", t, func() {
 		s := begin(grant.Range{Holder: holder(named("a", false)), Next: holder(named("b", false))},
@@ -265,11 +253,7 @@
 	})
 }
 
-// The holder ends and is back at its address, empty. A new leader takes over at
-// that moment and its first grant finds nobody. The leader before is cut from
-// the store, goes on for a while, and grants the range to the new life right
-// after that has released it for the new leader, who has given it on meanwhile:
-// two holders, unless the server has seen a fence of the new leader.
+// Guards against two holders, one of them by a replaced leader that granted after a release.
 func TestReplacedLeaderGrantsAfterARelease(t *testing.T) {
 	start := func() *story {
 		old := named("a", false)
--- a/core/process/loss/loss_test.go
+++ b/core/process/loss/loss_test.go
@@ -7,8 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// An operator has the logs of all daemons after a bad minute, as the collector
-// keeps them, and wants to know which requests were lost and why.
+// Guards against lost requests that no cause, time or key is counted for.
 func TestTally(t *testing.T) {
 	lines := []string{
 		`12.5 host1 {"time":"2026-12-03T06:00:01.5Z","msg":"request: refused, not run","route":"look","service":"s","reason":"allBusy","server":"a","key":1030}`,
--- a/core/process/member/head_test.go
+++ b/core/process/member/head_test.go
@@ -26,8 +26,7 @@
 	return c
 }
 
-// Each daemon of a large site that talks to all others spends more on that than
-// on its callers. Two of each data centre, on its strongest hosts, speak for it.
+// Guards against daemons that all talk to each other.
 func TestHeads(t *testing.T) {
 	Convey("The strongest speak, and the next in their place while they are lost", t, func() {
 		c := place()
@@ -68,8 +67,7 @@
 	})
 }
 
-// A leader of another data centre talks to heads only. Others that hear of it by
-// them must not miss it, nor take the word of a life that has ended for it.
+// Guards against a leader that is missed by daemons which hear of it by heads only.
 func TestHeardOf(t *testing.T) {
 	Convey("A head's word of the leader counts from when the head had it", t, func() {
 		c := heard()
@@ -81,8 +79,7 @@
 	})
 }
 
-// Daemons that are not heads get their news a round later. Read as eagerly as
-// heads do, the store would have a reader more for each of them.
+// Guards against daemons that read the store although their heads will tell them.
 func TestMembersReadLast(t *testing.T) {
 	Convey("A head reads old news first, the others rounds later", t, func() {
 		c := place()
--- a/core/process/member/member_test.go
+++ b/core/process/member/member_test.go
@@ -64,9 +64,7 @@
 	})
 }
 
-// A cut may refuse connections in the name of a daemon that lives and leads on
-// its side. Refusal is reason to take the lead, and no proof that the old leader
-// stopped: the new one must go on waiting for its grants to run out.
+// Guards against a refused connection being taken for the end of a leader.
 func TestRefusalProvesNothing(t *testing.T) {
 	Convey("A refused leader is missed, but not known to have stopped", t, func() {
 		c := heard()
@@ -80,8 +78,7 @@
 	})
 }
 
-// The platform refuses the leader alone and serves the others. Servers that
-// leave would keep their keys for as long as it leads.
+// Guards against a leader that leads on while the platform refuses it alone.
 func TestGivesWay(t *testing.T) {
 	Convey("A leader gives way when the platform answers others only", t, func() {
 		c := heard()
@@ -114,8 +111,7 @@
 	})
 }
 
-// Guards against hundreds of daemons that all call the platform again and again while
-// it is away.
+// Guards against hundreds of daemons that call the platform again and again while it is away.
 func TestFewDaemonsRetryThePlatform(t *testing.T) {
 	const outage, pause, daemons = 8 * time.Second, 600 * time.Millisecond, 32
 	Convey("In an outage a data centre makes a few times the calls of one daemon", t, func() {
--- a/core/process/queue/queue_test.go
+++ b/core/process/queue/queue_test.go
@@ -7,9 +7,7 @@
 	"pgregory.net/rapid"
 )
 
-// A quarter of a service's servers take three times as long as the fastest ones.
-// Dealt keys by their speed alone, each at the same share of its slots, the slow
-// ones answer a fifth of their callers late while the fast ones could take more.
+// Guards against slow servers with as large a share of their slots busy as fast ones.
 func TestSlowServersBearLess(t *testing.T) {
 	fast, slow := New(4, 0.063, 0.3, 0), New(4, 0.19, 0.3, 0)
 	Convey("At the same share of its slots a slow server loses far more", t, func() {
@@ -35,9 +33,7 @@
 	})
 }
 
-// A data centre is lost and its keys go to the servers that are left. Where keys
-// more are thought to cost least at a server that is overloaded already, since its
-// answers are all late anyhow, all of them end there and are lost.
+// Guards against one overloaded server that is thought to lose nothing by more keys.
 func TestOverloadIsShared(t *testing.T) {
 	Convey("A request costs less at a server that is nearly full than at one beyond it", t, func() {
 		s := New(4, 0.1, 0.3, 0)
--- a/core/process/rate/rate_test.go
+++ b/core/process/rate/rate_test.go
@@ -64,9 +64,7 @@
 	return out
 }
 
-// Traffic starts, or a leader has just taken over. Where the rates grow from
-// nought by a twentieth in each window, the keys of overloaded servers stay where
-// they are for ten seconds, and their callers are refused.
+// Guards against a load that is underestimated in the first seconds.
 func TestStart(t *testing.T) {
 	Convey("The whole load is seen after two windows", t, func() {
 		l := newCallers(even(100, 3)).pass(2)
@@ -98,8 +96,7 @@
 	})
 }
 
-// Guards against a few hundred neighbouring keys that become hot unseen: none of their
-// buckets gets enough in a second to stand out from chance.
+// Guards against a stretch of hot keys that is overlooked, since no bucket alone stands out from chance.
 func TestHotNeighbours(t *testing.T) {
 	Convey("The stretch is seen as a whole within two windows, and the others stay as they are", t, func() {
 		const from, to, before, hot = 700, 780, 0.3, 3.0
--- a/core/request/admit/admit_test.go
+++ b/core/request/admit/admit_test.go
@@ -63,8 +63,7 @@
 	return hotInAim, othersInAim
 }
 
-// Guards against daemons that fill a holder's queue with requests which will be late,
-// each knowing nothing of the others.
+// Guards against daemons that fill a holder's queue, each knowing nothing of the others.
 func TestHotKeyOverManyDaemons(t *testing.T) {
 	Convey("What is let through is answered in time, the other keys' requests first", t, func() {
 		const hot, others, slots, work = 100.0, 2.0, 3.0, 0.67
@@ -115,8 +114,7 @@
 	})
 }
 
-// Guards against callers who are refused for ever by a wrong guess: nobody had learned
-// yet how short the requests are, and who is refused teaches nothing.
+// Guards against limits by a wrong guess, which those who are refused can never correct.
 func TestLimitsFollowWhatHoldersReport(t *testing.T) {
 	const thought, offered = 3.0, 12.0
 	round := func(c *Control, i, answers, full int) (float64, bool) {
--- a/core/request/crash/crash_test.go
+++ b/core/request/crash/crash_test.go
@@ -7,8 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// A request brings down each server that runs it, and its caller sends it again
-// with a new id each time. After two servers it is refused.
+// Guards against a request that brings down one server after the other.
 func TestCrashingRequest(t *testing.T) {
 	now := time.Unix(1000, 0)
 	Convey("It is refused after the bound, and remembered for a time", t, func() {
@@ -22,9 +21,7 @@
 	})
 }
 
-// A popular lookup is under way whenever a server is lost, for whatever reason.
-// After two losses its callers were refused for ten minutes, though it had been
-// answered thousands of times in between.
+// Guards against a popular lookup that is refused since servers were lost while it ran.
 func TestPopularLookupIsNoSuspect(t *testing.T) {
 	now := time.Unix(1000, 0)
 	Convey("An answer ends the suspicion", t, func() {
--- a/core/request/retry/retry_test.go
+++ b/core/request/retry/retry_test.go
@@ -7,9 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// A caller books a label. The server breaks off, and nobody can know whether
-// the booking ran: sent again, it could be charged twice. A lookup is sent again
-// in the same place.
+// Guards against a booking that is sent again although it may have run.
 func TestAgain(t *testing.T) {
 	once := Attempt{Arrived: 1, Most: 2, Left: time.Second, Least: 100 * time.Millisecond}
 	for _, v := range []struct {
@@ -36,8 +34,7 @@
 	}
 }
 
-// Guards against refused connections that use up a daemon's few repeats: requests
-// with time left were given up after one.
+// Guards against refused connections that use up a daemon's few repeats.
 func TestWhatReachedNobodyIsNoRepeat(t *testing.T) {
 	Convey("The first attempt that arrives is none", t, func() {
 		So(Attempt{Unsent: 2}.Repeats(), ShouldBeFalse)
--- a/core/request/spread/blind_test.go
+++ b/core/request/spread/blind_test.go
@@ -14,8 +14,7 @@
 	return float64(p.inAim) / float64(p.asked)
 }
 
-// Guards against an overload in which nobody refuses: each daemon takes the servers that
-// it has heard nothing of lately for idle, and nearly all answers are late.
+// Guards against an overload in which nobody refuses, and nearly all answers are late.
 func TestOverloadIsRefusedInTime(t *testing.T) {
 	Convey("Of half as much again as servers can run, most is answered in time or refused at once", t, func() {
 		const capacity = 350
@@ -27,8 +26,7 @@
 	})
 }
 
-// Guards against daemons that, each knowing little of the others' requests, take the same
-// servers for idle: callers wait in queues there while other servers have free slots.
+// Guards against daemons that all queue at the same servers while others have free slots.
 func TestManyDaemonsServeAsWellAsFew(t *testing.T) {
 	const nearly = 0.05
 	for _, v := range []struct {
--- a/core/request/spread/slowness_test.go
+++ b/core/request/spread/slowness_test.go
@@ -14,10 +14,7 @@
 	s.End(now.Add(took), v, n, now, Answered, &Report{Slots: 4, Pace: pace})
 }
 
-// Servers share their hosts with others and are three times slower for a fifth of
-// a second at a time. A caller whose request is sent to one that has just said so
-// waits three times as long, while the one beside it is idle. A moment later the
-// word says nothing any more, and work is spread as before.
+// Guards against requests to a server that has just said that it is slow, beside an idle one.
 func TestSpellsOfSlowness(t *testing.T) {
 	start := func() (*Spread, time.Time) {
 		s, now := fresh(), t0
@@ -50,9 +47,7 @@
 	})
 }
 
-// Keys of one kind of request are held by slow servers only. What the request
-// takes at a server of usual speed must not be learned from them as if they were
-// usual, or a fast server looks as slow as they are.
+// Guards against the time at slow servers being taken for the usual one.
 func TestUsualTimeIsThatOfAUsualServer(t *testing.T) {
 	Convey("The server's own pace tells work from slowness", t, func() {
 		s, now := fresh(), t0
--- a/core/request/spread/spread_test.go
+++ b/core/request/spread/spread_test.go
@@ -37,8 +37,7 @@
 	s.End(now.Add(took), v, n, now, o, nil)
 }
 
-// A server hangs with requests under way. It answers nothing, so no average
-// learns of it, and callers would wait there until their deadlines.
+// Guards against callers that wait at a hanging server, of which no average learns.
 func TestHangingServerIsLeft(t *testing.T) {
 	Convey("What is under way for long makes a server the last choice", t, func() {
 		s, vs := fresh(), servers(2)
@@ -109,9 +108,7 @@
 	})
 }
 
-// A data centre is cut off. Every lookup for a key that is held there tried to
-// connect for the third of a second that such a try takes, and was refused when
-// its caller's aim was over.
+// Guards against callers that each wait for a connection to the same server in vain.
 func TestServerOutOfReach(t *testing.T) {
 	start := func() (*Spread, fleet.Server) {
 		s, v := fresh(), servers(1)[0]
@@ -139,8 +136,7 @@
 	})
 }
 
-// A server refuses requests unrun although it is idle. Taken for full after each
-// of them, it would be left idle while callers are refused.
+// Guards against an idle server that is left alone since it declined a request.
 func TestIdleServerDeclines(t *testing.T) {
 	Convey("Its slots still count as free", t, func() {
 		s, v := fresh(), servers(1)[0]
@@ -158,9 +154,7 @@
 	})
 }
 
-// More requests come than the servers can answer within the aim. Those that
-// would wait past it are refused at once, the less urgent first, and asked back when
-// the queue has moved on; an idle slot is always used.
+// Guards against requests that wait past their aim, and against slots that stay idle.
 func TestBurst(t *testing.T) {
 	Convey("A request that would come late is refused at once", t, func() {
 		s, vs := fresh(), servers(1)
@@ -196,9 +190,7 @@
 	})
 }
 
-// Daemons that cannot talk send to a server that has just started. Over all of
-// them it must never get more in a second than it bears, however the requests
-// fall and however many daemons there are.
+// Guards against a cold server that gets more than it bears from daemons that cannot talk.
 func TestColdServerOverAllDaemons(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		daemons := rapid.IntRange(1, 100).Draw(t, "daemons")
@@ -237,8 +229,7 @@
 	})
 }
 
-// Guards against an overload everywhere in which requests cross to other data centres,
-// of which nothing is known, as if these were idle.
+// Guards against requests that cross to data centres as overloaded as their own.
 func TestUnknownDataCentresAreNoBetter(t *testing.T) {
 	loaded := func(waiting int) (*Spread, []fleet.Server) {
 		s, vs := fresh(), servers(12)
@@ -265,8 +256,7 @@
 	})
 }
 
-// Guards against requests for a hot key that are sent to its full holder twice: servers
-// with long queues reset connections, and do so again at once.
+// Guards against a request that is sent again at once to a server that has reset it for want of room.
 func TestServerThatResetsIsFull(t *testing.T) {
 	ended := func(after time.Duration, o Outcome) (*Spread, Choice) {
 		s, v := fresh(), servers(1)[0]
--- a/core/request/subset/subset_test.go
+++ b/core/request/subset/subset_test.go
@@ -34,8 +34,7 @@
 	}
 }
 
-// Guards against a list of servers that shrinks in the middle of a request: a place
-// beyond the number of servers must not give a rank that no daemon has.
+// Guards against a rank that no daemon has.
 func TestRankIsInBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		daemons, servers := rapid.IntRange(1, 200).Draw(t, "daemons"), rapid.IntRange(1, 600).Draw(t, "servers")
--- a/core/version/config/config_test.go
+++ b/core/version/config/config_test.go
@@ -39,8 +39,7 @@
 	})
 }
 
-// A service's bookings and lookups share their paths. A booking that is taken
-// for a lookup would be sent again after a lost answer, and charged twice.
+// Guards against a booking that is taken for a lookup, which may be sent again.
 func TestMatchByMethod(t *testing.T) {
 	Convey("The route that names the method goes first, whatever the order", t, func() {
 		lookups := Route{Name: "lookups", Host: AnyHost, Prefix: "/s/", Methods: []string{"GET", "HEAD"}, Idempotent: true}
--- a/core/version/gaps/gaps_test.go
+++ b/core/version/gaps/gaps_test.go
@@ -31,8 +31,7 @@
 	}
 }
 
-// Guards against callers that are asked back too early: keys of long requests move
-// for a second, and a caller who returns after a tenth of that is refused again.
+// Guards against callers that are asked back before their key's range is open.
 func TestOpensAsBefore(t *testing.T) {
 	Convey("A range opens when others of its service did", t, func() {
 		m := New()
--- a/core/version/grant/change_test.go
+++ b/core/version/grant/change_test.go
@@ -24,8 +24,7 @@
 	return Table{Epoch: 3, Seq: seq, Leader: Leader{Daemon: "d"}, Shares: []Share{{Service: "k", Ranges: ranges}, {Service: "same", Ranges: []Range{{To: LastKey}}}}}
 }
 
-// A daemon that has made a change must send each key where one that got the
-// whole table does: else it would ask a server that does not hold the key.
+// Guards against a daemon that sends keys elsewhere since it got a change and not the whole table.
 func TestChangeGivesTheSameTable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		old, now := table(t, 4), table(t, 7)
--- a/core/version/grant/table_test.go
+++ b/core/version/grant/table_test.go
@@ -36,8 +36,7 @@
 	})
 }
 
-// A leader is stopped right after a range was held by its new holder, before that
-// was stored. Its successor must not close the range to callers meanwhile.
+// Guards against a successor that closes a range which its new holder has confirmed.
 func TestWithHeld(t *testing.T) {
 	a, b, c := Holder{Server: "a"}, Holder{Server: "b"}, Holder{Server: "c"}
 	one := func(seq uint64, r Range) Table {
@@ -66,8 +65,7 @@
 	})
 }
 
-// Tables reach a daemon by the store and by other daemons, in any order. What it
-// ends with must not depend on the order.
+// Guards against a table in force that depends on the order in which tables came.
 func TestNewerIsATotalOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func(n string) Table {
--- a/core/version/news/news_test.go
+++ b/core/version/news/news_test.go
@@ -50,9 +50,7 @@
 	})
 }
 
-// A daemon that is cut from the store learns from another one, at moments that
-// have nothing to do with the changes. It must end up with what the other knows,
-// removals too.
+// Guards against a daemon that misses changes or removals which another one knows.
 func TestSinceBringsAPeerUpToDate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		source, peer := NewCache(Servers), NewCache(Servers)
--- a/core/version/site/site_test.go
+++ b/core/version/site/site_test.go
@@ -76,9 +76,7 @@
 	})
 }
 
-// An operator adds a server at a peak by applying the site file again, in which
-// the ordinary preset is marked. The peak must stay in force, and a data centre
-// that was taken out must stay out: both were later commands.
+// Guards against a site file that undoes later commands of an operator.
 func TestApplyKeepsLaterCommands(t *testing.T) {
 	Convey("Applying a file switches neither preset nor marks back", t, func() {
 		file, err := Parse("site.yaml", []byte(right))
--- a/io/connection/caller/caller_test.go
+++ b/io/connection/caller/caller_test.go
@@ -57,9 +57,7 @@
 	return Reply{Status: 200, Header: http.Header{}, Body: []byte(r.URL.Path + string(r.Body))}
 }
 
-// A caller sends a second lookup before the first is answered. The first is
-// slow; a server that read on only after answering it would make the caller
-// give up the second as unread.
+// Guards against a second lookup that is not read until the first is answered.
 func TestPipelined(t *testing.T) {
 	Convey("Requests run side by side and are answered in order", t, func() {
 		quick := make(chan struct{})
@@ -121,8 +119,7 @@
 	})
 }
 
-// A caller closes its connection while its request runs. Its work must be
-// called off at once, not when the answer cannot be delivered.
+// Guards against work that goes on after its caller has left.
 func TestCallerLeaves(t *testing.T) {
 	Convey("The request's context ends with the connection", t, func() {
 		gone := make(chan struct{})
@@ -143,10 +140,7 @@
 	})
 }
 
-// A planned stop ends its time of grace for new connections. A caller has connected
-// right before and its first request is on the way, or half of a request has come
-// on a kept connection. Both looked idle and were closed: the caller saw the end of
-// the connection in place of an answer.
+// Guards against a planned stop that closes connections whose request is on its way.
 func TestStopAwaitsRequestsOnTheWay(t *testing.T) {
 	finish := func(s *Server) {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -213,9 +207,7 @@
 	})
 }
 
-// A planned stop comes while requests are under way and queued behind each
-// other on one connection. Each that was read is answered; only the last answer
-// announces the close.
+// Guards against a planned stop that leaves requests unanswered which were read.
 func TestPlannedStop(t *testing.T) {
 	Convey("No request that was read is cut", t, func() {
 		let := make(chan struct{})
--- a/io/connection/link/link_test.go
+++ b/io/connection/link/link_test.go
@@ -133,8 +133,7 @@
 	})
 }
 
-// Servers break off, spoil, repeat and cross their answers. Whatever comes, a
-// caller must get the whole answer to its own request or none.
+// Guards against anything but the whole answer to a caller's own request.
 func TestOddAnswers(t *testing.T) {
 	Convey("Half an answer is none", t, func() {
 		s := serve(t, last(raw("HTTP/1.1 200 OK\r\nCatkinstep-Request-Id: ID\r\nContent-Length: 100\r\n\r\nhalf")))
@@ -187,8 +186,7 @@
 	})
 }
 
-// A booking goes out once, whatever becomes of its connection. Sent again by a
-// lower layer, it would run twice.
+// Guards against a booking that a lower layer sends again.
 func TestNothingIsSentTwice(t *testing.T) {
 	Convey("A kept connection that breaks under a request leaves its outcome unknown", t, func() {
 		s := serve(t, raw(whole), reset)
@@ -226,8 +224,7 @@
 	})
 }
 
-// The caller leaves while its lookup runs. The server must learn of it, or it
-// goes on working for nobody.
+// Guards against a server that works on for a caller who has left.
 func TestCancelReachesTheServer(t *testing.T) {
 	Convey("The context's end closes the connection", t, func() {
 		closed := make(chan struct{})
--- a/io/connection/mesh/mesh_test.go
+++ b/io/connection/mesh/mesh_test.go
@@ -94,9 +94,7 @@
 	return o.Conn.Close()
 }
 
-// A daemon stops while calls wait for their replies. Had the session been ended
-// before its connection, the waiting readers would take the whole processor of
-// their host, and the daemon would never end.
+// Guards against a stopped daemon whose waiting readers keep the processor.
 func TestLineEndsByItsConnection(t *testing.T) {
 	Convey("The connection closes first, and waiting readers end", t, func() {
 		near, far := net.Pipe()
@@ -120,9 +118,7 @@
 	})
 }
 
-// A large configuration goes to a host with a narrow link. Its bytes hold up the
-// words behind it for longer than those may take; were the line dropped for that,
-// the configuration would never arrive.
+// Guards against a large configuration that never arrives over a narrow link.
 func TestLargeAnswers(t *testing.T) {
 	item := func(n int) *wire.Delta {
 		return &wire.Delta{Items: []*wire.Item{{Name: "main", Value: bytes.Repeat([]byte("/route-of-some-service/"), n)}}}
@@ -161,8 +157,7 @@
 	})
 }
 
-// A connection falls silent: it neither breaks nor answers. The call that finds
-// out drops it, and the next one is answered on another.
+// Guards against calls on a connection that has fallen silent.
 func TestSilentLineIsDropped(t *testing.T) {
 	Convey("The next call opens a new line", t, func() {
 		var answers atomic.Bool
--- a/io/process/admin/change_test.go
+++ b/io/process/admin/change_test.go
@@ -26,9 +26,7 @@
 	return s, c, h.Close
 }
 
-// Two yards' operators change the configuration at the same moment. Each
-// change must either be in force or its operator learn who came first; none
-// may vanish under the other's.
+// Guards against an operator's change that vanishes under another's.
 func TestRacingOperators(t *testing.T) {
 	Convey("Of a hundred racing changes none is lost without a word", t, func() {
 		s, _, stop := begin()
@@ -69,8 +67,7 @@
 	})
 }
 
-// The platform writes a change, and the reply is lost. The operator must hear
-// that it was accepted: trying again by hand would look like a second change.
+// Guards against an accepted change that its operator takes for failed.
 func TestReplyLostAfterAChange(t *testing.T) {
 	Convey("An operator's own write is recognised after a lost reply", t, func() {
 		s, c, stop := begin()
--- a/io/process/logs/logs_test.go
+++ b/io/process/logs/logs_test.go
@@ -19,8 +19,7 @@
 	return len(p), nil
 }
 
-// Whoever reads the standard output stops. Requests that write a line must not
-// wait for it; the lines that do not fit are lost, and counted.
+// Guards against requests that wait for whoever reads the log.
 func TestBlockedOutputDelaysNobody(t *testing.T) {
 	Convey("Logging returns although nothing is written, and says later what was dropped", t, func() {
 		out := blocked{let: make(chan struct{})}
--- a/io/process/native/daemon_test.go
+++ b/io/process/native/daemon_test.go
@@ -187,8 +187,7 @@
 	})
 }
 
-// An operator takes a server out while a lorry backs into it. Its keys move, and
-// nothing new begins there once the command has taken effect.
+// Guards against work that begins at a server after it was taken out.
 func TestServerTakenOut(t *testing.T) {
 	Convey("Its keys are served elsewhere, and come back to it later", t, func() {
 		y := newYard(t, 2)
@@ -210,8 +209,7 @@
 	})
 }
 
-// A server that the site names dies; its line stays in the file. Its keys run
-// out and are served elsewhere, and are not given back to nobody again.
+// Guards against keys that are given back to a dead server whose line stays in the site file.
 func TestServerDies(t *testing.T) {
 	Convey("Its keys are served again within the hold, and stay so", t, func() {
 		y := newYard(t, 1)
@@ -230,8 +228,7 @@
 	})
 }
 
-// A booking's answer is lost on its way, as its server breaks off. Nobody can know whether it ran:
-// the caller learns so, and no daemon sends it again. A lookup is sent again.
+// Guards against a booking that runs twice, or is said not to have run, after its answer was lost.
 func TestLostAnswer(t *testing.T) {
 	Convey("What may have run is never said not to have, and never runs twice", t, func() {
 		y := newYard(t, 1)
--- a/io/process/router/closed_test.go
+++ b/io/process/router/closed_test.go
@@ -43,8 +43,7 @@
 	return r
 }
 
-// Guards against callers that are asked back before their key's range opens: each
-// was refused twice, and its one return was used up.
+// Guards against callers that are asked back before their key's range opens, and refused once more.
 func TestTimeToComeBackIsThatOfMoves(t *testing.T) {
 	Convey("Callers of a planned move come back when such moves have ended", t, func() {
 		r := moved(900 * time.Millisecond)
@@ -62,8 +61,7 @@
 	})
 }
 
-// Guards against requests that are refused although their key's range opens well
-// within their aim, and against ones that wait although it does not.
+// Guards against refusals although a range opens in time, and against waiting although it does not.
 func TestRequestsWaitForARangeThatOpensInTime(t *testing.T) {
 	start := func(aim time.Duration) (*Router, *order, spread.Choice) {
 		r := moved(100 * time.Millisecond)
--- a/io/process/router/control_test.go
+++ b/io/process/router/control_test.go
@@ -61,9 +61,7 @@
 	return ok
 }
 
-// A server leaves without a word: its entry goes. Shortly before, a call to the
-// store had failed, or the store had forgotten its history. That was taken for
-// an outage in which entries lapse, and the server got requests for 2.4 s more.
+// Guards against requests to a server that left, since a failed call was taken for an outage.
 func TestLeaversAreNotLapses(t *testing.T) {
 	Convey("Without a long gap in the news a vanished entry is gone at once", t, func() {
 		r := still()
@@ -75,8 +73,7 @@
 	})
 }
 
-// The store is away for longer than entries last. On its return they are gone,
-// although their servers live; dropping them would leave nobody to serve.
+// Guards against living servers that are dropped when the store returns without their entries.
 func TestLapsedEntriesAreKeptForAMoment(t *testing.T) {
 	Convey("They stay for two seconds from the store's return, not from later losses", t, func() {
 		r := still()
@@ -92,8 +89,7 @@
 	})
 }
 
-// Configurations come by the store and by daemons, in any order, and one of them
-// is odd. The newest that can be used is in force, and none before it comes back.
+// Guards against an older or unusable configuration that replaces the one in force.
 func TestConfigurationsNeverRevert(t *testing.T) {
 	Convey("Older and unusable ones change nothing", t, func() {
 		r := still()
@@ -134,8 +130,7 @@
 	})
 }
 
-// A cut refuses connections in the name of a server that lives and is reached by
-// others. Taken for the end of its life, its keys would go to a second holder.
+// Guards against a second holder, since a cut refused connections to the first.
 func TestRefusedConnectionEndsNoLife(t *testing.T) {
 	Convey("A refused call was not sent, and proves nothing more", t, func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/io/process/router/entries_test.go
+++ b/io/process/router/entries_test.go
@@ -12,8 +12,7 @@
 	"catkinstep/core/version/news"
 )
 
-// Guards against a line of every daemon for every server: at the start of a large
-// site they push the lines on requests out of the log.
+// Guards against a log line of every daemon for every server, which push out those on requests.
 func TestOneLineForServersThatChangeTogether(t *testing.T) {
 	Convey("Hundreds of servers that come, drain and go write a line each time", t, func() {
 		var out bytes.Buffer
--- a/io/process/router/late_test.go
+++ b/io/process/router/late_test.go
@@ -8,8 +8,7 @@
 	"catkinstep/io/connection/link"
 )
 
-// A caller complains of a late answer. The line in the log says which of four
-// things made it late, by what the server reported with the answer.
+// Guards against a late answer whose reason the log does not tell.
 func TestLateReason(t *testing.T) {
 	Convey("Each is named", t, func() {
 		So(lateReason(2, &link.Load{Waiting: 3}), ShouldEqual, lateRepeated)
--- a/io/process/router/serve_test.go
+++ b/io/process/router/serve_test.go
@@ -16,9 +16,7 @@
 	"catkinstep/io/connection/link"
 )
 
-// A server forgets an idle connection in the moment in which a request is written
-// to it. Taken for out of reach, the holder of a key would get no requests for the
-// third of a second after that, although it is idle.
+// Guards against an idle holder that is left alone since it forgot a connection.
 func TestOnlyALackOfConnectionsIsSilence(t *testing.T) {
 	failed := func(k link.Kind) spread.Outcome {
 		return outcome(context.Background(), nil, &link.Error{Op: "do", Kind: k, Err: errors.New("broken pipe")})
@@ -34,8 +32,7 @@
 	})
 }
 
-// The leader judges servers by whether requests are answered within their aims. It
-// learns the aims with the counts; without them no server would lose anything.
+// Guards against counts by which no server would lose anything.
 func TestCountsBearWorkAndAim(t *testing.T) {
 	Convey("Each request adds its work and its aim", t, func() {
 		r := still()
@@ -51,8 +48,7 @@
 	})
 }
 
-// Guards against a lookup by key that is refused as if its key moved, since its only
-// holder lost the answer to the first attempt.
+// Guards against a lookup that is refused as if its key moved, since its first answer was lost.
 func TestHolderIsAskedAgain(t *testing.T) {
 	Convey("The holder of a key stays the choice after an answer that was lost", t, func() {
 		r := still()
