--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -108,5 +108,5 @@
 // WithHold sets how long a grant lasts.
 func WithHold(d time.Duration) Option { return func(k *Keeper) { k.hold = d } }
 
-// WithLeaderLease sets how long a leader without word of its epoch goes on renewing.
+// WithLeaderLease sets how long a leader that cannot confirm its epoch goes on renewing.
 func WithLeaderLease(d time.Duration) Option { return func(k *Keeper) { k.leaderLease = d } }
--- a/core/process/member/head.go
+++ b/core/process/member/head.go
@@ -12,8 +12,8 @@
 	// centre of n daemons has 2n talks in a round in place of n*n. Two, so that the
 	// loss of one is not noticed.
 	headsOfPlace = 2
-	// paceLeast is the shortest pause between two rounds of words, and paceEach
-	// what each daemon of the data centre adds to it: a head hears about 40 words a
+	// paceLeast is the shortest pause between two rounds of gossip, and paceEach
+	// what each daemon of the data centre adds to it: a head hears about 40 messages a
 	// second however many there are.
 	paceLeast = 250 * time.Millisecond
 	paceEach  = 25 * time.Millisecond
@@ -25,7 +25,7 @@
 	missedFor = 5 * time.Second
 )
 
-// Pace is the pause between two rounds of words within the data centre.
+// Pace is the pause between two rounds of gossip within the data centre.
 func (c *Cluster) Pace() time.Duration {
 	if c.near == 0 {
 		c.near = 1
@@ -93,7 +93,7 @@
 }
 
 // heads are the strongest daemons of a data centre that are not known to be
-// lost, by name among equals. Strong hosts bear the words of the others best.
+// lost, by name among equals. Strong hosts bear the messages of the others best.
 func (c *Cluster) heads(now time.Time, place string) []Member {
 	if c.headsAt == nil || !c.headsTime.Equal(now) {
 		c.headsAt, c.headsTime = map[string][]Member{}, now
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -8,14 +8,14 @@
 
 const (
 	// silentAfter is how long a daemon may say nothing before it counts as lost.
-	// Daemons speak every half second; two words may be lost.
+	// Daemons speak every half second; two messages may be lost.
 	silentAfter = 1500 * time.Millisecond
 	// rankStep keeps daemons from taking the lead all at once; a conditional
 	// update takes a few milliseconds and its news a few more.
 	rankStep = 150 * time.Millisecond
 	// staleAfter is how old a daemon's news of the platform may be before it asks
 	// the platform itself. The leader's watch hears nothing for up to 0.6 s,
-	// pauses for 0.3 s, and its word takes another 0.5 s; with less than that all
+	// pauses for 0.3 s, and its gossip takes another 0.5 s; with less than that all
 	// daemons would read. A leader that alone is refused by the platform must be
 	// stood in for before a leaving server has to be known, two seconds after its
 	// word.
@@ -106,13 +106,13 @@
 	}
 }
 
-// Heard takes in a daemon's word.
+// Heard takes in what a daemon says of itself.
 func (c *Cluster) Heard(now time.Time, m Member, w Word) {
 	if m.Name == c.self.Name {
 		return
 	}
 	if p := c.peers[m.Name]; p != nil && p.Incarnation > m.Incarnation {
-		return // delayed word of a life that has ended
+		return // delayed message of a life that has ended
 	}
 	c.peers[m.Name] = &peer{Member: m, Word: w, heard: now}
 	c.changed()
@@ -140,7 +140,7 @@
 	}
 }
 
-// HeardOf takes in another daemon's word of when it heard of a third one.
+// HeardOf takes in when another daemon heard of a third one.
 func (c *Cluster) HeardOf(name string, incarnation uint64, at time.Time) {
 	if p := c.peers[name]; p != nil && p.Incarnation == incarnation && at.After(p.heard) {
 		p.heard, p.gone = at, false
@@ -201,7 +201,7 @@
 // Reads tells whether this daemon should read the platform for the others: the
 // news it has is old, and no other daemon of its data centre would come first.
 // current is when the news was last known to be in force. Daemons that are not
-// heads get their news a round of words later than heads, and wait for that.
+// heads get their news a round of gossip later than heads, and wait for that.
 func (c *Cluster) Reads(now, current time.Time, leading bool) bool {
 	wait := staleAfter + time.Duration(c.rank(now, true))*rankStep
 	if !c.IsHead(now) {
@@ -287,7 +287,7 @@
 	return !p.gone && !p.heard.IsZero() && now.Sub(p.heard) < after
 }
 
-// leads tells whether a leader's word is fresh; leaders speak twice a second.
+// leads tells whether a leader was heard lately; leaders send gossip twice a second.
 func (c *Cluster) leads(now time.Time, p *peer) bool {
 	return !p.gone && now.Sub(p.heard) < silentAfter
 }
--- a/core/request/spread/learn.go
+++ b/core/request/spread/learn.go
@@ -66,7 +66,7 @@
 }
 
 // factorAt is how slow the server was while a request ran that took t seconds: by
-// its own word, or as learned from its answers.
+// its own report, or as learned from its answers.
 func (s *Spread) factorAt(st *state, k *kind, t float64, r *Report) float64 {
 	if r != nil && r.Pace > 0 {
 		return r.Pace
--- a/core/request/spread/slowness.go
+++ b/core/request/spread/slowness.go
@@ -6,15 +6,15 @@
 )
 
 const (
-	// noiseFades is how fast a server's word of its present pace loses its weight:
+	// noiseFades is how fast a server's report of its present pace loses its weight:
 	// what its neighbours on the same host do changes a few times a second.
 	noiseFades = 200 * time.Millisecond
-	// slownessLearn is the least weight of one word in the lasting pace.
+	// slownessLearn is the least weight of one report in the lasting pace.
 	slownessLearn = 0.05
 )
 
 // slowness is how long work takes at a server, over the time at one of usual speed,
-// by the server's own word: what can be expected in the long run, and what it
+// as the server reports it: what can be expected in the long run, and what it
 // said last. A server that shares its host is slow by spells, and one that has
 // just said so is best left alone for a moment.
 type slowness struct {
--- a/core/version/fleet/fleet.go
+++ b/core/version/fleet/fleet.go
@@ -20,7 +20,7 @@
 	Born int64 `json:"born"`
 	// Draining servers take no new requests.
 	Draining bool `json:"draining,omitempty"`
-	// Cold is how much longer the server is cold, as of its last word.
+	// Cold is how much longer the server is cold, as it reported last.
 	Cold time.Duration `json:"cold,omitempty"`
 }
 
--- a/core/version/news/news.go
+++ b/core/version/news/news.go
@@ -10,7 +10,7 @@
 // Kind names a sort of object.
 type Kind string
 
-// Kinds of objects, in the project's words.
+// Kinds of objects, in the project's terms.
 const (
 	Config  Kind = "config"
 	Servers Kind = "servers"
--- a/io/connection/caller/server.go
+++ b/io/connection/caller/server.go
@@ -42,7 +42,7 @@
 	Read time.Time
 }
 
-// Refusal is an answer that is not a server's, before it is put into words.
+// Refusal is an answer that is not a server's, before it has a form.
 type Refusal struct {
 	ID     string
 	Status int
--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -51,7 +51,7 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// NotRun is the server's word that it did not run the request.
+	// NotRun means that the server says it did not run the request.
 	NotRun bool
 	Load   *Load
 	// Server is the id of the server that was asked.
--- a/io/process/native/speech.go
+++ b/io/process/native/speech.go
@@ -139,7 +139,7 @@
 	h.Set(HeaderServer, server)
 }
 
-// Refused words an answer that is not a server's.
+// Refused forms an answer that is not a server's.
 func (Speech) Refused(f caller.Refusal) (http.Header, []byte) {
 	out := Failure{Code: f.Reason, Ran: OutcomeNotRun, RequestID: f.ID}
 	if f.MaybeRan {
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -25,7 +25,7 @@
 		fromStore bool
 		done      chan struct{}
 	}
-	// gossipMsg is another daemon's word; reply, if any, gets this one's.
+	// gossipMsg is another daemon's gossip; reply, if any, gets this one's.
 	gossipMsg struct {
 		gossip *wire.Gossip
 		reply  chan *wire.Gossip
@@ -87,7 +87,7 @@
 	// revision.
 	stored   grant.Table
 	storedAt uint64
-	// led is set once this daemon has led: the next leader waits for its word.
+	// led is set once this daemon has led: the next leader waits for its gossip.
 	led     bool
 	heats   *heats
 	limits  limits
--- a/io/process/router/counts.go
+++ b/io/process/router/counts.go
@@ -8,7 +8,7 @@
 
 // sendHeat passes on which keys were asked for and how slow servers were, once a
 // second: to a head of the data centre, and from there to the leader, who gets
-// one word for each head and not for each daemon.
+// one message for each head and not for each daemon.
 func (c *control) sendHeat(now time.Time, head bool) {
 	if now.Sub(c.heated) < heatEvery {
 		return
--- a/io/process/router/follow.go
+++ b/io/process/router/follow.go
@@ -61,7 +61,7 @@
 
 // ask lists a kind at first and after its history was lost, and else waits for
 // changes. The first list of all may be old: whatever came after it is in the
-// first watch, or in the words of daemons that started earlier, and the lists of
+// first watch, or in the gossip of daemons that started earlier, and the lists of
 // all daemons that start at once are most of what the store is asked in an hour. After a failed call the store may be away: a long watch that was
 // begun then would hear nothing even when the store is back, so a short one
 // finds out first.
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -41,10 +41,10 @@
 	}
 }
 
-// paces are when words of each kind last went out.
+// paces are when gossip of each kind last went out.
 type paces struct{ near, leader, far, seeds time.Time }
 
-// due tells whether it is time for a kind of word, and notes it.
+// due tells whether it is time for a kind of gossip, and notes it.
 func (c *control) due(now time.Time, last *time.Time, pace time.Duration) bool {
 	if now.Sub(*last) < pace {
 		return false
@@ -81,7 +81,7 @@
 	}
 }
 
-// send tells a daemon a word; one at a time.
+// send gossips to a daemon; one call at a time.
 func (c *control) send(address string, h *wire.Gossip) {
 	c.calling[address] = true
 	go c.r.sendGossip(address, h)
@@ -196,13 +196,13 @@
 }
 
 // underWay takes in what others of this data centre have at servers. A head has
-// each one's own word and needs no sum of another head.
+// each one's own count and needs no sum of another head.
 func (c *control) underWay(now time.Time, h *wire.Gossip) {
 	if h.DataCentre != c.r.self.DataCentre || h.Name == c.r.self.Name || h.Summed && c.members.IsHead(now) {
 		return
 	}
 	if len(h.UnderWay) == 0 && !h.Summed {
-		return // a word that tells nothing of it; older ones lose their weight soon
+		return // gossip that says nothing of it; older ones lose their weight soon
 	}
 	at := map[string]int{}
 	for _, u := range h.UnderWay {
--- a/io/process/router/limits.go
+++ b/io/process/router/limits.go
@@ -70,7 +70,7 @@
 	}
 	for _, a := range to {
 		if c.calling[a] {
-			continue // its next word asks for them
+			continue // its next gossip asks for them
 		}
 		h := c.gossipNow(now)
 		h.Limits = l.message(now)
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -17,7 +17,7 @@
 const (
 	// tickEvery paces the control loop; it bounds how late a renewal or a move is.
 	tickEvery = 50 * time.Millisecond
-	// leaderGossip and farGossip pace words across data centres: to the leader, which
+	// leaderGossip and farGossip pace gossip across data centres: to the leader, which
 	// shows that it lives, and between heads; bytes between data centres are saved.
 	// Those within one are paced by package member.
 	leaderGossip = 500 * time.Millisecond
@@ -64,7 +64,7 @@
 	// retryMargin is the part of the allowed retries that is used; the rest is
 	// for daemons whose share of the requests has just shrunk.
 	retryMargin = 0.7
-	// answerMargin is how long past the deadline a server's own word is awaited.
+	// answerMargin is how long past the deadline a server's own answer is awaited.
 	answerMargin = 60 * time.Millisecond
 	// wayBack is taken off the time that a server gets, for its answer's way.
 	wayBack = 3 * time.Millisecond
@@ -119,7 +119,7 @@
 	Key(s config.Service, path string, h http.Header) (int, bool)
 	// Answered adds to a server's answer what callers get beside it.
 	Answered(h http.Header, id, server string)
-	// Refused puts an answer that is not a server's into words.
+	// Refused forms an answer that is not a server's.
 	Refused(f caller.Refusal) (http.Header, []byte)
 }
 
