--- a/core/process/member/doc.go
+++ b/core/process/member/doc.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	c := member.New(self, now)
-//	c.Heard(now, member, member.Word{...})
+//	c.Heard(now, member, member.Status{...})
 //	if c.Reads(now) { ... }
 //	if c.MayLead(now, leader) { ... }
 package member
--- a/core/process/member/head_test.go
+++ b/core/process/member/head_test.go
@@ -35,7 +35,7 @@
 		So(c.FarHeads(at(1)), ShouldResemble, []string{"e1:1", "e2:1"})
 		c.Refused("d07:1")
 		So(c.Heads(at(1)), ShouldResemble, []string{"d00:1", "d11:1"})
-		c.Heard(at(2), member("d07", "x", 1), Word{})
+		c.Heard(at(2), member("d07", "x", 1), Status{})
 		So(c.Heads(at(2)), ShouldResemble, []string{"d00:1", "d11:1"}) // it says that its host is no strong one
 	})
 	Convey("One that did not answer is tried again after a while", t, func() {
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -41,8 +41,8 @@
 	Strength float64 `json:"strength,omitempty"`
 }
 
-// Word is what a daemon says of itself.
-type Word struct {
+// Status is what a daemon says of itself.
+type Status struct {
 	// Leaving daemons stop, or give way as leaders.
 	Leaving bool
 	// Stored is when the daemon itself last had an answer of the platform.
@@ -53,7 +53,7 @@
 
 type peer struct {
 	Member
-	Word
+	Status
 	heard time.Time
 	gone  bool
 	// missed is when a call last got no answer, since it was last heard.
@@ -107,14 +107,14 @@
 }
 
 // Heard takes in what a daemon says of itself.
-func (c *Cluster) Heard(now time.Time, m Member, w Word) {
+func (c *Cluster) Heard(now time.Time, m Member, w Status) {
 	if m.Name == c.self.Name {
 		return
 	}
 	if p := c.peers[m.Name]; p != nil && p.Incarnation > m.Incarnation {
 		return // delayed message of a life that has ended
 	}
-	c.peers[m.Name] = &peer{Member: m, Word: w, heard: now}
+	c.peers[m.Name] = &peer{Member: m, Status: w, heard: now}
 	c.changed()
 }
 
--- a/core/process/member/member_test.go
+++ b/core/process/member/member_test.go
@@ -22,8 +22,8 @@
 func heard() *Cluster {
 	c := New(member("b", "x", 1), t0)
 	c.Stored(at(9.9))
-	c.Heard(at(10), member("a", "x", 1), Word{Stored: at(9.9)})
-	c.Heard(at(10), member("c", "y", 1), Word{Stored: at(9.9)})
+	c.Heard(at(10), member("a", "x", 1), Status{Stored: at(9.9)})
+	c.Heard(at(10), member("c", "y", 1), Status{Stored: at(9.9)})
 	return c
 }
 
@@ -53,7 +53,7 @@
 	})
 	Convey("A restarted leader's new life proves the end of the old", t, func() {
 		c := heard()
-		c.Heard(at(10.2), member("c", "y", 2), Word{})
+		c.Heard(at(10.2), member("c", "y", 2), Status{})
 		_, ended := c.MayLead(at(10.2), grant.Leader{Daemon: "c", Incarnation: 1})
 		So(ended, ShouldBeTrue)
 	})
@@ -73,7 +73,7 @@
 		_, ended := c.MayLead(at(10.2), l)
 		So(ended, ShouldBeFalse)
 		So(c.GaveWay(l, 5), ShouldBeFalse)
-		c.Heard(at(12), member("c", "y", 1), Word{Epoch: 5})
+		c.Heard(at(12), member("c", "y", 1), Status{Epoch: 5})
 		So(c.GaveWay(l, 5), ShouldBeTrue)
 	})
 }
@@ -83,12 +83,12 @@
 	Convey("A leader gives way when the platform answers others only", t, func() {
 		c := heard()
 		So(c.GivesWay(at(10)), ShouldBeFalse)
-		c.Heard(at(11.4), member("a", "x", 1), Word{Stored: at(11.3)})
+		c.Heard(at(11.4), member("a", "x", 1), Status{Stored: at(11.3)})
 		So(c.GivesWay(at(11.5)), ShouldBeTrue)
 	})
 	Convey("It stays when the platform answers nobody", t, func() {
 		c := heard()
-		c.Heard(at(11.4), member("a", "x", 1), Word{Stored: at(9.9)})
+		c.Heard(at(11.4), member("a", "x", 1), Status{Stored: at(9.9)})
 		So(c.GivesWay(at(11.5)), ShouldBeFalse)
 	})
 }
@@ -103,8 +103,8 @@
 	})
 	Convey("A delayed word of an ended life changes nothing", t, func() {
 		c := heard()
-		c.Heard(at(10.1), member("a", "x", 2), Word{Epoch: 4})
-		c.Heard(at(10.2), member("a", "x", 1), Word{Leaving: true})
+		c.Heard(at(10.1), member("a", "x", 2), Status{Epoch: 4})
+		c.Heard(at(10.2), member("a", "x", 1), Status{Leaving: true})
 		So(c.Count(), ShouldEqual, 3)
 		So(c.Place(), ShouldEqual, 1)
 		So(c.peers["a"].Leaving, ShouldBeFalse)
@@ -119,7 +119,7 @@
 		for i := range daemons {
 			c := New(member(fmt.Sprintf("d%02d", i), "x", 1), t0)
 			for j := range daemons {
-				c.Heard(at(9), member(fmt.Sprintf("d%02d", j), "x", 1), Word{})
+				c.Heard(at(9), member(fmt.Sprintf("d%02d", j), "x", 1), Status{})
 			}
 			So(c.Turn(at(9.1)), ShouldEqual, i)
 			calls += int(outage/RetryPause(c.Turn(at(9.1)), pause)) + 1
@@ -129,7 +129,7 @@
 	})
 	Convey("When those before it are lost a daemon comes first", t, func() {
 		c := New(member("d2", "x", 1), t0)
-		c.Heard(at(9), member("d1", "x", 1), Word{})
+		c.Heard(at(9), member("d1", "x", 1), Status{})
 		c.Refused("d1:1")
 		So(RetryPause(c.Turn(at(9.1)), pause), ShouldEqual, pause)
 	})
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -163,7 +163,7 @@
 	}
 	before := c.members.Count()
 	c.members.Heard(now, member.Member{Name: h.Name, Address: h.Address, DataCentre: h.DataCentre, Incarnation: h.Incarnation, Strength: h.Strength},
-		member.Word{Leaving: h.Leaving, Stored: ago(now, h.StoredAgeMillis), Epoch: h.Epoch})
+		member.Status{Leaving: h.Leaving, Stored: ago(now, h.StoredAgeMillis), Epoch: h.Epoch})
 	if h.Leader != h.Name && h.LeaderAgeMillis >= 0 {
 		c.members.HeardOf(h.Leader, h.LeaderIncarnation, ago(now, h.LeaderAgeMillis))
 	}
