A choice works out usual loads once for each data centre

Change: one for each data centre. Choices are the same: the simulations of blind_test.go give the same counts to the last request.

--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -36,7 +36,7 @@
 // look weighs the near or the far servers, of which there are so many, and returns
 // the best of them or the best one so far.
 func (s *Spread) look(now time.Time, n Need, servers []fleet.Server, near bool, count int, best offer) offer {
-	at := -1
+	at, loads := -1, usualLoads{spread: s, now: now, need: n}
 	for _, v := range servers {
 		if (v.DataCentre == n.Near) != near {
 			continue
@@ -45,7 +45,7 @@
 		if v.Draining || tried(n, v.ID) {
 			continue
 		}
-		o := s.weigh(now, n, v, s.usualLoad(now, n, v))
+		o := s.weigh(now, n, v, loads.of(v.DataCentre))
 		o.cost += s.detour(n, near, subset.Rank(s.limits.NearPlace, s.limits.Near, at, count))
 		if best.Reason == None || better(o, best) {
 			best = o
--- a/core/request/spread/group.go
+++ b/core/request/spread/group.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"catkinstep/core/version/fleet"
 )
 
 const (
@@ -30,14 +28,39 @@
 	at   time.Time
 }
 
-// usualLoad is how many requests of others a server is expected to have of which nothing
-// is known now.
-func (s *Spread) usualLoad(now time.Time, n Need, v fleet.Server) float64 {
-	load, known := s.groupLoad(group{service: v.Service, dataCentre: v.DataCentre}).expected(now)
-	if v.DataCentre == n.Near || known == 1 {
+// usualLoads are the usual loads of each data centre for one choice, worked out when
+// they are first asked for: a choice may look at hundreds of servers.
+type usualLoads struct {
+	spread *Spread
+	now    time.Time
+	need   Need
+	known  []usualLoad
+}
+
+type usualLoad struct {
+	dataCentre string
+	load       float64
+}
+
+func (u *usualLoads) of(dataCentre string) float64 {
+	for _, k := range u.known {
+		if k.dataCentre == dataCentre {
+			return k.load
+		}
+	}
+	load := u.spread.usualLoad(u.now, u.need, dataCentre)
+	u.known = append(u.known, usualLoad{dataCentre: dataCentre, load: load})
+	return load
+}
+
+// usualLoad is how many requests of others a server of a data centre is expected to have
+// of which nothing is known now.
+func (s *Spread) usualLoad(now time.Time, n Need, dataCentre string) float64 {
+	load, known := s.groupLoad(group{service: n.Service.Name, dataCentre: dataCentre}).expected(now)
+	if dataCentre == n.Near || known == 1 {
 		return load
 	}
-	near, _ := s.groupLoad(group{service: v.Service, dataCentre: n.Near}).expected(now)
+	near, _ := s.groupLoad(group{service: n.Service.Name, dataCentre: n.Near}).expected(now)
 	return load + (1-known)*farGuess*near
 }
 
