--- a/core/process/keeper/limits_test.go
+++ b/core/process/keeper/limits_test.go
@@ -116,3 +116,16 @@
 		So(s.k.shares[0].moveTakes, ShouldBeGreaterThan, before+200*time.Millisecond)
 	})
 }
+
+// Guards against limits that refuse what few daemons, who know a holder's queue, would
+// let in and see answered.
+func TestFewDaemonsAreLimitedLess(t *testing.T) {
+	Convey("Where few daemons send, holders may be filled further", t, func() {
+		s := begin(grant.Range{Holder: holder(named("a", false))})
+		s.k.daemons = 9
+		few := s.k.fillable(named("a", false))
+		s.k.daemons = 195
+		So(few, ShouldBeGreaterThan, 1)
+		So(s.k.fillable(named("a", false)), ShouldBeLessThan, 1)
+	})
+}
--- a/core/request/admit/admit_test.go
+++ b/core/request/admit/admit_test.go
@@ -158,3 +158,16 @@
 		So(last, ShouldBeGreaterThan, 0.6*thought)
 	})
 }
+
+// Guards against a holder that is limited for a long queue which it reported long ago.
+func TestOldReportsLimitNobody(t *testing.T) {
+	Convey("A long queue counts for a moment only", t, func() {
+		c := NewControl()
+		c.Report("a", 4, 4)
+		c.Round(t0)
+		_, limited := c.Capacity(t0.Add(fullLasts), "a", 3, 12)
+		So(limited, ShouldBeFalse)
+		_, limited = c.Capacity(t0.Add(fullLasts/2), "a", 3, 12)
+		So(limited, ShouldBeTrue)
+	})
+}
