A request that crashes servers takes down no more than three at a daemon

The hits of failing runs, in their order, show two causes:

- A caller that comes again is sent to a server that the same request has just crashed (s4, s6, then s5, s4), since a daemon prefers the servers that it ranks first.
The bound counts different servers, so the fourth loss was not counted.
Servers lost with a request are now asked only where no other can be.
- The loss that reached the bound did not keep the same request from its second attempt (s5, s4, then s6, s1).
It does now; before, the news of another daemon usually came first.

Ruled out: resets that are taken for a full server (the losses were counted), late gossip (the daemon's own three losses suffice).

--- a/core/request/retry/retry.go
+++ b/core/request/retry/retry.go
@@ -18,6 +18,8 @@
 	Arrived, Most int
 	// Unsent is how many attempts surely reached none.
 	Unsent int
+	// Crashes means that too many servers were lost while they ran the same request.
+	Crashes bool
 	// Left is what remains of the caller's time, Least what an answer takes.
 	Left, Least time.Duration
 }
@@ -25,10 +27,11 @@
 // Again tells whether the request may be sent once more, the shared budget
 // apart. A request that is not idempotent is sent again only if no attempt can
 // have run: a second run would charge its caller twice. An attempt that cannot
-// end in time would hold a slot for nothing.
+// end in time would hold a slot for nothing, and one that crashes servers would take
+// the next one down.
 func (a Attempt) Again() bool {
 	safe := a.Idempotent || a.NotRun && !a.MaybeRan
-	return safe && a.Arrived < max(1, a.Most) && a.Unsent < unsentMost && a.Left > a.Least
+	return safe && !a.Crashes && a.Arrived < max(1, a.Most) && a.Unsent < unsentMost && a.Left > a.Least
 }
 
 // Repeats tells whether another attempt would be a repeat for the servers, which the
--- a/core/request/retry/retry_test.go
+++ b/core/request/retry/retry_test.go
@@ -24,6 +24,7 @@
 		{"a route that names no number has one attempt", func(a *Attempt) { a.Idempotent, a.Most = true, 0 }, false},
 		{"two dials were refused and one attempt arrived", func(a *Attempt) { a.Idempotent, a.Unsent = true, 2 }, true},
 		{"no server could be reached again and again", func(a *Attempt) { a.Idempotent, a.Arrived, a.Unsent = true, 0, unsentMost }, false},
+		{"servers were lost with the same request too often", func(a *Attempt) { a.Idempotent, a.Crashes = true, true }, false},
 		{"no answer can come in time", func(a *Attempt) { a.Idempotent, a.Left = true, 100*time.Millisecond }, false},
 	} {
 		Convey(v.name, t, func() {
--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"slices"
 	"time"
 
 	"catkinstep/core/request/subset"
@@ -14,6 +15,13 @@
 // at: there are hundreds on large sites, and an answer from afar costs bytes between
 // data centres.
 func (s *Spread) Choose(now time.Time, n Need, servers []fleet.Server) Choice {
+	if len(n.Lost) > 0 {
+		others := n
+		others.Tried, others.Lost = slices.Concat(n.Tried, n.Lost), nil
+		if c := s.Choose(now, others, servers); !c.Refused() {
+			return c
+		}
+	}
 	near := 0
 	for _, v := range servers {
 		if v.DataCentre == n.Near {
--- a/core/request/spread/need.go
+++ b/core/request/spread/need.go
@@ -21,6 +21,9 @@
 	Near string
 	// Tried are servers that are not to be asked again.
 	Tried []string
+	// Lost are servers that broke off while they ran the same request. They are asked
+	// only where no other can be: one that crashes servers crashes them again.
+	Lost []string
 }
 
 // Reason says why a request is refused.
--- a/core/request/spread/spread_test.go
+++ b/core/request/spread/spread_test.go
@@ -283,3 +283,24 @@
 		So(s.TakePaces()[0].Full, ShouldEqual, 0)
 	})
 }
+
+// Guards against a request that crashes the same server again whenever its caller retries.
+func TestRequestTurnsToOtherServersThanItCrashed(t *testing.T) {
+	Convey("Servers lost with it are asked last", t, func() {
+		s, vs := fresh(), servers(6)
+		var lost []string
+		for range vs {
+			n := need(t0)
+			n.Lost = lost
+			c := s.Choose(t0, n, vs)
+			So(c.Refused(), ShouldBeFalse)
+			So(lost, ShouldNotContain, c.Server.ID)
+			lost = append(lost, c.Server.ID)
+		}
+		n := need(t0)
+		n.Lost = lost
+		So(s.Choose(t0, n, vs).Refused(), ShouldBeFalse)
+		n.Tried = lost
+		So(s.Choose(t0, n, vs).Reason, ShouldEqual, None)
+	})
+}
--- a/io/process/native/daemon_test.go
+++ b/io/process/native/daemon_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -20,6 +19,7 @@
 	"catkinstep/io/process/native"
 	"catkinstep/io/process/prefs"
 	"catkinstep/io/standin/oracle"
+	"catkinstep/io/standin/ports"
 	"catkinstep/io/standin/server"
 	"catkinstep/io/standin/store"
 )
@@ -37,22 +37,13 @@
 	ids     int
 }
 
-func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close() //nolint:errcheck // only its number was wanted
-	return l.Addr().String()
-}
-
 func newYard(t *testing.T, daemons int) *yard {
 	y := &yard{t: t, store: store.New(), oracle: oracle.New(), servers: map[string]*server.Server{}, client: http.Client{Timeout: 6 * time.Second}}
 	h := httptest.NewServer(y.store)
 	y.site = site.Site{Name: "yard", Presets: []site.Preset{{Name: "ordinary", InForce: true}}, DataCentres: []site.DataCentre{{Name: "duluth"}},
 		Services: []site.Service{{Name: "intake", Slots: 3, Connections: 30}, {Name: "workshop", Keyed: true, KeySegment: 2, Slots: 3, Connections: 30}}}
 	for _, service := range []string{"intake", "intake", "workshop", "workshop"} {
-		v := server.New(server.Config{Address: free(t), Service: service, DataCentre: "duluth", Slots: 3, Keyed: service == "workshop", Work: 5 * time.Millisecond}, y.oracle)
+		v := server.New(server.Config{Address: ports.Free(t), Service: service, DataCentre: "duluth", Slots: 3, Keyed: service == "workshop", Work: 5 * time.Millisecond}, y.oracle)
 		if err := v.Start(); err != nil {
 			t.Fatal(err)
 		}
@@ -62,10 +53,10 @@
 	platform := h.Listener.Addr().String()
 	var peers []string
 	for range daemons {
-		peers = append(peers, free(t))
+		peers = append(peers, ports.Free(t))
 	}
 	for _, mesh := range peers {
-		d, err := native.Start(prefs.Prefs{DataCentre: "duluth", Callers: free(t), Mesh: mesh, Operator: free(t), Platform: platform, Peers: peers, MaxBody: 1000},
+		d, err := native.Start(prefs.Prefs{DataCentre: "duluth", Callers: ports.Free(t), Mesh: mesh, Operator: ports.Free(t), Platform: platform, Peers: peers, MaxBody: 1000},
 			native.WithOperator(admin.Handler))
 		if err != nil {
 			t.Fatal(err)
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -296,7 +296,7 @@
 // tried is what is known of the attempts so far, the last of which failed.
 func (r *Router) tried(o *order, notRun bool) retry.Attempt {
 	return retry.Attempt{Idempotent: o.route.Idempotent, NotRun: notRun, MaybeRan: o.maybeRan, Arrived: o.arrived, Unsent: o.unsent,
-		Most: o.route.Attempts, Left: time.Until(o.deadline), Least: r.leastWorth(o)}
+		Crashes: r.crashes(o), Most: o.route.Attempts, Left: time.Until(o.deadline), Least: r.leastWorth(o)}
 }
 
 // attempts is how many there were.
--- a/io/process/router/suspect.go
+++ b/io/process/router/suspect.go
@@ -61,10 +61,12 @@
 	r.suspects.Answered(o.print)
 }
 
-// crashes tells whether a request is refused for the servers lost with it.
+// crashes tells whether a request is refused for the servers lost with it. One that is
+// not yet turns to other servers than those.
 func (r *Router) crashes(o *order) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	o.need.Lost = r.suspects.Servers(o.print)
 	return r.suspects.Refused(time.Now(), o.print)
 }
 
--- /dev/null
+++ b/io/standin/ports/ports.go
@@ -0,0 +1,34 @@
+package ports
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+)
+
+// lowest and highest bound the ports. They lie below those that systems give to
+// outgoing connections and to listeners that name no port: one of these could take the
+// port between the check and its use.
+const (
+	lowest  = 10_000
+	highest = 32_000
+)
+
+// Free returns a loopback address on which nothing listens.
+func Free(t testing.TB) string {
+	t.Helper()
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(highest-lowest))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+		return address
+	}
+	t.Fatal("no port is free")
+	return ""
+}
