Requests wait for the first lists; slowed holders are seen by all daemons together

Two faults that only hundreds of hosts show.

They now wait for the first lists, 0.7 s after the start and three tenths of their caller's time at most (core/process/boot).

**Reports of pace.** Each daemon reported twice a second all servers of keyed services that it had ever heard, 22 bytes each: 13 KB/s with 300 of them, beyond the two-year bound with 7,500. The leader kept them by daemon, 25 answers each, so that with 195 daemons a holder's pace was a mean over up to 4,900 answers: twenty minutes. Now each reports what it found since its last report, and the leader keeps a mean over the last 200 answers for each server, whoever got them (core/process/pace). A new leader still gets all that is known.

TestServerThatResetsIsFull asks for all paces now where it asked for what it had just taken; its check is the same.

--- a/core/request/spread/learn.go
+++ b/core/request/spread/learn.go
@@ -10,7 +10,8 @@
 
 // Pace is how slow a server was found to be, and how busy.
 type Pace struct {
-	Server  string
+	Server string
+	// Factor is the mean of its time over the usual one during so many Answers.
 	Factor  float64
 	Answers int
 	// Heard is how many answers reported its load since the paces were last taken, and
@@ -18,14 +19,23 @@
 	Heard, Full int
 }
 
-// TakePaces lists the servers that answered, in no order, and begins to count anew.
-func (s *Spread) TakePaces() []Pace {
+// TakePaces lists the servers that answered since it was last called, in no order, and
+// begins to count anew. For one who knows nothing yet it lists what was learned before as
+// well.
+func (s *Spread) TakePaces(all bool) []Pace {
 	var out []Pace
 	for id, st := range s.servers {
-		if st.answers > 0 || st.heard > 0 {
-			out = append(out, Pace{Server: id, Factor: st.factor, Answers: st.answers, Heard: st.heard, Full: st.full})
+		p := Pace{Server: id, Answers: st.found, Heard: st.heard, Full: st.full}
+		switch {
+		case all:
+			p.Factor, p.Answers = st.factor, st.answers
+		case st.found > 0:
+			p.Factor = st.foundSum / float64(st.found)
 		}
-		st.heard, st.full = 0, 0
+		if p.Answers > 0 || p.Heard > 0 {
+			out = append(out, p)
+		}
+		st.heard, st.full, st.found, st.foundSum = 0, 0, 0, 0
 	}
 	return out
 }
@@ -73,6 +83,7 @@
 	}
 	st.factor += learn * (t/k.usual - st.factor)
 	st.factor = max(fastest, min(slowest, st.factor))
+	st.find(st.factor)
 	return st.factor
 }
 
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -24,6 +24,15 @@
 	// heard and full count the answers that reported the load, and a long queue,
 	// since the paces were last taken.
 	heard, full int
+	// found is how often the server's factor was found since then, and foundSum their sum.
+	found    int
+	foundSum float64
+}
+
+// find notes the server's factor during one answer.
+func (st *state) find(factor float64) {
+	st.found++
+	st.foundSum += factor
 }
 
 // Spread holds what this daemon measured. It is not safe for concurrent use.
@@ -75,6 +84,7 @@
 		if r.Pace > 0 {
 			st.slowness.add(now, r.Pace)
 			st.factor = st.slowness.lasting
+			st.find(r.Pace)
 		}
 	}
 	switch o {
--- a/core/request/spread/spread_test.go
+++ b/core/request/spread/spread_test.go
@@ -263,7 +263,7 @@
 		for range 20 {
 			answer(s, t0, v, 300*time.Millisecond, Answered)
 		}
-		s.TakePaces()
+		s.TakePaces(false)
 		answer(s, t0, v, after, o)
 		now := t0.Add(after)
 		return s, s.Judge(now, need(now), v)
@@ -271,7 +271,7 @@
 	Convey("A reset within milliseconds says that the queue is long", t, func() {
 		s, c := ended(2*time.Millisecond, TurnedAway)
 		So(c.Reason, ShouldEqual, Busy)
-		So(s.TakePaces()[0].Full, ShouldEqual, 1)
+		So(s.TakePaces(false)[0].Full, ShouldEqual, 1)
 	})
 	Convey("Another failure, or a kept connection that broke, says nothing of that", t, func() {
 		_, c := ended(2*time.Millisecond, Failed)
@@ -280,7 +280,7 @@
 	Convey("One after as long as a run says that an answer was lost", t, func() {
 		s, c := ended(250*time.Millisecond, TurnedAway)
 		So(c.Refused(), ShouldBeFalse)
-		So(s.TakePaces()[0].Full, ShouldEqual, 0)
+		So(s.TakePaces(true)[0].Full, ShouldEqual, 0)
 	})
 }
 
@@ -304,3 +304,29 @@
 		So(s.Choose(t0, n, vs).Reason, ShouldEqual, None)
 	})
 }
+
+// Guards against reports that grow with the servers of a site, and not with their use.
+func TestPacesTellWhatIsNew(t *testing.T) {
+	Convey("Only servers that answered since the last report are in it", t, func() {
+		s, vs := fresh(), servers(3)
+		for _, v := range vs {
+			answer(s, t0, v, 100*time.Millisecond, Answered)
+		}
+		So(s.TakePaces(false), ShouldHaveLength, 3)
+		So(s.TakePaces(false), ShouldBeEmpty)
+		now := t0.Add(time.Second)
+		for _, pace := range []float64{1, 4} {
+			s.Begin(now, vs[1], need(now))
+			s.End(now, vs[1], need(now), now, Answered, &Report{Running: 1, Waiting: 4, Slots: 4, Pace: pace})
+		}
+		So(s.TakePaces(false), ShouldResemble, []Pace{{Server: "s1", Factor: 2.5, Answers: 2, Heard: 2, Full: 2}})
+	})
+	Convey("A new leader is told what was learned before", t, func() {
+		s, vs := fresh(), servers(3)
+		for _, v := range vs {
+			answer(s, t0, v, 100*time.Millisecond, Answered)
+		}
+		s.TakePaces(false)
+		So(s.TakePaces(true), ShouldHaveLength, 3)
+	})
+}
--- /dev/null
+++ b/io/process/router/boot_test.go
@@ -0,0 +1,58 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"catkinstep/core/version/config"
+	"catkinstep/core/version/news"
+	"catkinstep/io/connection/caller"
+)
+
+// Guards against refusals by a daemon that is about to read the configuration.
+func TestRequestsWaitForTheFirstLists(t *testing.T) {
+	ask := func(ctx context.Context, r *Router) <-chan int {
+		status := make(chan int, 1)
+		q := caller.Request{Request: httptest.NewRequest(http.MethodGet, "http://other/", nil), Read: time.Now()}
+		go func() { status <- r.handle(ctx, q).Status }()
+		return status
+	}
+	list := func(r *Router, kind news.Kind, items ...news.Item) {
+		r.control.update(t0, deltaMsg{delta: news.Delta{Kind: kind, Items: items, Through: 9, At: t0}})
+	}
+	Convey("They are decided by what was read", t, func() {
+		r := still()
+		status := ask(context.Background(), r)
+		v, err := json.Marshal(config.Config{Version: 4})
+		So(err, ShouldBeNil)
+		list(r, news.Config, news.Item{Name: "main", Revision: 9, Value: v})
+		list(r, news.Servers, entryOf("a", 5))
+		select {
+		case got := <-status:
+			So(got, ShouldEqual, "nothing before the last list")
+		case <-time.After(20 * time.Millisecond):
+		}
+		list(r, news.Tables)
+		So(<-status, ShouldEqual, http.StatusNotFound)
+		So(<-ask(context.Background(), r), ShouldEqual, http.StatusNotFound)
+	})
+	Convey("They are refused soon if nothing can be read", t, func() {
+		r := still()
+		status := ask(context.Background(), r)
+		r.control.update(second(2), tickMsg{})
+		So(<-status, ShouldEqual, http.StatusServiceUnavailable)
+	})
+	Convey("They end with their callers", t, func() {
+		r := still()
+		ctx, leave := context.WithCancel(context.Background())
+		status := ask(ctx, r)
+		leave()
+		So(<-status, ShouldEqual, http.StatusServiceUnavailable)
+	})
+}
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -8,6 +8,7 @@
 	"catkinstep/io/process/setup"
 
 	"catkinstep/core/connection/wire"
+	"catkinstep/core/process/boot"
 	"catkinstep/core/process/keeper"
 	"catkinstep/core/process/member"
 	"catkinstep/core/version/config"
@@ -80,6 +81,8 @@
 	heated   time.Time
 	// relayed are paces of servers that others of the data centre reported to this head.
 	relayed []*wire.Pace
+	// pacedFor is the leader's epoch to which paces were last reported.
+	pacedFor uint64
 	// tables are those that were in force before, the newest last.
 	tables []grant.Table
 	// stored is the stored table, read once for each change: a large one takes a
@@ -92,13 +95,14 @@
 	heats   *heats
 	limits  limits
 	started time.Time
+	boot    boot.Boot
 }
 
 func newControl(r *Router, now time.Time) *control {
 	c := &control{
 		r: r, caches: map[news.Kind]*news.Cache{}, known: map[news.Kind]*atomic.Uint64{},
 		members: member.New(r.self, now), entries: newEntries(),
-		calling: map[string]bool{}, fetching: map[string]bool{}, heated: now, heats: newHeats(), started: now, seeds: r.settings.Seeds,
+		calling: map[string]bool{}, fetching: map[string]bool{}, heated: now, heats: newHeats(), started: now, boot: boot.New(now), seeds: r.settings.Seeds,
 	}
 	for _, k := range news.Kinds {
 		c.caches[k], c.known[k] = news.NewCache(k), &atomic.Uint64{}
@@ -159,6 +163,7 @@
 		c.runKeeper(now)
 	}
 	c.gossip(now)
+	c.booted(now, "")
 	c.r.ready.Store(!c.leaving && c.isReady(now))
 }
 
@@ -192,6 +197,7 @@
 	changed := cache.Merge(m.delta)
 	c.gap(now, m.delta.Kind, before)
 	c.known[m.delta.Kind].Store(cache.Through())
+	defer c.booted(now, m.delta.Kind)
 	if len(changed) == 0 {
 		return
 	}
--- a/io/process/router/counts.go
+++ b/io/process/router/counts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"catkinstep/core/connection/wire"
+	"catkinstep/core/process/pace"
 )
 
 // sendHeat passes on which keys were asked for and how slow servers were, once a
@@ -15,10 +16,11 @@
 	}
 	c.heated = now
 	h := c.gossipNow(now)
-	h.Heat, h.Paces = c.r.takeHeat(c.relayed)
-	c.relayed = nil
+	epoch := c.r.current.Load().table.Epoch
+	h.Heat, h.Paces = c.r.takeHeat(c.relayed, epoch != c.pacedFor)
+	c.relayed, c.pacedFor = nil, epoch
 	if c.keeper != nil {
-		c.heats.add(h.Name, h)
+		c.heats.add(h)
 		return
 	}
 	to := c.members.AddressOf(c.r.current.Load().table.Leader.Daemon)
@@ -35,7 +37,7 @@
 func (c *control) takeHeat(now time.Time, h *wire.Gossip) {
 	switch {
 	case c.keeper != nil:
-		c.heats.add(h.Name, h)
+		c.heats.add(h)
 	case len(h.Heat) > 0 && h.DataCentre == c.r.self.DataCentre && c.members.IsHead(now):
 		c.r.addHeat(h.Heat)
 		c.relayed = append(c.relayed, h.Paces...)
@@ -53,8 +55,9 @@
 }
 
 // takeHeat returns the counts since it last did, and how slow servers were found
-// to be, here and by others that reported to this daemon.
-func (r *Router) takeHeat(relayed []*wire.Pace) ([]*wire.Heat, []*wire.Pace) {
+// to be meanwhile, here and by others that reported to this daemon. A new leader knows
+// nothing and is told all.
+func (r *Router) takeHeat(relayed []*wire.Pace, newLeader bool) ([]*wire.Heat, []*wire.Pace) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var heat []*wire.Heat
@@ -67,18 +70,19 @@
 	for _, s := range r.current.Load().keyed() {
 		keyed[s] = true
 	}
-	sums := map[string]pace{}
+	sums := map[string]found{}
 	for _, p := range relayed {
-		sums[p.Server] = sums[p.Server].with(paceOf(p))
+		sums[p.Server] = sums[p.Server].with(foundOf(p))
 	}
-	for _, p := range r.spread.TakePaces() {
+	for _, p := range r.spread.TakePaces(newLeader) {
 		if v, ok := r.current.Load().fleet.Find(p.Server); ok && keyed[v.Service] {
-			sums[p.Server] = sums[p.Server].with(newPace(p.Factor, p.Answers, p.Heard, p.Full))
+			f := found{Finding: pace.Finding{Factor: p.Factor, Answers: p.Answers}, heard: p.Heard, full: p.Full}
+			sums[p.Server] = sums[p.Server].with(f)
 		}
 	}
 	var paces []*wire.Pace
-	for server, p := range sums {
-		paces = append(paces, p.message(server))
+	for server, f := range sums {
+		paces = append(paces, f.message(server))
 	}
 	return heat, paces
 }
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -68,7 +68,8 @@
 		c.keep(now, keeper.OldLeaderMsg{At: now})
 	}
 	if now.Sub(c.heats.meter.Since()) >= heatEvery {
-		for _, l := range c.heats.roll(now, c.r.current.Load().config) {
+		s := c.r.current.Load()
+		for _, l := range c.heats.roll(now, s.config, s.fleet) {
 			c.keep(now, l)
 		}
 	}
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -15,6 +15,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"catkinstep/core/process/boot"
 	"catkinstep/core/process/burn"
 	"catkinstep/core/process/keeper"
 	"catkinstep/core/process/member"
@@ -63,6 +64,9 @@
 	// gaps are how long ranges stayed closed.
 	gaps *gaps.Meter
 	gate *admit.Gate
+	// booted is closed once requests need not wait for what a start must read.
+	booted chan struct{}
+	boot   boot.Boot
 
 	bounds  setup.Settings // those that can be reloaded
 	daemons int
@@ -113,6 +117,7 @@
 	r.random = rand.New(rand.NewPCG(r.self.Incarnation, 23))
 	r.spread = spread.New(r.self.Incarnation, r.limits().WithDaemons(1, 0))
 	r.current.Store((&snap{}).withFleet(fleet.New(nil), nil))
+	r.booted, r.boot = make(chan struct{}), boot.New(r.now())
 	r.control = newControl(r, r.now())
 	r.callers = caller.New(r.serve, caller.WithLimits(r.callerLimits))
 	return r
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -76,6 +76,7 @@
 }
 
 func (r *Router) handle(ctx context.Context, q caller.Request) caller.Reply {
+	r.awaitBoot(ctx, q)
 	s := r.current.Load()
 	id := r.speech.ID(q.Header)
 	if !s.configured {
--- a/io/process/router/serve_test.go
+++ b/io/process/router/serve_test.go
@@ -40,7 +40,7 @@
 			need: spread.Need{Route: "look", Aim: 300 * time.Millisecond}}
 		r.count(o)
 		r.count(o)
-		heat, _ := r.takeHeat(nil)
+		heat, _ := r.takeHeat(nil, false)
 		So(heat, ShouldHaveLength, 1)
 		So(heat[0].Requests, ShouldEqual, 2)
 		So(heat[0].AimMillis, ShouldEqual, 600)
