--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -8,7 +8,7 @@
 
 const (
 	// silentAfter is how long a daemon may say nothing before it counts as lost.
-	// Daemons speak every half second; two messages may be lost.
+	// Daemons gossip every half second; two messages may be lost.
 	silentAfter = 1500 * time.Millisecond
 	// rankStep keeps daemons from taking the lead all at once; a conditional
 	// update takes a few milliseconds and its news a few more.
@@ -23,7 +23,7 @@
 	// outAfter is how long a leader may fail to reach the platform, while others
 	// do, before it gives way.
 	outAfter = 1200 * time.Millisecond
-	// farSilentAfter is the same for daemons of other data centres, which speak
+	// farSilentAfter is the same for daemons of other data centres, which gossip
 	// every four seconds unless they lead.
 	farSilentAfter = 9 * time.Second
 	// forgetAfter drops daemons that were not heard of any more, and that a call
@@ -73,11 +73,11 @@
 	// missed is the leader that is missed, and since when.
 	missed      grant.Leader
 	missedSince time.Time
-	// headsAt are the heads of each data centre as they were at a moment; they are
+	// relaysAt are the relays of each data centre as they were at a moment; they are
 	// asked for many times in one.
-	headsAt   map[string][]Member
-	headsTime time.Time
-	near      int // daemons of the own data centre, this one included; 0 if not counted
+	relaysAt   map[string][]Member
+	relaysTime time.Time
+	near       int // daemons of the own data centre, this one included; 0 if not counted
 }
 
 // New returns a Cluster that has heard of nobody.
@@ -149,7 +149,7 @@
 }
 
 // changed makes what was worked out from the peers void.
-func (c *Cluster) changed() { c.headsAt, c.near = nil, 0 }
+func (c *Cluster) changed() { c.relaysAt, c.near = nil, 0 }
 
 // HeardAt is when a daemon was last heard, of itself or by others.
 func (c *Cluster) HeardAt(name string) time.Time {
@@ -201,10 +201,10 @@
 // Reads tells whether this daemon should read the platform for the others: the
 // news it has is old, and no other daemon of its data centre would come first.
 // current is when the news was last known to be in force. Daemons that are not
-// heads get their news a round of gossip later than heads, and wait for that.
+// relays get their news a round of gossip later than relays, and wait for that.
 func (c *Cluster) Reads(now, current time.Time, leading bool) bool {
 	wait := staleAfter + time.Duration(c.rank(now, true))*rankStep
-	if !c.IsHead(now) {
+	if !c.IsRelay(now) {
 		wait += c.Pace() * memberRounds
 	}
 	return leading || now.Sub(current) > wait
@@ -239,7 +239,7 @@
 		c.missed, c.missedSince = l, since
 	}
 	wait := time.Duration(c.rank(now, false)) * rankStep
-	if !c.IsHead(now) {
+	if !c.IsRelay(now) {
 		wait += c.Pace() * memberRounds
 	}
 	return now.Sub(c.missedSince) >= wait && now.Sub(c.stored) < outAfter, ended
--- a/core/process/member/head.go
+++ b/core/process/member/relay.go
@@ -7,21 +7,21 @@
 )
 
 const (
-	// headsOfPlace is how many daemons of a data centre speak for it. Every other
-	// one tells them what it knows and asks them for the rest, so that a data
-	// centre of n daemons has 2n talks in a round in place of n*n. Two, so that the
+	// relaysOfPlace is how many daemons of a data centre relay gossip for it. Every other
+	// one sends them what it knows and asks them for the rest, so that a data
+	// centre of n daemons has 2n calls in a round in place of n*n. Two, so that the
 	// loss of one is not noticed.
-	headsOfPlace = 2
+	relaysOfPlace = 2
 	// paceLeast is the shortest pause between two rounds of gossip, and paceEach
-	// what each daemon of the data centre adds to it: a head hears about 40 messages a
+	// what each daemon of the data centre adds to it: a relay hears about 40 messages a
 	// second however many there are.
 	paceLeast = 250 * time.Millisecond
 	paceEach  = 25 * time.Millisecond
-	// memberRounds is how many rounds later than heads the others learn of changes
+	// memberRounds is how many rounds later than relays the others learn of changes
 	// at the latest: their own round, and one that was lost.
 	memberRounds = 2
 	// missedFor is how long a daemon that did not answer a call counts as lost
-	// before it may be called as a head again.
+	// before it may be called as a relay again.
 	missedFor = 5 * time.Second
 )
 
@@ -38,35 +38,35 @@
 	return max(paceLeast, time.Duration(c.near)*paceEach)
 }
 
-// IsHead tells whether this daemon relays for its data centre.
-func (c *Cluster) IsHead(now time.Time) bool {
-	return slices.ContainsFunc(c.heads(now, c.self.DataCentre), func(m Member) bool { return m.Name == c.self.Name })
+// IsRelay tells whether this daemon relays for its data centre.
+func (c *Cluster) IsRelay(now time.Time) bool {
+	return slices.ContainsFunc(c.relays(now, c.self.DataCentre), func(m Member) bool { return m.Name == c.self.Name })
 }
 
-// Heads lists the other daemons that speak for this one's data centre.
-func (c *Cluster) Heads(now time.Time) []string {
-	return c.addresses(c.heads(now, c.self.DataCentre))
+// Relays lists the other daemons that relay for this one's data centre.
+func (c *Cluster) Relays(now time.Time) []string {
+	return c.addresses(c.relays(now, c.self.DataCentre))
 }
 
-// FarHeads lists the daemons that speak for other data centres.
-func (c *Cluster) FarHeads(now time.Time) []string {
+// FarRelays lists the daemons that relay for other data centres.
+func (c *Cluster) FarRelays(now time.Time) []string {
 	var out []Member
 	for _, place := range c.places() {
 		if place != c.self.DataCentre {
-			out = append(out, c.heads(now, place)...)
+			out = append(out, c.relays(now, place)...)
 		}
 	}
 	return c.addresses(out)
 }
 
-// LaterHeads lists those of them that come after this daemon by name: each pair
+// LaterRelays lists those of them that come after this daemon by name: each pair
 // talks once, since an answer says as much as a question.
-func (c *Cluster) LaterHeads(now time.Time) []string {
+func (c *Cluster) LaterRelays(now time.Time) []string {
 	later := map[string]bool{}
 	for name, p := range c.peers {
 		later[p.Address] = name > c.self.Name
 	}
-	return slices.DeleteFunc(c.FarHeads(now), func(address string) bool { return !later[address] })
+	return slices.DeleteFunc(c.FarRelays(now), func(address string) bool { return !later[address] })
 }
 
 // Near lists all other daemons of the data centre, the lost ones too, so that
@@ -92,20 +92,20 @@
 	return c.addresses(out)
 }
 
-// heads are the strongest daemons of a data centre that are not known to be
+// relays are the strongest daemons of a data centre that are not known to be
 // lost, by name among equals. Strong hosts bear the messages of the others best.
-func (c *Cluster) heads(now time.Time, place string) []Member {
-	if c.headsAt == nil || !c.headsTime.Equal(now) {
-		c.headsAt, c.headsTime = map[string][]Member{}, now
+func (c *Cluster) relays(now time.Time, place string) []Member {
+	if c.relaysAt == nil || !c.relaysTime.Equal(now) {
+		c.relaysAt, c.relaysTime = map[string][]Member{}, now
 	}
-	if have, ok := c.headsAt[place]; ok {
+	if have, ok := c.relaysAt[place]; ok {
 		return have
 	}
-	c.headsAt[place] = c.findHeads(now, place)
-	return c.headsAt[place]
+	c.relaysAt[place] = c.findRelays(now, place)
+	return c.relaysAt[place]
 }
 
-func (c *Cluster) findHeads(now time.Time, place string) []Member {
+func (c *Cluster) findRelays(now time.Time, place string) []Member {
 	var all []Member
 	if place == c.self.DataCentre {
 		all = append(all, c.self)
@@ -116,10 +116,10 @@
 		}
 	}
 	slices.SortFunc(all, before)
-	return all[:min(headsOfPlace, len(all))]
+	return all[:min(relaysOfPlace, len(all))]
 }
 
-// before orders daemons by who should speak, read and lead first.
+// before orders daemons by who should relay, read and lead first.
 func before(a, b Member) int {
 	return cmp.Or(cmp.Compare(b.Strength, a.Strength), cmp.Compare(a.Name, b.Name))
 }
--- a/core/process/pace/pace.go
+++ b/core/process/pace/pace.go
@@ -33,7 +33,7 @@
 // New returns a Book that has heard nothing.
 func New() *Book { return &Book{servers: map[string]sum{}} }
 
-// Add takes in what a daemon found since it last told.
+// Add takes in what a daemon found since its last report.
 func (b *Book) Add(server string, f Finding) {
 	if f.Answers <= 0 {
 		return
--- a/core/request/spread/fleet_test.go
+++ b/core/request/spread/fleet_test.go
@@ -12,7 +12,7 @@
 
 // place plays a data centre in virtual time: daemons that each judge by their own
 // Spread, servers with slots, queues and noisy neighbours, and callers that come by
-// chance. Daemons tell a head what they have under way, in rounds.
+// chance. Daemons tell a relay what they have under way, in rounds.
 type place struct {
 	random  *rand.Rand
 	now     time.Time
@@ -116,12 +116,12 @@
 	p.after(noiseEvery, func() { p.redraw(b) })
 }
 
-// tell plays a word to the head, the first daemon, and its answer.
+// tell plays a word to the relay, the first daemon, and its answer.
 func (p *place) tell(i int) {
-	head, name := p.daemons[0], fmt.Sprintf("d%d", i)
+	relay, name := p.daemons[0], fmt.Sprintf("d%d", i)
 	if i > 0 {
-		head.SetPeer(p.now, name, p.daemons[i].Own())
-		p.daemons[i].SetPeers(p.now, head.Summed(p.now, name))
+		relay.SetPeer(p.now, name, p.daemons[i].Own())
+		p.daemons[i].SetPeers(p.now, relay.Summed(p.now, name))
 	}
 	p.after(p.round, func() { p.tell(i) })
 }
--- a/core/request/spread/spread_test.go
+++ b/core/request/spread/spread_test.go
@@ -321,7 +321,7 @@
 		}
 		So(s.TakePaces(false), ShouldResemble, []Pace{{Server: "s1", Factor: 2.5, Answers: 2, Heard: 2, Full: 2}})
 	})
-	Convey("A new leader is told what was learned before", t, func() {
+	Convey("A new leader gets what was learned before", t, func() {
 		s, vs := fresh(), servers(3)
 		for _, v := range vs {
 			answer(s, t0, v, 100*time.Millisecond, Answered)
--- a/io/connection/mesh/pack.go
+++ b/io/connection/mesh/pack.go
@@ -13,7 +13,7 @@
 
 // packLeast is the size, in bytes, from which answers are compressed. A large
 // configuration took four seconds from a leader with a link of 10 Mbit/s to the
-// heads elsewhere. Its names repeat: 1,640 made-up routes are 316 KB, and 24 KB
+// relays elsewhere. Its names repeat: 1,640 made-up routes are 316 KB, and 24 KB
 // compressed. Smaller answers are not worth the processor time.
 const packLeast = 4 << 10
 
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -65,44 +65,39 @@
 	known  map[news.Kind]*atomic.Uint64
 	// reads tells whether this daemon reads the store, and turn how many of its data
 	// centre come before it; any goroutine may ask.
-	reads   atomic.Bool
-	turn    atomic.Int64
-	members *member.Cluster
-	keeper  *keeper.Keeper
-	// before is the leader that this daemon took the lead from.
-	before   grant.Leader
-	taking   bool
+	reads    atomic.Bool
+	turn     atomic.Int64
+	members  *member.Cluster
+	keeper   *keeper.Keeper
+	lead     leadership
 	leaving  bool
 	seeds    []string
 	entries  *entries
 	paces    paces
 	calling  map[string]bool
 	fetching map[string]bool
-	heated   time.Time
-	// relayed are paces of servers that others of the data centre reported to this head.
-	relayed []*wire.Pace
-	// pacedFor is the leader's epoch to which paces were last reported.
-	pacedFor uint64
+	counts   countReport
 	// tables are those that were in force before, the newest last.
-	tables []grant.Table
-	// stored is the stored table, read once for each change: a large one takes a
-	// millisecond, and it is asked for twenty times a second. storedAt is its
-	// revision.
-	stored   grant.Table
-	storedAt uint64
-	// led is set once this daemon has led: the next leader waits for its gossip.
-	led     bool
+	tables  []grant.Table
+	stored  storedTable
 	heats   *heats
 	limits  limits
 	started time.Time
 	boot    boot.Boot
 }
 
+// storedTable is the stored table, read once for each change: a large one takes a
+// millisecond, and it is asked for twenty times a second.
+type storedTable struct {
+	table    grant.Table
+	revision uint64
+}
+
 func newControl(r *Router, now time.Time) *control {
 	c := &control{
 		r: r, caches: map[news.Kind]*news.Cache{}, known: map[news.Kind]*atomic.Uint64{},
 		members: member.New(r.self, now), entries: newEntries(),
-		calling: map[string]bool{}, fetching: map[string]bool{}, heated: now, heats: newHeats(), started: now, boot: boot.New(now), seeds: r.settings.Seeds,
+		calling: map[string]bool{}, fetching: map[string]bool{}, counts: countReport{at: now}, heats: newHeats(), started: now, boot: boot.New(now), seeds: r.settings.Seeds,
 	}
 	for _, k := range news.Kinds {
 		c.caches[k], c.known[k] = news.NewCache(k), &atomic.Uint64{}
@@ -139,11 +134,11 @@
 	case keeperMsg:
 		c.keep(now, m.msg)
 	case leadMsg:
-		c.lead(now, m)
+		c.beginLead(now, m)
 	case settingsMsg:
 		c.applySettings(m.settings)
 	case leadFailMsg:
-		c.taking = false
+		c.lead.taking = false
 	case suspectMsg:
 		c.spreadNews(now, true)
 	case statusMsg:
@@ -286,13 +281,13 @@
 		if err != nil || it.Removed {
 			// What is written next is conditional on this revision all the same.
 			c.r.log.Warn("keys: stored table not usable", "revision", it.Revision, "err", err)
-			c.stored, c.storedAt = grant.Table{}, it.Revision
+			c.stored = storedTable{revision: it.Revision}
 			if it.Removed {
-				c.storedAt = 0
+				c.stored.revision = 0
 			}
 			continue
 		}
-		c.stored, c.storedAt = t, it.Revision
+		c.stored = storedTable{table: t, revision: it.Revision}
 		c.applyTable(now, t)
 	}
 }
--- a/io/process/router/counts.go
+++ b/io/process/router/counts.go
@@ -7,40 +7,48 @@
 	"catkinstep/core/process/pace"
 )
 
+// countReport is what a daemon's reports of its counts need to know of the last one.
+type countReport struct {
+	at time.Time
+	// relayed are paces of servers that others of the data centre reported since then.
+	relayed []*wire.Pace
+	// epoch is that of the leader to which the last one went.
+	epoch uint64
+}
+
 // sendHeat passes on which keys were asked for and how slow servers were, once a
-// second: to a head of the data centre, and from there to the leader, who gets
-// one message for each head and not for each daemon.
-func (c *control) sendHeat(now time.Time, head bool) {
-	if now.Sub(c.heated) < heatEvery {
+// second: to a relay of the data centre, and from there to the leader, who gets
+// one message for each relay and not for each daemon.
+func (c *control) sendHeat(now time.Time, relay bool) {
+	if now.Sub(c.counts.at) < heatEvery {
 		return
 	}
-	c.heated = now
 	h := c.gossipNow(now)
 	epoch := c.r.current.Load().table.Epoch
-	h.Heat, h.Paces = c.r.takeHeat(c.relayed, epoch != c.pacedFor)
-	c.relayed, c.pacedFor = nil, epoch
+	h.Heat, h.Paces = c.r.takeHeat(c.counts.relayed, epoch != c.counts.epoch)
+	c.counts = countReport{at: now, epoch: epoch}
 	if c.keeper != nil {
 		c.heats.add(h)
 		return
 	}
 	to := c.members.AddressOf(c.r.current.Load().table.Leader.Daemon)
-	if heads := c.members.Heads(now); !head && len(heads) > 0 {
-		to = heads[0]
+	if relays := c.members.Relays(now); !relay && len(relays) > 0 {
+		to = relays[0]
 	}
 	if to != "" && len(h.Heat) > 0 {
 		go c.r.sendGossip(to, h)
 	}
 }
 
-// takeHeat takes in another daemon's counts: the leader for good, a head to pass
+// takeHeat takes in another daemon's counts: the leader for good, a relay to pass
 // them on with its own.
 func (c *control) takeHeat(now time.Time, h *wire.Gossip) {
 	switch {
 	case c.keeper != nil:
 		c.heats.add(h)
-	case len(h.Heat) > 0 && h.DataCentre == c.r.self.DataCentre && c.members.IsHead(now):
+	case len(h.Heat) > 0 && h.DataCentre == c.r.self.DataCentre && c.members.IsRelay(now):
 		c.r.addHeat(h.Heat)
-		c.relayed = append(c.relayed, h.Paces...)
+		c.counts.relayed = append(c.counts.relayed, h.Paces...)
 	}
 }
 
@@ -56,7 +64,7 @@
 
 // takeHeat returns the counts since it last did, and how slow servers were found
 // to be meanwhile, here and by others that reported to this daemon. A new leader knows
-// nothing and is told all.
+// nothing and gets all.
 func (r *Router) takeHeat(relayed []*wire.Pace, newLeader bool) ([]*wire.Heat, []*wire.Pace) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/io/process/router/fetch.go
@@ -0,0 +1,107 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"catkinstep/core/connection/wire"
+	"catkinstep/core/version/grant"
+	"catkinstep/core/version/news"
+)
+
+// fetch asks another daemon for changes; one call for each kind at a time.
+func (c *control) fetch(address string, f *wire.Fetch) {
+	if c.fetching[f.Kind] {
+		return
+	}
+	c.fetching[f.Kind] = true
+	go c.r.sendFetch(address, f)
+}
+
+func (r *Router) sendFetch(address string, f *wire.Fetch) {
+	defer r.post(fetchedMsg{kind: f.Kind})
+	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), fetchTimeout)
+	defer cancel()
+	asked := r.now()
+	reply, err := r.call(ctx, address, &wire.Call{Kind: &wire.Call_Fetch{Fetch: f}})
+	if err != nil || reply.GetDelta() == nil {
+		r.log.Debug("mesh: fetch failed", "from", address, "kind", f.Kind, "err", err)
+		return
+	}
+	d := reply.GetDelta()
+	if f.Kind == tableKind {
+		t, err := r.readFetched(d)
+		if err != nil {
+			r.log.Warn("mesh: table not readable", "from", address, "err", err)
+			return
+		}
+		r.post(tableMsg{table: t})
+		return
+	}
+	out := news.Delta{Kind: news.Kind(f.Kind), Through: d.Through, Whole: d.Whole, At: ago(asked, d.AgeMillis)}
+	for _, it := range d.Items {
+		out.Items = append(out.Items, news.Item{Name: it.Name, Revision: it.Revision, Removed: it.Removed, Value: it.Value})
+	}
+	r.post(deltaMsg{delta: out})
+}
+
+// readFetched reads a table that was fetched whole or as a change. A change that
+// was made for another table than the present one, which a newer one has replaced
+// meanwhile, leaves the present one.
+func (r *Router) readFetched(d *wire.Delta) (grant.Table, error) {
+	if len(d.Change) == 0 {
+		return grant.Unmarshal(d.Table)
+	}
+	c, err := grant.UnmarshalChange(d.Change)
+	if err != nil {
+		return grant.Table{}, err
+	}
+	t, _ := r.current.Load().table.With(c)
+	return t, nil
+}
+
+// fetched answers another daemon's fetch.
+func (c *control) fetched(now time.Time, f *wire.Fetch) *wire.Delta {
+	if f.Kind == tableKind {
+		return c.fetchedTable(f)
+	}
+	cache := c.caches[news.Kind(f.Kind)]
+	if cache == nil {
+		return &wire.Delta{Kind: f.Kind}
+	}
+	d := cache.Since(f.Since)
+	out := &wire.Delta{Kind: f.Kind, Through: d.Through, Whole: d.Whole, AgeMillis: age(now, d.At)}
+	for _, it := range d.Items {
+		out.Items = append(out.Items, &wire.Item{Name: it.Name, Revision: it.Revision, Removed: it.Removed, Value: it.Value})
+	}
+	return out
+}
+
+// fetchedTable answers with what changed since the asker's table, if that one is
+// still remembered here, or with the whole table.
+func (c *control) fetchedTable(f *wire.Fetch) *wire.Delta {
+	out, t := &wire.Delta{Kind: f.Kind}, c.r.current.Load().table
+	for _, old := range c.tables {
+		if old.Epoch != f.Epoch || old.Seq != f.Since {
+			continue
+		}
+		if change, ok := t.Since(old); ok {
+			data, err := change.Marshal()
+			if err == nil {
+				out.Change = data
+				return out
+			}
+			c.r.log.Error("keys: change of the table not written", "err", err)
+		}
+	}
+	data, err := t.Marshal()
+	if err != nil {
+		c.r.log.Error("keys: table not written", "err", err)
+	}
+	out.Table = data
+	return out
+}
+
+// tablesKept is how many tables before the present one are remembered to tell
+// changes from: those of the last second, while keys move for balance.
+const tablesKept = 20
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -15,19 +15,19 @@
 // tableKind is asked for to get the published table.
 const tableKind = "published"
 
-// gossip tells the other daemons what is known here. A daemon talks to the heads
-// of its data centre; heads also talk to those of others and to the leader, and
+// gossip tells the other daemons what is known here. A daemon talks to the relays
+// of its data centre; relays also talk to those of others and to the leader, and
 // look for the lost.
 func (c *control) gossip(now time.Time) {
-	head := c.members.IsHead(now)
+	relay := c.members.IsRelay(now)
 	if c.due(now, &c.paces.near, c.members.Pace()) {
-		c.gossipTo(now, c.members.Heads(now), true)
-		c.sendHeat(now, head)
+		c.gossipTo(now, c.members.Relays(now), true)
+		c.sendHeat(now, relay)
 	}
 	if c.members.Count() == 1 && c.due(now, &c.paces.seeds, leaderGossip) {
 		c.gossipTo(now, c.seeds, false)
 	}
-	if !head && !c.led {
+	if !relay && !c.lead.led {
 		return
 	}
 	if c.due(now, &c.paces.leader, leaderGossip) {
@@ -35,8 +35,8 @@
 			c.gossipTo(now, []string{leader}, false)
 		}
 	}
-	if head && c.due(now, &c.paces.far, farGossip) {
-		c.gossipTo(now, c.members.LaterHeads(now), false)
+	if relay && c.due(now, &c.paces.far, farGossip) {
+		c.gossipTo(now, c.members.LaterRelays(now), false)
 		c.gossipTo(now, c.members.Near(now), true)
 	}
 }
@@ -54,13 +54,13 @@
 }
 
 // spreadNews passes a change on at once. Who read it from the store, or made it,
-// tells all heads and its own data centre; a head that learns of it tells its own.
+// tells all relays and its own data centre; a relay that learns of it tells its own.
 func (c *control) spreadNews(now time.Time, first bool) {
-	if first || c.members.IsHead(now) {
+	if first || c.members.IsRelay(now) {
 		c.gossipTo(now, c.members.Near(now), true)
 	}
 	if first {
-		c.gossipTo(now, c.members.FarHeads(now), false)
+		c.gossipTo(now, c.members.FarRelays(now), false)
 	}
 }
 
@@ -105,14 +105,14 @@
 }
 
 // addUnderWay adds what this daemon has under way, for others of its data centre. To
-// one that asks, a head adds up what all the rest have, so that it need not ask
+// one that asks, a relay adds up what all the rest have, so that it need not ask
 // them.
 func (c *control) addUnderWay(now time.Time, h *wire.Gossip, asker string) {
-	head := c.members.IsHead(now)
+	relay := c.members.IsRelay(now)
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
 	at := c.r.spread.Own()
-	if asker != "" && head {
+	if asker != "" && relay {
 		at, h.Summed = c.r.spread.Summed(now, asker), true
 	}
 	for id, n := range at {
@@ -195,10 +195,10 @@
 	}
 }
 
-// underWay takes in what others of this data centre have at servers. A head has
-// each one's own count and needs no sum of another head.
+// underWay takes in what others of this data centre have at servers. A relay has
+// each one's own count and needs no sum of another relay.
 func (c *control) underWay(now time.Time, h *wire.Gossip) {
-	if h.DataCentre != c.r.self.DataCentre || h.Name == c.r.self.Name || h.Summed && c.members.IsHead(now) {
+	if h.DataCentre != c.r.self.DataCentre || h.Name == c.r.self.Name || h.Summed && c.members.IsRelay(now) {
 		return
 	}
 	if len(h.UnderWay) == 0 && !h.Summed {
@@ -217,151 +217,6 @@
 	c.r.spread.SetPeer(now, h.Name, at)
 }
 
-// fetch asks another daemon for changes; one call for each kind at a time.
-func (c *control) fetch(address string, f *wire.Fetch) {
-	if c.fetching[f.Kind] {
-		return
-	}
-	c.fetching[f.Kind] = true
-	go c.r.sendFetch(address, f)
-}
-
-func (r *Router) sendFetch(address string, f *wire.Fetch) {
-	defer r.post(fetchedMsg{kind: f.Kind})
-	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), fetchTimeout)
-	defer cancel()
-	asked := r.now()
-	reply, err := r.call(ctx, address, &wire.Call{Kind: &wire.Call_Fetch{Fetch: f}})
-	if err != nil || reply.GetDelta() == nil {
-		r.log.Debug("mesh: fetch failed", "from", address, "kind", f.Kind, "err", err)
-		return
-	}
-	d := reply.GetDelta()
-	if f.Kind == tableKind {
-		t, err := r.readFetched(d)
-		if err != nil {
-			r.log.Warn("mesh: table not readable", "from", address, "err", err)
-			return
-		}
-		r.post(tableMsg{table: t})
-		return
-	}
-	out := news.Delta{Kind: news.Kind(f.Kind), Through: d.Through, Whole: d.Whole, At: ago(asked, d.AgeMillis)}
-	for _, it := range d.Items {
-		out.Items = append(out.Items, news.Item{Name: it.Name, Revision: it.Revision, Removed: it.Removed, Value: it.Value})
-	}
-	r.post(deltaMsg{delta: out})
-}
-
-// readFetched reads a table that was fetched whole or as a change. A change that
-// was made for another table than the present one, which a newer one has replaced
-// meanwhile, leaves the present one.
-func (r *Router) readFetched(d *wire.Delta) (grant.Table, error) {
-	if len(d.Change) == 0 {
-		return grant.Unmarshal(d.Table)
-	}
-	c, err := grant.UnmarshalChange(d.Change)
-	if err != nil {
-		return grant.Table{}, err
-	}
-	t, _ := r.current.Load().table.With(c)
-	return t, nil
-}
-
-// fetched answers another daemon's fetch.
-func (c *control) fetched(now time.Time, f *wire.Fetch) *wire.Delta {
-	if f.Kind == tableKind {
-		return c.fetchedTable(f)
-	}
-	cache := c.caches[news.Kind(f.Kind)]
-	if cache == nil {
-		return &wire.Delta{Kind: f.Kind}
-	}
-	d := cache.Since(f.Since)
-	out := &wire.Delta{Kind: f.Kind, Through: d.Through, Whole: d.Whole, AgeMillis: age(now, d.At)}
-	for _, it := range d.Items {
-		out.Items = append(out.Items, &wire.Item{Name: it.Name, Revision: it.Revision, Removed: it.Removed, Value: it.Value})
-	}
-	return out
-}
-
-// fetchedTable answers with what changed since the asker's table, if that one is
-// still remembered here, or with the whole table.
-func (c *control) fetchedTable(f *wire.Fetch) *wire.Delta {
-	out, t := &wire.Delta{Kind: f.Kind}, c.r.current.Load().table
-	for _, old := range c.tables {
-		if old.Epoch != f.Epoch || old.Seq != f.Since {
-			continue
-		}
-		if change, ok := t.Since(old); ok {
-			data, err := change.Marshal()
-			if err == nil {
-				out.Change = data
-				return out
-			}
-			c.r.log.Error("keys: change of the table not written", "err", err)
-		}
-	}
-	data, err := t.Marshal()
-	if err != nil {
-		c.r.log.Error("keys: table not written", "err", err)
-	}
-	out.Table = data
-	return out
-}
-
-// tablesKept is how many tables before the present one are remembered to tell
-// changes from: those of the last second, while keys move for balance.
-const tablesKept = 20
-
-// call asks another daemon, and counts what that costs.
-func (r *Router) call(ctx context.Context, address string, call *wire.Call) (*wire.Reply, error) {
-	r.meters.addBytes(bytesOut, call)
-	reply, err := r.mesh.Call(ctx, address, call)
-	if err == nil {
-		r.meters.addBytes(bytesIn, reply)
-	}
-	return reply, err
-}
-
-// answerMesh answers another daemon's call, and counts what that costs.
-func (r *Router) answerMesh(ctx context.Context, call *wire.Call) *wire.Reply {
-	r.meters.addBytes(bytesIn, call)
-	reply := r.answerCall(ctx, call)
-	r.meters.addBytes(bytesOut, reply)
-	return reply
-}
-
-func (r *Router) answerCall(ctx context.Context, call *wire.Call) *wire.Reply {
-	switch k := call.Kind.(type) {
-	case *wire.Call_Gossip:
-		reply := make(chan *wire.Gossip, 1)
-		if !r.post(gossipMsg{gossip: k.Gossip, reply: reply}) {
-			return &wire.Reply{Error: "stopping"}
-		}
-		select {
-		case h := <-reply:
-			return &wire.Reply{Gossip: h}
-		case <-ctx.Done():
-		}
-	case *wire.Call_Fetch:
-		reply := make(chan *wire.Delta, 1)
-		if !r.post(fetchMsg{fetch: k.Fetch, reply: reply}) {
-			return &wire.Reply{Error: "stopping"}
-		}
-		select {
-		case d := <-reply:
-			return &wire.Reply{Delta: d}
-		case <-ctx.Done():
-		}
-	case *wire.Call_Status:
-		if s, ok := r.ownStatus(ctx); ok {
-			return &wire.Reply{Status: s.own}
-		}
-	}
-	return &wire.Reply{Error: "not answered"}
-}
-
 func age(now, at time.Time) int64 {
 	if at.IsZero() {
 		return -1
--- a/io/process/router/heats.go
+++ b/io/process/router/heats.go
@@ -20,7 +20,7 @@
 	heard []keeper.Report
 }
 
-// found is what daemons found of a server since they last told.
+// found is what daemons found of a server since they last reported.
 type found struct {
 	pace.Finding
 	// heard and full are how many answers reported the load, and a long queue.
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -16,15 +16,15 @@
 
 // tryLead takes the lead when nobody has it any more.
 func (c *control) tryLead(now time.Time) {
-	if c.keeper != nil || c.taking || c.leaving || c.through(news.Tables) == 0 || len(c.r.current.Load().keyed()) == 0 {
+	if c.keeper != nil || c.lead.taking || c.leaving || c.through(news.Tables) == 0 || len(c.r.current.Load().keyed()) == 0 {
 		return
 	}
-	stored, revision := c.stored, c.storedAt
+	stored, revision := c.stored.table, c.stored.revision
 	try, _ := c.members.MayLead(now, stored.Leader)
 	if !try {
 		return
 	}
-	c.taking = true
+	c.lead.taking = true
 	next := stored.WithHeld(c.r.current.Load().table)
 	next.Epoch, next.Seq = stored.Epoch+1, stored.Seq+1
 	next.Leader = grant.Leader{Daemon: c.r.self.Name, Incarnation: c.r.self.Incarnation}
@@ -48,14 +48,23 @@
 	r.post(leadFailMsg{})
 }
 
-// lead begins a leadership.
-func (c *control) lead(now time.Time, m leadMsg) {
-	c.taking = false
-	c.before, c.led = m.before.Leader, true
+// leadership is what a daemon knows of its own leading.
+type leadership struct {
+	// before is the leader that it took the lead from.
+	before grant.Leader
+	// taking is set while it tries to take the lead.
+	taking bool
+	// led is set once it has led: the next leader waits for its gossip.
+	led bool
+}
+
+// beginLead begins a leadership.
+func (c *control) beginLead(now time.Time, m leadMsg) {
+	c.lead = leadership{before: m.before.Leader, led: true}
 	c.members.Stored(now)
 	c.keeper = keeper.New(now, m.table, m.revision, keeper.WithHold(c.r.hold))
 	c.heats = newHeats()
-	c.r.log.Info("keys: leading", "epoch", m.table.Epoch, "before", c.before.Daemon, "revision", m.revision)
+	c.r.log.Info("keys: leading", "epoch", m.table.Epoch, "before", c.lead.before.Daemon, "revision", m.revision)
 	c.updateFleet(now)
 	c.runKeeper(now)
 }
@@ -63,8 +72,8 @@
 // runKeeper lets the keeper act on what is known now.
 func (c *control) runKeeper(now time.Time) {
 	c.updateFleet(now)
-	c.keep(now, keeper.CurrentMsg{Epoch: c.stored.Epoch, At: c.caches[news.Tables].At()})
-	if c.keeper != nil && c.members.GaveWay(c.before, c.keeper.Table().Epoch) {
+	c.keep(now, keeper.CurrentMsg{Epoch: c.stored.table.Epoch, At: c.caches[news.Tables].At()})
+	if c.keeper != nil && c.members.GaveWay(c.lead.before, c.keeper.Table().Epoch) {
 		c.keep(now, keeper.OldLeaderMsg{At: now})
 	}
 	if now.Sub(c.heats.meter.Since()) >= heatEvery {
--- a/io/process/router/limits.go
+++ b/io/process/router/limits.go
@@ -48,8 +48,8 @@
 	c.setLimits(now, l, false)
 }
 
-// setLimits puts newer limits in force and passes them on: who made them tells all heads
-// and its own data centre, a head that receives them tells its own.
+// setLimits puts newer limits in force and passes them on: who made them tells all relays
+// and its own data centre, a relay that receives them tells its own.
 func (c *control) setLimits(now time.Time, l limits, made bool) {
 	if !l.newer(c.limits) {
 		return
@@ -62,11 +62,11 @@
 	c.r.gate.Set(time.Now().Add(l.at.Sub(now)), l.each)
 	c.r.mu.Unlock()
 	var to []string
-	if made || c.members.IsHead(now) {
+	if made || c.members.IsRelay(now) {
 		to = c.members.Near(now)
 	}
 	if made {
-		to = append(to, c.members.FarHeads(now)...)
+		to = append(to, c.members.FarRelays(now)...)
 	}
 	for _, a := range to {
 		if c.calling[a] {
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -18,7 +18,7 @@
 	// tickEvery paces the control loop; it bounds how late a renewal or a move is.
 	tickEvery = 50 * time.Millisecond
 	// leaderGossip and farGossip pace gossip across data centres: to the leader, which
-	// shows that it lives, and between heads; bytes between data centres are saved.
+	// shows that it lives, and between relays; bytes between data centres are saved.
 	// Those within one are paced by package member.
 	leaderGossip = 500 * time.Millisecond
 	farGossip    = 4 * time.Second
