Daemons that start in one moment draw numbers of their own

The incarnation alone was the seed of everything that daemons draw: the jitter that keeps them from choosing the same of servers that look alike, the draws of limits, the spread of Retry-After. The seed comes from the daemon's name as well now. Ruled out: that anything else takes incarnations for unique; members are known by name.

Not measured by itself.

--- a/io/process/router/control_test.go
+++ b/io/process/router/control_test.go
@@ -142,3 +142,13 @@
 		So(got, ShouldEqual, grant.NotSent)
 	})
 }
+
+// Guards against daemons that draw alike since they started in the same moment.
+func TestDaemonsDrawTheirOwnNumbers(t *testing.T) {
+	Convey("The name counts beside the moment", t, func() {
+		a := member.Member{Name: "a", Incarnation: 7}
+		b := member.Member{Name: "b", Incarnation: 7}
+		So(seedOf(a), ShouldNotEqual, seedOf(b))
+		So(seedOf(a), ShouldEqual, seedOf(a))
+	})
+}
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -13,6 +14,7 @@
 
 	"catkinstep/io/process/setup"
 
+	"github.com/cespare/xxhash/v2"
 	"gopkg.in/tomb.v2"
 
 	"catkinstep/core/process/boot"
@@ -100,7 +102,9 @@
 func New(s setup.Settings, st Store, sp Speech, opts ...Option) *Router {
 	r := &Router{
 		settings: s, store: st, speech: sp, log: slog.Default(),
-		hold: keeper.DefaultHold, now: clock.Now, meters: newMeters(), bounds: s, daemons: 1, inbox: make(chan any, inboxSize), running: make(chan struct{}), budgets: map[string]*retry.Budget{}, suspects: crash.New(crashBound, crashKeep), heat: map[heatKey]heatCount{},
+		hold: keeper.DefaultHold, now: clock.Now, meters: newMeters(), bounds: s, daemons: 1,
+		inbox: make(chan any, inboxSize), running: make(chan struct{}),
+		budgets: map[string]*retry.Budget{}, suspects: crash.New(crashBound, crashKeep), heat: map[heatKey]heatCount{},
 		self: member.Member{Name: s.Name, Address: s.Mesh, DataCentre: s.DataCentre, Strength: s.Strength, Incarnation: uint64(time.Now().UnixMicro())},
 	}
 	for _, o := range opts {
@@ -112,10 +116,11 @@
 	r.links.names = sp.Names()
 	r.burn = burn.New(r.now())
 	r.gaps = gaps.New()
-	r.gate = admit.NewGate(r.self.Incarnation)
+	seed := seedOf(r.self)
+	r.gate = admit.NewGate(seed)
 	r.opened.Store(new(make(chan struct{})))
-	r.random = rand.New(rand.NewPCG(r.self.Incarnation, 23))
-	r.spread = spread.New(r.self.Incarnation, r.limits().WithDaemons(1, 0))
+	r.random = rand.New(rand.NewPCG(seed, 23))
+	r.spread = spread.New(seed, r.limits().WithDaemons(1, 0))
 	r.current.Store((&snap{}).withFleet(fleet.New(nil), nil))
 	r.booted, r.boot = make(chan struct{}), boot.New(r.now())
 	r.control = newControl(r, r.now())
@@ -123,6 +128,12 @@
 	return r
 }
 
+// seedOf is a number of a daemon's own, for what it draws: many start in one moment, as
+// after a loss of power, and must not draw alike.
+func seedOf(m member.Member) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s %d", m.Name, m.Incarnation))
+}
+
 // Run serves until the context ends, then stops without cutting a request.
 func (r *Router) Run(ctx context.Context) error {
 	l, err := net.Listen("tcp", r.settings.Callers)
