Permits: one daemon counts what all send to a server that is nearly full

Cause: with 195 daemons none knows a server's queue.

Change: core/request/permit. For each server one daemon of its data centre, found by rendezvous hashing, counts the requests on their way and there, and gives a permit where an answer can be expected in time. Others turn to two more servers at most, or are refused at once. Asked for where a service's servers are nearly full, and by key where the leader names the holder as contended; not with few daemons or work below 50 ms.

--- a/core/process/keeper/limits.go
+++ b/core/process/keeper/limits.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"catkinstep/core/request/admit"
+	"catkinstep/core/request/permit"
 	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/grant"
 )
@@ -11,8 +12,8 @@
 // limiter works out limits for overloaded holders.
 type limiter struct {
 	control *admit.Control
-	// sent is how many limits were sent at the last round.
-	sent int
+	// sent tells whether limits were sent at the last round.
+	sent bool
 	at   time.Time
 }
 
@@ -24,14 +25,38 @@
 	}
 	k.limiter.at = now
 	k.limiter.control.Round(now)
-	var limits []admit.Limit
+	cmd := LimitCmd{}
 	for _, s := range k.shares {
-		limits = append(limits, k.limitsOf(now, s)...)
+		cmd.Limits = append(cmd.Limits, k.limitsOf(now, s)...)
+		cmd.Contended = append(cmd.Contended, k.contendedOf(now, s)...)
 	}
-	if len(limits) > 0 || k.limiter.sent > 0 {
-		k.cmds = append(k.cmds, LimitCmd{Limits: limits})
+	some := len(cmd.Limits) > 0 || len(cmd.Contended) > 0
+	if some || k.limiter.sent {
+		k.cmds = append(k.cmds, cmd)
 	}
-	k.limiter.sent = len(limits)
+	k.limiter.sent = some
+}
+
+// contendedOf lists the servers of one service for which daemons need permits.
+func (k *Keeper) contendedOf(now time.Time, s *share) []string {
+	var out []string
+	for _, v := range k.fleet.Of(s.service) {
+		if k.permits(s, v) && k.limiter.control.Contended(now, v.ID) {
+			out = append(out, v.ID)
+		}
+	}
+	return out
+}
+
+// permits tells whether permits are worth asking for at a server: where few daemons send
+// to it, each knows its queue well enough.
+func (k *Keeper) permits(s *share, v fleet.Server) bool {
+	return k.known(v) < 1 && permit.Worth(time.Duration(s.each*s.factor(v)*float64(time.Second)))
+}
+
+// known is how well daemons know a server's queue by themselves, from 0 to 1.
+func (k *Keeper) known(v fleet.Server) float64 {
+	return min(1, fewDaemons*float64(max(1, v.Slots))/float64(max(1, k.daemons)))
 }
 
 // limitsOf returns the limits of one service. Keys on their way count where they go.
@@ -57,9 +82,11 @@
 }
 
 // fillable is the part of a holder's slots that limits let requests fill.
-func (k *Keeper) fillable(v fleet.Server) float64 {
-	known := min(1, fewDaemons*float64(max(1, v.Slots))/float64(max(1, k.daemons)))
-	return fullAt + knownMore*known
+func (k *Keeper) fillable(s *share, v fleet.Server) float64 {
+	if k.permits(s, v) {
+		return fullAt + permitsMore
+	}
+	return fullAt + knownMore*k.known(v)
 }
 
 // limitsAt returns the limits of the buckets that one server holds.
@@ -69,7 +96,7 @@
 		demands = append(demands, s.work[b])
 		sum += s.work[b]
 	}
-	capacity, limited := k.limiter.control.Capacity(now, v.ID, k.fillable(v)*s.power(v), sum)
+	capacity, limited := k.limiter.control.Capacity(now, v.ID, k.fillable(s, v)*s.power(v), sum)
 	if !limited {
 		return nil
 	}
--- a/core/process/keeper/limits_test.go
+++ b/core/process/keeper/limits_test.go
@@ -123,9 +123,32 @@
 	Convey("Where few daemons send, holders may be filled further", t, func() {
 		s := begin(grant.Range{Holder: holder(named("a", false))})
 		s.k.daemons = 9
-		few := s.k.fillable(named("a", false))
+		few := s.k.fillable(s.k.shares[0], named("a", false))
 		s.k.daemons = 195
 		So(few, ShouldBeGreaterThan, 1)
-		So(s.k.fillable(named("a", false)), ShouldBeLessThan, 1)
+		So(s.k.fillable(s.k.shares[0], named("a", false)), ShouldBeLessThan, 1)
+	})
+}
+
+// Guards against permits that cost more than they tell, and holders that go without them.
+func TestContendedHoldersAreNamed(t *testing.T) {
+	named := func(daemons int, work float64) []string {
+		l, _, s := started(200)
+		l.work = work
+		s.tell(FleetMsg{Fleet: s.k.fleet, Keyed: []string{oneService}, Daemons: daemons})
+		l.rates[700] = 60 / work
+		l.passReporting(s, time.Second, grant.NotSent)
+		var out []string
+		for _, c := range s.cmds {
+			if l, ok := c.(LimitCmd); ok {
+				out = l.Contended
+			}
+		}
+		return out
+	}
+	Convey("Only those with long queues, of long work, that many daemons send to", t, func() {
+		So(named(195, 0.05), ShouldHaveLength, 1)
+		So(named(9, 0.05), ShouldBeEmpty)
+		So(named(195, 0.005), ShouldBeEmpty)
 	})
 }
--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -137,8 +137,11 @@
 type PublishCmd struct{ Table grant.Table }
 
 // LimitCmd tells all daemons what part of the requests for some buckets of keys they
-// may send on, in place of all limits before.
-type LimitCmd struct{ Limits []admit.Limit }
+// may send on, and for which holders they need permits, in place of all limits before.
+type LimitCmd struct {
+	Limits    []admit.Limit
+	Contended []string // servers
+}
 
 // ResignCmd ends this leadership.
 type ResignCmd struct{ Reason string }
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -96,6 +96,10 @@
 	// only what is beyond fullAt and knownMore is kept from them.
 	fullAt    = 0.9
 	knownMore = 0.3
+	// permitsMore is the same where daemons need permits, which keep a holder's queue
+	// short. They are given to whoever comes first: were hot keys let through further,
+	// they would take them all.
+	permitsMore = 0.15
 	// fewDaemons is how many daemons for each slot of a holder know its queue.
 	fewDaemons = 4.0
 	// fenceShift leaves room for so many fences in one epoch (2^24).
--- a/core/process/member/relay.go
+++ b/core/process/member/relay.go
@@ -119,6 +119,18 @@
 	return all[:min(relaysOfPlace, len(all))]
 }
 
+// Living lists the daemons of each data centre that are not known to be lost, this one
+// included, in no order.
+func (c *Cluster) Living(now time.Time) map[string][]string {
+	out := map[string][]string{c.self.DataCentre: {c.self.Address}}
+	for _, p := range c.peers {
+		if !c.isLost(now, p) {
+			out[p.DataCentre] = append(out[p.DataCentre], p.Address)
+		}
+	}
+	return out
+}
+
 // before orders daemons by who should relay, read and lead first.
 func before(a, b Member) int {
 	return cmp.Or(cmp.Compare(b.Strength, a.Strength), cmp.Compare(a.Name, b.Name))
--- a/core/process/member/relay_test.go
+++ b/core/process/member/relay_test.go
@@ -88,3 +88,24 @@
 		So(c.Reads(current.Add(staleAfter+memberRounds*c.Pace()+20*rankStep+time.Millisecond), current, false), ShouldBeTrue)
 	})
 }
+
+// Guards against daemons that name different issuers of permits, or lost ones.
+func TestLiving(t *testing.T) {
+	Convey("Whoever is not known to be lost is listed, this daemon too", t, func() {
+		c := heard()
+		before := c.Living(at(1))
+		So(before[c.Self().DataCentre], ShouldContain, c.Self().Address)
+		lost := ""
+		for _, m := range before {
+			for _, address := range m {
+				if address != c.Self().Address {
+					lost = address
+				}
+			}
+		}
+		c.Missed(at(1), lost)
+		for _, m := range c.Living(at(1.1)) {
+			So(m, ShouldNotContain, lost)
+		}
+	})
+}
--- a/core/request/admit/admit_test.go
+++ b/core/request/admit/admit_test.go
@@ -171,3 +171,21 @@
 		So(limited, ShouldBeTrue)
 	})
 }
+
+// Guards against a watch of a holder's queue that ends since it has kept the queue short.
+func TestContendedOutlastsTheQueue(t *testing.T) {
+	Convey("A holder stays contended for a while after its last long queue", t, func() {
+		c := NewControl()
+		So(c.Contended(t0, "a"), ShouldBeFalse)
+		c.Report("a", 4, 4)
+		c.Round(t0)
+		for _, d := range []time.Duration{time.Second, contendedLasts - time.Second} {
+			c.Report("a", 4, 0)
+			c.Round(t0.Add(d))
+			So(c.Contended(t0.Add(d), "a"), ShouldBeTrue)
+		}
+		c.Report("a", 4, 0)
+		c.Round(t0.Add(contendedLasts))
+		So(c.Contended(t0.Add(contendedLasts), "a"), ShouldBeFalse)
+	})
+}
--- a/core/request/admit/control.go
+++ b/core/request/admit/control.go
@@ -8,6 +8,9 @@
 	fullShare = 0.3
 	// fullLasts is how long that counts: queues are emptied within a request or two.
 	fullLasts = 2 * time.Second
+	// contendedLasts is the same for its queue to be watched, which keeps it short: that
+	// must not end the watch at once.
+	contendedLasts = 10 * time.Second
 	// raise and lower correct what a holder is thought to bear, once a round, when its
 	// answers tell that its queue is short or long in spite of a limit.
 	raise = 1.25
@@ -53,7 +56,7 @@
 func (c *Control) Round(now time.Time) {
 	for holder, r := range c.holders {
 		r.conclude(now)
-		if !r.limited && r.correction == 1 && now.Sub(r.fullAt) > fullLasts {
+		if !r.limited && r.correction == 1 && now.Sub(r.fullAt) > contendedLasts {
 			delete(c.holders, holder)
 		}
 	}
@@ -76,6 +79,13 @@
 	r.answers, r.full = 0, 0
 }
 
+// Contended tells whether a holder was overloaded lately, so that its queue should be
+// watched by one that sees all of it.
+func (c *Control) Contended(now time.Time, holder string) bool {
+	r := c.holders[holder]
+	return r != nil && !r.fullAt.IsZero() && now.Sub(r.fullAt) < contendedLasts
+}
+
 // Capacity is the load up to which a holder may be sent requests, of the one that it is
 // thought to bear and the one that it is offered; false means without a limit.
 func (c *Control) Capacity(now time.Time, holder string, thought, offered float64) (float64, bool) {
--- a/core/request/spread/fleet_test.go
+++ b/core/request/spread/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"catkinstep/core/request/permit"
 	"catkinstep/core/version/fleet"
 )
 
@@ -24,6 +25,9 @@
 	work    float64
 	round   time.Duration
 	end     time.Time
+	// permits are asked for at contended servers, unless nil.
+	permits *permit.Issuer
+	lastID  uint64
 
 	weights                           []int
 	asked, inAim, late, refused, shed int
@@ -42,6 +46,7 @@
 	daemon *Spread
 	need   Need
 	at     time.Time
+	id     uint64 // of its permit
 }
 
 type event struct {
@@ -147,19 +152,48 @@
 }
 
 func (p *place) send(d *Spread, n Need) {
-	c := d.Choose(p.now, n, p.list)
+	c, id := p.choose(d, n)
 	if c.Refused() {
 		p.refused++
 		return
 	}
-	d.Begin(p.now, c.Server, n)
 	for _, b := range p.servers {
 		if b.v.ID == c.Server.ID {
-			p.receive(b, job{daemon: d, need: n, at: p.now})
+			p.receive(b, job{daemon: d, need: n, at: p.now, id: id})
 		}
 	}
 }
 
+// choose chooses a server, and others where it gets no permit.
+func (p *place) choose(d *Spread, n Need) (Choice, uint64) {
+	for range 3 {
+		c := d.Choose(p.now, n, p.list)
+		if c.Refused() && (p.permits == nil || !c.Doubtful()) {
+			return c, 0
+		}
+		d.Begin(p.now, c.Server, n)
+		if p.permits == nil || !c.Contended {
+			return c, 0
+		}
+		p.lastID++
+		q := permit.Request{Server: c.Server.ID, ID: p.lastID, Slots: c.Server.Slots, Work: d.Work(p.now, n, c.Server),
+			Patience: d.Patience(n) - p.now.Sub(n.Began), Lasts: n.Deadline.Sub(p.now)}
+		if p.permits.Ask(p.now, q).Granted {
+			c.Reason = ""
+			return c, p.lastID
+		}
+		d.End(p.now, c.Server, n, p.now, NotPermitted, nil)
+		n.Tried = append(n.Tried, c.Server.ID)
+	}
+	return Choice{Reason: Busy}, 0
+}
+
+func (p *place) ended(b *backend, j job) {
+	if j.id > 0 {
+		p.permits.End(b.v.ID, j.id)
+	}
+}
+
 func (p *place) receive(b *backend, j job) {
 	switch {
 	case b.running < b.v.Slots:
@@ -168,6 +202,7 @@
 		b.queue = append(b.queue, j)
 	default:
 		p.shed++
+		p.ended(b, j)
 		j.daemon.End(p.now, b.v, j.need, j.at, Shed, b.report())
 		j.need.Tried = append(j.need.Tried, b.v.ID)
 		p.send(j.daemon, j.need)
@@ -185,6 +220,7 @@
 	took := p.work * math.Exp(p.random.NormFloat64()*sigma-sigma*sigma/2) * b.speed * b.noise
 	p.after(time.Duration(took*float64(time.Second)), func() {
 		b.running--
+		p.ended(b, j)
 		j.daemon.End(p.now, b.v, j.need, j.at, Answered, b.report())
 		if p.now.Sub(j.need.Began) <= j.need.Aim {
 			p.inAim++
--- a/core/request/spread/learn.go
+++ b/core/request/spread/learn.go
@@ -1,6 +1,10 @@
 package spread
 
-import "time"
+import (
+	"time"
+
+	"catkinstep/core/version/fleet"
+)
 
 type kind struct {
 	usual float64 // seconds at a server of factor 1, not waiting
@@ -40,6 +44,15 @@
 	return out
 }
 
+// Work is the time that a kind of request takes at a server without waiting.
+func (s *Spread) Work(now time.Time, n Need, v fleet.Server) time.Duration {
+	usual := s.usual(n)
+	return seconds(usual * s.factorOf(now, s.server(v), usual))
+}
+
+// Patience is how long a kind of request may take in all where others wait as well.
+func (s *Spread) Patience(n Need) time.Duration { return s.patience(n) }
+
 // Usual is the time that a kind of request takes at a server of usual speed.
 func (s *Spread) Usual(n Need) time.Duration { return seconds(s.usual(n)) }
 
--- a/core/request/spread/need.go
+++ b/core/request/spread/need.go
@@ -48,6 +48,9 @@
 	Expected   time.Duration
 	Reason     Reason
 	RetryAfter time.Duration
+	// Contended means that the server, or those like it, are thought to be nearly full, and
+	// that so many daemons send there that this one may well be wrong.
+	Contended bool
 	// free means that a slot is thought to be free, and the server not slower than
 	// most.
 	free bool
@@ -56,18 +59,23 @@
 // Refused tells whether there is no server.
 func (c Choice) Refused() bool { return c.Reason != "" }
 
+// Doubtful tells whether a server was refused for a queue that this daemon may well be wrong
+// about.
+func (c Choice) Doubtful() bool { return c.Reason == Busy && c.Contended }
+
 // Outcome is how an attempt ended.
 type Outcome int
 
 // Outcomes of an attempt.
 const (
-	Answered    Outcome = iota
-	Failed              // an answer of failure, a broken one, or none
-	TurnedAway          // none: a new connection was reset
-	Shed                // the server did not run it
-	Unreachable         // its address refuses connections
-	Silent              // no connection to it could be made
-	CalledOff           // ended by this daemon; says nothing of the server
+	Answered     Outcome = iota
+	Failed               // an answer of failure, a broken one, or none
+	TurnedAway           // none: a new connection was reset
+	NotPermitted         // not sent: others fill the server's queue
+	Shed                 // the server did not run it
+	Unreachable          // its address refuses connections
+	Silent               // no connection to it could be made
+	CalledOff            // ended by this daemon; says nothing of the server
 )
 
 // Report is what an answer tells of the server.
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -105,6 +105,8 @@
 			st.tookNoMore(now, v.Slots)
 		}
 		st.failing += forget / 3 * (1 - st.failing)
+	case NotPermitted:
+		st.tookNoMore(now, 2*v.Slots)
 	case Unreachable:
 		st.pause = now.Add(refusedPause)
 		st.coldTill = now.Add(refusedPause + restartDoubt)
--- a/io/process/router/answer.go
+++ b/io/process/router/answer.go
@@ -16,11 +16,23 @@
 	return reply, err
 }
 
+// askShort is call for a short question that is asked often.
+func (r *Router) askShort(ctx context.Context, address string, call *wire.Call) (*wire.Reply, error) {
+	r.meters.addBytes(bytesOut, call)
+	reply, err := r.mesh.Ask(ctx, address, call)
+	if err == nil {
+		r.meters.addBytes(bytesIn, reply)
+	}
+	return reply, err
+}
+
 // answerMesh answers another daemon's call, and counts what that costs.
 func (r *Router) answerMesh(ctx context.Context, call *wire.Call) *wire.Reply {
 	r.meters.addBytes(bytesIn, call)
 	reply := r.answerCall(ctx, call)
-	r.meters.addBytes(bytesOut, reply)
+	if reply != nil {
+		r.meters.addBytes(bytesOut, reply)
+	}
 	return reply
 }
 
@@ -46,6 +58,11 @@
 			return &wire.Reply{Delta: d}
 		case <-ctx.Done():
 		}
+	case *wire.Call_Permit:
+		return &wire.Reply{Permit: r.issue(k.Permit)}
+	case *wire.Call_PermitEnd:
+		r.permitEnded(k.PermitEnd)
+		return nil
 	case *wire.Call_Status:
 		if s, ok := r.ownStatus(ctx); ok {
 			return &wire.Reply{Status: s.own}
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -25,10 +25,17 @@
 		if c.Reason == moving && r.awaitOpen(ctx, o, changed) {
 			continue
 		}
+		if !c.Refused() || c.Doubtful() {
+			c = r.askPermit(ctx, o, v, c)
+		}
+		if c.Reason == contendedNow && o.tryOther(v) {
+			continue
+		}
 		if c.Refused() {
 			return r.giveUp(o, c, string(c.Reason), c.RetryAfter)
 		}
 		a, err := r.send(ctx, o, v)
+		r.endPermit(o)
 		if err != nil && link.NotRun(err) {
 			o.unsent++
 		} else {
@@ -67,7 +74,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.spread.Choose(now, o.need, s.serving[o.service.Name])
-	if !c.Refused() {
+	if !c.Refused() || c.Doubtful() {
 		o.began = now
 		r.spread.Begin(now, c.Server, o.need)
 	}
@@ -88,7 +95,7 @@
 		return v, r.closedChoice(now, o, g, lives)
 	}
 	c := r.spread.Judge(now, o.need, v)
-	if !c.Refused() {
+	if !c.Refused() || c.Doubtful() {
 		o.began = now
 		r.spread.Begin(now, v, o.need)
 	}
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -159,6 +159,7 @@
 	}
 	c.gossip(now)
 	c.booted(now, "")
+	c.listIssuers(now)
 	c.r.ready.Store(!c.leaving && c.isReady(now))
 }
 
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -42,7 +42,7 @@
 }
 
 // paces are when gossip of each kind last went out.
-type paces struct{ near, leader, far, seeds time.Time }
+type paces struct{ near, leader, far, seeds, issuers time.Time }
 
 // due tells whether it is time for a kind of gossip, and notes it.
 func (c *control) due(now time.Time, last *time.Time, pace time.Duration) bool {
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -117,7 +117,7 @@
 		c.applyTable(now, cmd.Table)
 		c.spreadNews(now, true)
 	case keeper.LimitCmd:
-		c.setLimits(now, limits{epoch: c.keeper.Table().Epoch, seq: c.limits.seq + 1, at: now, each: cmd.Limits}, true)
+		c.setLimits(now, limits{epoch: c.keeper.Table().Epoch, seq: c.limits.seq + 1, at: now, each: cmd.Limits, contended: cmd.Contended}, true)
 	case keeper.ResignCmd:
 		c.r.log.Info("keys: no longer leading", "reason", cmd.Reason)
 		c.keeper = nil
--- a/io/process/router/limits.go
+++ b/io/process/router/limits.go
@@ -18,6 +18,7 @@
 	epoch, seq uint64
 	at         time.Time
 	each       []admit.Limit
+	contended  []string
 }
 
 func (l limits) newer(o limits) bool {
@@ -29,7 +30,7 @@
 
 // message is the form for other daemons.
 func (l limits) message(now time.Time) *wire.Limits {
-	out := &wire.Limits{Epoch: l.epoch, Seq: l.seq, AgeMillis: age(now, l.at)}
+	out := &wire.Limits{Epoch: l.epoch, Seq: l.seq, AgeMillis: age(now, l.at), Contended: l.contended}
 	for _, x := range l.each {
 		out.Limits = append(out.Limits, &wire.Limit{Service: x.Service, Bucket: uint32(x.Bucket), Part: float32(x.Part)})
 	}
@@ -41,7 +42,7 @@
 	if m == nil {
 		return
 	}
-	l := limits{epoch: m.Epoch, seq: m.Seq, at: ago(now, m.AgeMillis)}
+	l := limits{epoch: m.Epoch, seq: m.Seq, at: ago(now, m.AgeMillis), contended: m.Contended}
 	for _, x := range m.Limits {
 		l.each = append(l.each, admit.Limit{Service: x.Service, Bucket: int(x.Bucket), Part: float64(x.Part)})
 	}
@@ -54,12 +55,14 @@
 	if !l.newer(c.limits) {
 		return
 	}
-	if len(l.each) == 0 != (len(c.limits.each) == 0) {
-		c.r.log.Info("limits: changed", "buckets", len(l.each), "epoch", l.epoch, "seq", l.seq, "age", now.Sub(l.at).String())
+	if len(l.each) == 0 != (len(c.limits.each) == 0) || len(l.contended) == 0 != (len(c.limits.contended) == 0) {
+		c.r.log.Info("limits: changed", "buckets", len(l.each), "contended", len(l.contended), "epoch", l.epoch, "seq", l.seq, "age", now.Sub(l.at).String())
 	}
 	c.limits = l
+	sent := time.Now().Add(l.at.Sub(now))
 	c.r.mu.Lock()
-	c.r.gate.Set(time.Now().Add(l.at.Sub(now)), l.each)
+	c.r.gate.Set(sent, l.each)
+	c.r.permits.set(sent, l.contended)
 	c.r.mu.Unlock()
 	var to []string
 	if made || c.members.IsRelay(now) {
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -23,6 +23,7 @@
 	"catkinstep/core/process/member"
 	"catkinstep/core/request/admit"
 	"catkinstep/core/request/crash"
+	"catkinstep/core/request/permit"
 	"catkinstep/core/request/retry"
 	"catkinstep/core/request/spread"
 	"catkinstep/core/version/fleet"
@@ -64,8 +65,9 @@
 	suspicions []suspicion
 	burn       *burn.Meter
 	// gaps are how long ranges stayed closed.
-	gaps *gaps.Meter
-	gate *admit.Gate
+	gaps    *gaps.Meter
+	gate    *admit.Gate
+	permits permits
 	// booted is closed once requests need not wait for what a start must read.
 	booted chan struct{}
 	boot   boot.Boot
@@ -118,6 +120,7 @@
 	r.gaps = gaps.New()
 	seed := seedOf(r.self)
 	r.gate = admit.NewGate(seed)
+	r.permits.issuer, r.permits.absent, r.permits.lastID = permit.NewIssuer(seed), map[string]time.Time{}, seed
 	r.opened.Store(new(make(chan struct{})))
 	r.random = rand.New(rand.NewPCG(seed, 23))
 	r.spread = spread.New(seed, r.limits().WithDaemons(1, 0))
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -47,6 +47,9 @@
 	admitted bool      // whether it may go to an overloaded holder
 	opensBy  time.Time // when its range has surely opened, if that is closed
 	maybeRan bool
+	permit   permitted // for the present attempt, if its server is contended
+	// turnedDown is how many servers gave no permit.
+	turnedDown int
 	// held is a server's own failure, given to the caller if nothing better comes.
 	held *link.Answer
 }
