A booking that is sent again runs once: the holder of its key keeps ids and answers

What callers saw: a booking whose daemon was killed before it answered, sent again under its Idempotency-Key by another, ran a second time (doubleRun).

Cause: nobody knew which ids had run.

Grants say how a server comes by keys (kept, first, handed, lost), and the stored table names the last holder until the next has confirmed, so that a successor of the leader can ask for the handover again. Daemons remember when they first sent an id, tell each other of ids without an answer, and tell the holder their age: one that does not know what ran before it refuses to run those (outcomeLost). keyByID gives services without keys the same.

On the users' platform nothing changes but that a leader lost between a release and the next grant's answer is succeeded by one that releases again.

--- a/core/connection/names/names.go
+++ b/core/connection/names/names.go
@@ -26,6 +26,11 @@
 	Key string
 	// Handover is given out with a release.
 	Handover string
+	// FirstSent is how many milliseconds ago a request that must run once was first sent
+	// under its id. Empty where servers keep no ids.
+	FirstSent string
+	// Lost marks the answer to such a request that may have run at a holder which was lost.
+	Lost string
 }
 
 // Default are the product's own names.
@@ -39,5 +44,7 @@
 		Load:      "Catkinstep-Load",
 		Key:       "Catkinstep-Key-Number",
 		Handover:  "Catkinstep-Handover",
+		FirstSent: "Catkinstep-First-Sent-Millis",
+		Lost:      "Catkinstep-Outcome-Lost",
 	}
 }
--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -37,6 +37,10 @@
 	// due is when the next call may be made.
 	due      time.Time
 	handover string
+	origin   grant.Origin
+	// handedBy let go of the range, and is asked again by a successor of this leader that
+	// does not have the handover; nobody once Holder has confirmed its grant.
+	handedBy grant.Holder
 	// closed is since when a planned move has kept the range from its callers; zero
 	// where its holder was lost.
 	closed time.Time
@@ -122,13 +126,13 @@
 func (k *Keeper) takeOver(now time.Time, s grant.Share) *share {
 	out := &share{service: s.Service, balanced: now, firstKeysAt: now, moveTakes: moveTakes}
 	for _, r := range s.Ranges {
-		sp := &span{Range: r, until: k.runsOut(now.Add(k.leaderLease + onTheWay)), due: now}
+		sp := &span{Range: r, until: k.runsOut(now.Add(k.leaderLease + onTheWay)), due: now, origin: grant.Kept}
 		sp.Fence = k.mint()
 		switch {
 		case r.Next.Server != "":
-			sp.step, sp.intent, sp.next = releasing, k.seq, sp.until
+			sp.step, sp.intent, sp.next, sp.origin = releasing, k.seq, sp.until, originAfter(r.Holder)
 		case r.Pending:
-			sp.step = granting
+			sp.step, sp.origin = granting, grant.Lost
 		}
 		out.spans = append(out.spans, sp)
 	}
@@ -166,15 +170,19 @@
 func (k *Keeper) Table() grant.Table { return k.table(false) }
 
 // table lists the ranges. The stored form names an intent before anything is
-// done about it; the published form only when the range is closed.
+// done about it, and for as long as only this leader has the handover; the published
+// form only while the range is closed.
 func (k *Keeper) table(stored bool) grant.Table {
 	t := grant.Table{Epoch: k.epoch, Seq: k.seq, Leader: k.leader}
 	for _, s := range k.shares {
 		out := grant.Share{Service: s.service, Ranges: make([]grant.Range, 0, len(s.spans))}
 		for _, sp := range s.spans {
 			r := sp.Range
-			if !stored && sp.step == saving {
+			switch {
+			case !stored && sp.step == saving:
 				r.Next = grant.Holder{}
+			case stored && sp.handedBy.Server != "":
+				r.Holder, r.Next, r.Pending = sp.handedBy, sp.Holder, false
 			}
 			out.Ranges = append(out.Ranges, r)
 		}
--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -87,12 +87,21 @@
 // move states the intent; nothing happens until it is stored.
 func (k *Keeper) move(s *share, sp *span, to grant.Holder, reason string) {
 	k.seq++
-	sp.Next, sp.step, sp.intent = to, saving, k.seq
+	sp.Next, sp.step, sp.intent, sp.origin = to, saving, k.seq, originAfter(sp.Holder)
+	sp.handedBy = grant.Holder{}
 	k.saver.now = true
 	k.note(NoteCmd{Text: "range is to move", Service: s.service, From: sp.From, To: sp.To,
 		Holder: sp.Holder, Next: sp.Next, Fence: sp.Fence, Reason: reason})
 }
 
+// originAfter is the origin of a grant after a holder that has not handed over yet.
+func originAfter(h grant.Holder) grant.Origin {
+	if h.Server == "" {
+		return grant.First
+	}
+	return grant.Lost
+}
+
 // act makes the next call for a range.
 func (k *Keeper) act(now time.Time, s *share, sp *span) {
 	if sp.step == releasing && k.free(now, sp) {
@@ -112,7 +121,7 @@
 	}
 	sp.busy = true
 	k.cmds = append(k.cmds, GrantCmd{Renewal: sp.renewal, Service: s.service, Holder: sp.Holder, Before: now.Add(sendWithin),
-		Call: grant.Call{Address: sp.Holder.Address, From: sp.From, To: sp.To, Fence: sp.Fence, Hold: k.hold, Handover: sp.handover}})
+		Call: grant.Call{Address: sp.Holder.Address, From: sp.From, To: sp.To, Fence: sp.Fence, Hold: k.hold, Handover: sp.handover, Origin: sp.origin}})
 }
 
 // free tells whether the holder can no longer run anything on the range.
@@ -129,6 +138,9 @@
 	if sp.handover == "" {
 		sp.closed = time.Time{} // the holder did not let go: this tells nothing of planned moves
 	}
+	if sp.origin == grant.Handed {
+		sp.handedBy = sp.Holder
+	}
 	sp.Holder, sp.Next, sp.Pending = sp.Next, grant.Holder{}, true
 	sp.Fence, sp.step, sp.due = k.mint(), granting, now
 	sp.until, sp.next = sp.next, time.Time{}
@@ -183,6 +195,7 @@
 	if sp.step != granting {
 		return
 	}
+	sp.origin, sp.handedBy = grant.Kept, grant.Holder{}
 	sp.step, sp.Pending = held, false
 	k.saver.later, k.publisher.due = true, true
 	k.learnMove(now, m.Cmd.Service, sp)
@@ -215,7 +228,7 @@
 	case grant.Done:
 		// A server refuses fences below the release's from now on, so that neither a
 		// late grant nor the leader before can make it hold the range again.
-		sp.handover, sp.until = m.Handover, time.Time{}
+		sp.handover, sp.origin, sp.until = m.Handover, grant.Handed, time.Time{}
 	case grant.Ended:
 		k.lifeEnded(m.Cmd.Holder)
 	default:
--- a/core/process/keeper/place.go
+++ b/core/process/keeper/place.go
@@ -42,7 +42,7 @@
 		to := Buckets*sum/slots*bucketKeys - 1 // loads are counted by bucket
 		s.spans = append(s.spans, &span{
 			Range: grant.Range{From: from, To: to, Next: holder(v)},
-			step:  saving, intent: k.seq,
+			step:  saving, intent: k.seq, origin: grant.First,
 		})
 		from = to + 1
 	}
--- a/core/version/config/config.go
+++ b/core/version/config/config.go
@@ -78,6 +78,8 @@
 	// KeySegment is the segment of the path, from 1 after the stripped part, that
 	// names the key where callers give no number.
 	KeySegment int `json:"keySegment,omitempty"`
+	// KeyByID takes a request's id for its key.
+	KeyByID bool `json:"keyByID,omitempty"`
 	// Warm is how long keys are slow at a server that got them without a handover.
 	Warm time.Duration `json:"warm"`
 	// Cold is how long a server stays cold after its start.
--- a/core/version/grant/call.go
+++ b/core/version/grant/call.go
@@ -37,6 +37,22 @@
 	}
 }
 
+// Origin is how a server comes to hold a range, which says what it can know of the
+// requests that ran on its keys before.
+type Origin string
+
+// Origins of grants.
+const (
+	// Kept means that the server held the range already.
+	Kept Origin = "kept"
+	// First means that nobody held it before.
+	First Origin = "first"
+	// Handed means that the last holder let go and handed over what it knew.
+	Handed Origin = "handed"
+	// Lost means that the last holder did not: what it knew is lost.
+	Lost Origin = "lost"
+)
+
 // Call asks a server to hold a range, or to let go of it once its running work
 // has ended.
 type Call struct {
@@ -47,4 +63,6 @@
 	Hold time.Duration
 	// Handover is what the last holder gave out with its release.
 	Handover string
+	// Origin is set for grants.
+	Origin Origin
 }
--- a/core/version/site/rules.go
+++ b/core/version/site/rules.go
@@ -41,6 +41,9 @@
 		if v.KeySegment < 0 {
 			c.Add(at+".keySegment", "must not be negative")
 		}
+		if v.KeyByID && (!v.Keyed || v.KeySegment > 0) {
+			c.Add(at+".keyByID", "needs keyed: true, and no keySegment")
+		}
 		if v.Attempts < 1 {
 			c.Add(at+".attempts", "must be at least 1")
 		}
--- a/core/version/site/site.go
+++ b/core/version/site/site.go
@@ -34,6 +34,9 @@
 	// KeySegment is the path segment, counted from 1 after the service's name,
 	// that holds the key; zero means the Catkinstep-Key header.
 	KeySegment int `yaml:"keySegment,omitempty"`
+	// KeyByID makes each request's id its key, for services that have no keys of their own
+	// and whose bookings must run once although they are sent again.
+	KeyByID bool `yaml:"keyByID,omitempty"`
 	// Slots is how many requests one server runs at once.
 	Slots int `yaml:"slots"`
 	// Connections bounds the connections to one server.
--- a/core/version/site/site_test.go
+++ b/core/version/site/site_test.go
@@ -57,13 +57,14 @@
 	})
 	Convey("Rules beyond types name their lines too", t, func() {
 		for text, want := range map[string]string{
-			strings.Replace(right, "retryShare: 0.05", "inForce: true", 1):      `site.yaml:15: presets[1].inForce: two presets in force, "ordinary" and "peak"`,
-			strings.Replace(right, "name: peak", "name: ordinary", 1):           `site.yaml:14: presets[1].name: "ordinary" stands twice`,
-			strings.Replace(right, "service: workshop}", "service: x}", 1):      `site.yaml:10: dataCentres[0].servers[0].service: no service "x"`,
-			strings.Replace(right, "127.0.0.1:9001", "localhost:9001", 1):       `site.yaml:10: dataCentres[0].servers[0].address: "localhost:9001" is no IP number with a port`,
-			strings.Replace(right, "retryShare: 0.05", "out: [nowhere]", 1):     `site.yaml:15: presets[1].out[0]: no data centre "nowhere"`,
-			strings.Replace(right, "slots: 3", "attempts: -1\n    slots: 3", 1): `site.yaml:5: services[0].attempts: must be at least 1`,
-			strings.Replace(right, "retryShare: 0.05", "retryShare: 1.5", 1):    `site.yaml:15: presets[1].retryShare: must be between 0 and 1`,
+			strings.Replace(right, "retryShare: 0.05", "inForce: true", 1):                          `site.yaml:15: presets[1].inForce: two presets in force, "ordinary" and "peak"`,
+			strings.Replace(right, "name: peak", "name: ordinary", 1):                               `site.yaml:14: presets[1].name: "ordinary" stands twice`,
+			strings.Replace(right, "service: workshop}", "service: x}", 1):                          `site.yaml:10: dataCentres[0].servers[0].service: no service "x"`,
+			strings.Replace(right, "127.0.0.1:9001", "localhost:9001", 1):                           `site.yaml:10: dataCentres[0].servers[0].address: "localhost:9001" is no IP number with a port`,
+			strings.Replace(right, "retryShare: 0.05", "out: [nowhere]", 1):                         `site.yaml:15: presets[1].out[0]: no data centre "nowhere"`,
+			strings.Replace(right, "slots: 3", "attempts: -1\n    slots: 3", 1):                     `site.yaml:5: services[0].attempts: must be at least 1`,
+			strings.Replace(right, "slots: 3", "keyByID: true\n    keySegment: 2\n    slots: 3", 1): `site.yaml:5: services[0].keyByID: needs keyed: true, and no keySegment`,
+			strings.Replace(right, "retryShare: 0.05", "retryShare: 1.5", 1):                        `site.yaml:15: presets[1].retryShare: must be between 0 and 1`,
 		} {
 			if want != "" {
 				So(mistakes(text), ShouldResemble, []string{want})
--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -53,7 +53,9 @@
 	Body   []byte
 	// NotRun means that the server says it did not run the request.
 	NotRun bool
-	Load   *Load
+	// Lost means that it cannot say whether a server before it did.
+	Lost bool
+	Load *Load
 	// Server is the id of the server that was asked.
 	Server string
 }
@@ -159,6 +161,7 @@
 		}
 		a := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Server: l.instance}
 		a.NotRun = resp.Header.Get(l.names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
+		a.Lost = l.names.Lost != "" && resp.Header.Get(l.names.Lost) != ""
 		if a.Load = parseLoad(resp.Header.Get(l.names.Load)); a.Load != nil {
 			a.Load.Bytes = len(body)
 		}
--- a/io/process/native/daemon_test.go
+++ b/io/process/native/daemon_test.go
@@ -25,7 +25,7 @@
 )
 
 // yard is a small site on loopback: the platform's stand-in, two servers with
-// keys and two without, and daemons as "catkinstep serve" runs them.
+// keys, two whose keys are ids and two without, and daemons as "catkinstep serve" runs them.
 type yard struct {
 	t       *testing.T
 	store   *store.Store
@@ -41,9 +41,10 @@
 	y := &yard{t: t, store: store.New(), oracle: oracle.New(), servers: map[string]*server.Server{}, client: http.Client{Timeout: 6 * time.Second}}
 	h := httptest.NewServer(y.store)
 	y.site = site.Site{Name: "yard", Presets: []site.Preset{{Name: "ordinary", InForce: true}}, DataCentres: []site.DataCentre{{Name: "duluth"}},
-		Services: []site.Service{{Name: "intake", Slots: 3, Connections: 30}, {Name: "workshop", Keyed: true, KeySegment: 2, Slots: 3, Connections: 30}}}
-	for _, service := range []string{"intake", "intake", "workshop", "workshop"} {
-		v := server.New(server.Config{Address: ports.Free(t), Service: service, DataCentre: "duluth", Slots: 3, Keyed: service == "workshop", Work: 5 * time.Millisecond}, y.oracle)
+		Services: []site.Service{{Name: "intake", Slots: 3, Connections: 30}, {Name: "workshop", Keyed: true, KeySegment: 2, Slots: 3, Connections: 30},
+			{Name: "labels", Keyed: true, KeyByID: true, Slots: 3, Connections: 30}}}
+	for _, service := range []string{"intake", "intake", "workshop", "workshop", "labels", "labels"} {
+		v := server.New(server.Config{Address: ports.Free(t), Service: service, DataCentre: "duluth", Slots: 3, Keyed: service != "intake", Work: 5 * time.Millisecond}, y.oracle)
 		if err := v.Start(); err != nil {
 			t.Fatal(err)
 		}
@@ -95,11 +96,15 @@
 
 func (y *yard) ask(d *native.Daemon, method, path, body string) got {
 	y.ids++
+	return y.askID(d, method, fmt.Sprintf("id-%d", y.ids), path, body)
+}
+
+func (y *yard) askID(d *native.Daemon, method, id, path, body string) got {
 	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+d.Prefs().Callers+path, strings.NewReader(body))
 	if err != nil {
 		y.t.Fatal(err)
 	}
-	req.Header.Set("Catkinstep-Request-Id", fmt.Sprintf("id-%d", y.ids))
+	req.Header.Set("Idempotency-Key", id)
 	resp, err := y.client.Do(req)
 	if err != nil {
 		return got{}
--- a/io/process/native/site.go
+++ b/io/process/native/site.go
@@ -60,7 +60,7 @@
 		c.Routes = append(c.Routes, r)
 		r.Name, r.Methods, r.Idempotent, r.Priority = v.Name+"Lookups", v.Idempotent, true, lookupPriority
 		c.Routes = append(c.Routes, r)
-		c.Services = append(c.Services, config.Service{Name: v.Name, Connections: v.Connections, Keyed: v.Keyed, KeySegment: v.KeySegment, Cold: v.Cold, ColdRate: v.ColdRate})
+		c.Services = append(c.Services, config.Service{Name: v.Name, Connections: v.Connections, Keyed: v.Keyed, KeySegment: v.KeySegment, KeyByID: v.KeyByID, Cold: v.Cold, ColdRate: v.ColdRate})
 	}
 	return c
 }
--- a/io/process/native/speech.go
+++ b/io/process/native/speech.go
@@ -45,6 +45,8 @@
 	Fence      uint64 `json:"fence"`
 	HoldMillis int64  `json:"holdMillis,omitempty"`
 	Handover   string `json:"handover,omitempty"`
+	// Origin says, with a grant, what the server can know of the keys.
+	Origin grant.Origin `json:"origin,omitempty"`
 }
 
 // Failure is the JSON body of every answer that is not a server's.
@@ -67,7 +69,7 @@
 
 // Grant builds the call that makes a server hold a range.
 func (Speech) Grant(c grant.Call) link.Request {
-	return post(GrantPath, c.Address, Keys{From: c.From, To: c.To, Fence: c.Fence, HoldMillis: c.Hold.Milliseconds(), Handover: c.Handover})
+	return post(GrantPath, c.Address, Keys{From: c.From, To: c.To, Fence: c.Fence, HoldMillis: c.Hold.Milliseconds(), Handover: c.Handover, Origin: c.Origin})
 }
 
 // Release builds the call that makes a server let go of a range.
@@ -96,8 +98,8 @@
 		Header: http.Header{"Content-Type": {"application/json"}}}
 }
 
-// ID takes the caller's id, or makes one. An id stands for one try: whoever
-// sends a request again under it sends a new request.
+// ID takes the caller's id, or makes one. A booking that is sent again under its id is
+// the same booking where a service is divided by key: the key's holder knows the ids.
 func (Speech) ID(h http.Header) string {
 	for _, name := range []string{headerIdem, names.Default().ID} {
 		if id := h.Get(name); id != "" {
@@ -114,9 +116,12 @@
 }
 
 // Key is the number of the key that a request is about.
-func (Speech) Key(s config.Service, path string, h http.Header) (int, bool) {
+func (p Speech) Key(s config.Service, path string, h http.Header) (int, bool) {
 	text := h.Get(HeaderKey)
-	if s.KeySegment > 0 {
+	switch {
+	case s.KeyByID:
+		text = p.ID(h)
+	case s.KeySegment > 0:
 		text = segment(path, s.KeySegment)
 	}
 	return grant.KeyOf(text), text != ""
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -105,6 +105,16 @@
 // send makes one attempt. An idempotent request ends with its caller; another
 // goes on, since breaking it off would leave its outcome unknown for nothing.
 func (r *Router) send(ctx context.Context, o *order, v fleet.Server) (*link.Answer, error) {
+	if !r.keepsIDs(o) {
+		return r.exchange(ctx, o, v)
+	}
+	first, again := r.noteSent(o)
+	a, err := r.exchange(ctx, o, v)
+	r.noteEnd(ctx, first, again, a, err)
+	return a, err
+}
+
+func (r *Router) exchange(ctx context.Context, o *order, v fleet.Server) (*link.Answer, error) {
 	if !o.route.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
@@ -155,6 +165,8 @@
 		r.lost(o, v.ID)
 	}
 	switch {
+	case err == nil && a.Lost:
+		return r.outcomeLost(o, v.ID), false
 	case err == nil && !a.NotRun && r.isAnswer(a):
 		r.answered(o)
 		if a.Status < http.StatusInternalServerError || !r.mayRepeat(ctx, o, false) {
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -39,8 +39,8 @@
 		reply chan *wire.Delta
 	}
 	fetchedMsg struct{ kind string }
-	// suspectMsg says that a request is refused from now on.
-	suspectMsg struct{}
+	// urgentMsg says that there is news for the other daemons which cannot wait.
+	urgentMsg struct{}
 	// statusMsg asks what is in force here, and for the other daemons' addresses.
 	statusMsg struct {
 		reply chan status
@@ -139,7 +139,7 @@
 		c.applySettings(m.settings)
 	case leadFailMsg:
 		c.lead.taking = false
-	case suspectMsg:
+	case urgentMsg:
 		c.spreadNews(now, true)
 	case statusMsg:
 		m.reply <- c.status(now)
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -99,7 +99,7 @@
 		s := c.caches[k]
 		h.Known = append(h.Known, &wire.Known{Kind: string(k), Through: s.Through(), AgeMillis: age(now, s.At())})
 	}
-	h.Suspects = c.r.suspectNews()
+	h.Suspects, h.Sent = c.r.suspectNews(), c.r.sentNews()
 	h.LimitsEpoch, h.LimitsSeq = c.limits.epoch, c.limits.seq
 	return h
 }
@@ -171,6 +171,7 @@
 		c.share()
 	}
 	c.underWay(now, h)
+	c.r.heardOfSent(h.Sent)
 	if c.r.heardOfLosses(h.Suspects) {
 		c.spreadNews(now, false)
 	}
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 	"gopkg.in/tomb.v2"
 
+	"catkinstep/core/connection/wire"
 	"catkinstep/core/process/boot"
 	"catkinstep/core/process/burn"
 	"catkinstep/core/process/keeper"
@@ -25,6 +26,7 @@
 	"catkinstep/core/request/crash"
 	"catkinstep/core/request/permit"
 	"catkinstep/core/request/retry"
+	"catkinstep/core/request/sent"
 	"catkinstep/core/request/spread"
 	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/gaps"
@@ -62,7 +64,11 @@
 	budgets map[string]*retry.Budget
 	// suspects are requests that servers were lost with.
 	suspects   *crash.Suspects
-	suspicions []suspicion
+	suspicions recent[*wire.Suspect]
+	// sent are the ids of requests that must run once; unanswered are those that may have
+	// run without an answer.
+	sent       *sent.Memory
+	unanswered recent[firstSent]
 	burn       *burn.Meter
 	// gaps are how long ranges stayed closed.
 	gaps    *gaps.Meter
@@ -106,7 +112,7 @@
 		settings: s, store: st, speech: sp, log: slog.Default(),
 		hold: keeper.DefaultHold, now: clock.Now, meters: newMeters(), bounds: s, daemons: 1,
 		inbox: make(chan any, inboxSize), running: make(chan struct{}),
-		budgets: map[string]*retry.Budget{}, suspects: crash.New(crashBound, crashKeep), heat: map[heatKey]heatCount{},
+		budgets: map[string]*retry.Budget{}, suspects: crash.New(crashBound, crashKeep), sent: sent.New(keepSent), heat: map[heatKey]heatCount{},
 		self: member.Member{Name: s.Name, Address: s.Mesh, DataCentre: s.DataCentre, Strength: s.Strength, Incarnation: uint64(time.Now().UnixMicro())},
 	}
 	for _, o := range opts {
--- /dev/null
+++ b/io/process/router/sent.go
@@ -0,0 +1,107 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"catkinstep/core/connection/wire"
+	"catkinstep/core/request/sent"
+	"catkinstep/io/connection/caller"
+	"catkinstep/io/connection/link"
+)
+
+// keepSent is how long the ids of requests that must run once are remembered: as long as
+// holders keep them.
+const keepSent = 2 * time.Minute
+
+// firstSent is an id that was sent and may have run, as other daemons are told of it.
+type firstSent struct {
+	hash uint64
+	at   time.Time
+}
+
+// keepsIDs tells whether the holder of a request's key keeps its id.
+func (r *Router) keepsIDs(o *order) bool {
+	return !o.route.Idempotent && o.key >= 0 && r.speech.Names().FirstSent != ""
+}
+
+// noteSent notes that a request is about to be sent, and tells its server when it first
+// was. A caller may know of an earlier time than the daemons do.
+func (r *Router) noteSent(o *order) (firstSent, bool) {
+	now := time.Now()
+	r.mu.Lock()
+	first, again := r.sent.Note(now, sent.Hash(o.id))
+	r.mu.Unlock()
+	ago, name := now.Sub(first), r.speech.Names().FirstSent
+	if ms, err := strconv.ParseInt(o.Header.Get(name), 10, 64); err == nil {
+		ago = max(ago, time.Duration(ms)*time.Millisecond)
+	}
+	o.Header.Del(name)
+	if ago > 0 {
+		o.Header.Set(name, strconv.FormatInt(ago.Milliseconds()+1, 10))
+	}
+	return firstSent{hash: sent.Hash(o.id), at: first}, again
+}
+
+// noteEnd takes in how a request that must run once ended at its holder. The other daemons
+// learn of one that may have run without its caller's knowing: it is sent again by any of
+// them, perhaps after its holder was lost.
+func (r *Router) noteEnd(ctx context.Context, f firstSent, again bool, a *link.Answer, err error) {
+	notRun := err != nil && link.NotRun(err) || err == nil && a.NotRun
+	unanswered := err != nil && !notRun || ctx.Err() != nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if notRun && !again {
+		r.sent.Forget(f.hash)
+	}
+	if notRun || !unanswered {
+		return
+	}
+	if !r.unanswered.add(time.Now(), f) {
+		r.meters.add("sent.untold")
+		return
+	}
+	if link.KindOf(err) == link.Unsure {
+		go r.post(urgentMsg{}) // not to wait under the lock; its holder may be lost
+	}
+}
+
+// sentNews lists the ids that may have run without an answer lately.
+func (r *Router) sentNews() []*wire.Sent {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	var out []*wire.Sent
+	for _, f := range r.unanswered.list(now) {
+		out = append(out, &wire.Sent{Id: f.hash, AgoMillis: uint32(now.Sub(f.at).Milliseconds())})
+	}
+	return out
+}
+
+// heardOfSent takes in what another daemon sent without an answer, and passes on what is
+// new.
+func (r *Router) heardOfSent(news []*wire.Sent) {
+	if len(news) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for _, s := range news {
+		at := now.Add(-millis(s.AgoMillis))
+		if r.sent.Learn(now, s.Id, at) && !r.unanswered.add(now, firstSent{hash: s.Id, at: at}) {
+			r.meters.add("sent.untold")
+		}
+	}
+}
+
+// outcomeLost answers a request that may have run at a holder which was lost. It will not
+// run under this id.
+func (r *Router) outcomeLost(o *order, server string) caller.Reply {
+	r.meters.add("sent.lost")
+	r.log.Info("request: may have run at a lost holder", "id", o.id, "route", o.route.Name, "key", o.key, "server", server,
+		"firstSentMillis", o.Header.Get(r.speech.Names().FirstSent))
+	return *r.plain(o.id, http.StatusBadGateway, reasonLost)
+}
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -28,6 +28,7 @@
 	reasonNoRoute  = "noRoute"
 	reasonNoKey    = "missingKey"
 	reasonLeft     = "callerLeft"
+	reasonLost     = "outcomeLost"
 )
 
 // order is one caller's request on its way.
--- a/io/process/router/suspect.go
+++ b/io/process/router/suspect.go
@@ -14,19 +14,8 @@
 	crashBound = 3
 	// crashKeep is how long that is remembered; a server is back after seconds.
 	crashKeep = time.Minute
-	// crashTell is how long a loss is passed on to the other daemons, with all gossip:
-	// such a request comes again at any of them.
-	crashTell = 1500 * time.Millisecond
-	// crashTold bounds the losses that are passed on at once.
-	crashTold = 32
 )
 
-// suspicion is a loss that is passed on to the other daemons.
-type suspicion struct {
-	at      time.Time
-	suspect *wire.Suspect
-}
-
 // fingerprint is the same for each try of the same content, whatever its id.
 func fingerprint(o *order) uint64 {
 	d := xxhash.New()
@@ -46,11 +35,9 @@
 	if !r.suspects.Lost(now, o.print, server) {
 		return
 	}
-	if len(r.suspicions) < crashTold {
-		r.suspicions = append(r.suspicions, suspicion{at: now, suspect: &wire.Suspect{Fingerprint: o.print, Servers: []string{server}}})
-	}
+	r.suspicions.add(now, &wire.Suspect{Fingerprint: o.print, Servers: []string{server}})
 	if r.suspects.Refused(now, o.print) {
-		go r.post(suspectMsg{}) // not to wait under the lock
+		go r.post(urgentMsg{}) // not to wait under the lock
 	}
 }
 
@@ -74,16 +61,7 @@
 func (r *Router) suspectNews() []*wire.Suspect {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now, left := time.Now(), r.suspicions[:0]
-	var out []*wire.Suspect
-	for _, s := range r.suspicions {
-		if now.Sub(s.at) < crashTell {
-			left = append(left, s)
-			out = append(out, s.suspect)
-		}
-	}
-	r.suspicions = left
-	return out
+	return r.suspicions.list(time.Now())
 }
 
 // heardOfLosses takes in what another daemon found, and passes on what is new. It
@@ -99,9 +77,7 @@
 		if !r.suspects.Lost(now, s.Fingerprint, s.Servers...) {
 			continue
 		}
-		if len(r.suspicions) < crashTold {
-			r.suspicions = append(r.suspicions, suspicion{at: now, suspect: s})
-		}
+		r.suspicions.add(now, s)
 		refused = refused || r.suspects.Refused(now, s.Fingerprint)
 	}
 	return refused
--- a/io/standin/server/grant.go
+++ b/io/standin/server/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -32,6 +33,10 @@
 			return
 		}
 	}
+	if err := v.bookings.take(time.Now(), k.From, k.To, k.Origin, k.Handover); err != nil {
+		http.Error(w, fmt.Sprintf("handover: %v", err), http.StatusBadRequest)
+		return
+	}
 	until := arrived.Add(time.Duration(k.HoldMillis) * time.Millisecond)
 	for key := k.From; key <= k.To; key++ {
 		v.held[key] = holding{fence: k.Fence, until: until}
@@ -57,7 +62,11 @@
 	for s.works(v, k) {
 		time.Sleep(releasePoll)
 	}
-	w.Header().Set(names.Default().Handover, s.config.Address)
+	s.mu.Lock()
+	known := v.bookings.hand(time.Now(), k.From, k.To)
+	s.mu.Unlock()
+	text, _ := json.Marshal(known) // strings and numbers always marshal
+	w.Header().Set(names.Default().Handover, string(text))
 }
 
 func (s *Server) works(v *life, k native.Keys) bool {
--- a/io/standin/server/serve.go
+++ b/io/standin/server/serve.go
@@ -32,6 +32,8 @@
 	key        int
 	until      time.Time
 	idempotent bool
+	// age is how long ago it was first sent under its id, as its sender knows; else 0.
+	age time.Duration
 }
 
 func (s *Server) serve(v *life, w http.ResponseWriter, r *http.Request) {
@@ -68,23 +70,42 @@
 
 func (s *Server) serveRequest(v *life, w http.ResponseWriter, r *http.Request) {
 	q := parse(r, time.Now())
+	if s.config.Keyed && !q.idempotent && q.id != "" {
+		s.serveBooking(v, w, r, q)
+		return
+	}
+	s.run(v, w, r, q)
+}
+
+// refuseNew refuses a request that was not known before: it did not run.
+func (s *Server) refuseNew(v *life, w http.ResponseWriter, r *http.Request, q request, status int) {
+	s.mu.Lock()
+	if !q.idempotent {
+		v.bookings.refuse(q.id)
+	}
+	s.mu.Unlock()
+	refuse(w, r, status)
+}
+
+// run takes a request that was not known before through its slot.
+func (s *Server) run(v *life, w http.ResponseWriter, r *http.Request, q request) {
 	if !s.admit(v, q) {
 		status := http.StatusServiceUnavailable
 		if s.config.Keyed {
 			status = http.StatusMisdirectedRequest
 		}
-		refuse(w, r, status)
+		s.refuseNew(v, w, r, q, status)
 		return
 	}
 	if !s.slot(r.Context(), v, q) {
-		refuse(w, r, http.StatusServiceUnavailable)
+		s.refuseNew(v, w, r, q, http.StatusServiceUnavailable)
 		return
 	}
 	defer func() { <-v.slots }()
 	run, began, state := s.begin(v, q, r)
 	switch state {
 	case notHeld:
-		refuse(w, r, http.StatusMisdirectedRequest)
+		s.refuseNew(v, w, r, q, http.StatusMisdirectedRequest)
 		return
 	case crashing:
 		s.Stop()
@@ -178,8 +199,8 @@
 	return s.nextRun, now, begun
 }
 
-// work takes the time of the request, and ends early when it is called off or
-// its deadline comes.
+// work takes the time of the request. A lookup ends early when it is called off or its
+// deadline comes; a booking that has begun is carried out.
 func (s *Server) work(r *http.Request, q request) {
 	s.mu.Lock()
 	d := time.Duration((0.5 + s.random.ExpFloat64()/2) * float64(s.config.Work))
@@ -187,7 +208,10 @@
 		d = time.Duration(float64(d) * s.faults.Slow)
 	}
 	s.mu.Unlock()
-	t := time.NewTimer(min(d, time.Until(q.until)))
+	if q.idempotent {
+		d = min(d, time.Until(q.until))
+	}
+	t := time.NewTimer(d)
 	defer t.Stop()
 	if !q.idempotent {
 		<-t.C
@@ -199,8 +223,8 @@
 	}
 }
 
-// end commits a run, unless its process has ended, its deadline has passed, or
-// its keys were lost meanwhile.
+// end commits a run, unless its process has ended, its keys were lost meanwhile, or it is
+// a lookup whose deadline has passed.
 func (s *Server) end(v *life, run uint64, q request, r *http.Request, began time.Time) (Answer, Faults, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -209,16 +233,19 @@
 	if h := s.holdingOf(v, q.key); s.config.Keyed && h.fence != 0 && !h.until.IsZero() && now.After(h.until) {
 		end, lost = h.until, true // work has no effect once the lease is over
 	}
-	if end.After(q.until) {
+	late := q.idempotent && now.After(q.until)
+	if late && end.After(q.until) {
 		end = q.until
 	}
 	s.record(s.runOf(q, began, end))
 	delete(v.running, run)
-	if now.After(q.until) || v.ended || lost {
+	if late || v.ended || lost {
+		v.noteEnd(q, nil)
 		return Answer{}, Faults{}, false
 	}
 	v.counts[r.URL.Path]++
 	a := Answer{ID: q.id, Server: s.config.Address, Service: s.config.Service, Path: r.URL.Path, Count: v.counts[r.URL.Path]}
+	v.noteEnd(q, &a)
 	f := s.faults
 	f.CrossAnswers = s.flip(f.CrossAnswers)
 	f.CutAnswers = s.flip(f.CutAnswers)
@@ -304,7 +331,7 @@
 
 func parse(r *http.Request, now time.Time) request {
 	n := names.Default()
-	q := request{id: r.Header.Get(n.ID), until: now.Add(usualPatience), idempotent: r.Method == http.MethodGet || r.Method == http.MethodHead}
+	q := request{id: r.Header.Get(n.ID), until: now.Add(usualPatience), idempotent: r.Method == http.MethodGet || r.Method == http.MethodHead, age: ageOf(r)}
 	if ms, err := strconv.ParseInt(r.Header.Get(n.Deadline), 10, 64); err == nil {
 		q.until = now.Add(time.Duration(ms) * time.Millisecond)
 	}
--- a/io/standin/server/server.go
+++ b/io/standin/server/server.go
@@ -76,6 +76,7 @@
 	slots    chan struct{}
 	waiting  int
 	counts   map[string]int
+	bookings *bookings
 	began    time.Time
 	coldTill time.Time
 	coldAt   time.Time // when it turned cold without warning
@@ -113,7 +114,7 @@
 		return fmt.Errorf("server stand-in: %w", err)
 	}
 	now := time.Now()
-	v := &life{listener: l, running: map[uint64]int{}, slots: make(chan struct{}, s.config.Slots), counts: map[string]int{}, began: now}
+	v := &life{listener: l, running: map[uint64]int{}, slots: make(chan struct{}, s.config.Slots), counts: map[string]int{}, bookings: newBookings(), began: now}
 	if s.config.ColdRate > 0 {
 		v.coldTill = now.Add(s.config.Cold)
 	}
