A spare reads the store beside the leader, and the next one when the store fails it

One cause: only the leader reads the store while news is fresh. Refused by the store alone, it is stood in for once news is 1.6 s old, and by daemons that may be refused as well.

Ruled out: a shorter time until others read (all would read in calm times, for changes that come by the leader anyway); a second reader for all kinds (tables and daemons cannot hurt requests).

Change: the first relay of another data centre that the store has not failed lately reads servers, configuration and data centres that are out, at a slower pace. Who fails tells the other daemons at once, and the next in order reads in its place.

--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -47,6 +47,8 @@
 	Leaving bool
 	// Stored is when the daemon itself last had an answer of the platform.
 	Stored time.Time
+	// Failed is when the platform last did not answer it; zero if it did since.
+	Failed time.Time
 	// Epoch is that of the newest table that it knows.
 	Epoch uint64
 }
@@ -65,6 +67,7 @@
 	self   Member
 	since  time.Time
 	stored time.Time
+	failed time.Time
 	peers  map[string]*peer // by name
 	// known is the leader last asked about, and since when it has been known: a
 	// leader that nothing was heard of yet is given as long as a silent one.
@@ -89,7 +92,7 @@
 func (c *Cluster) Self() Member { return c.self }
 
 // Stored notes an answer of the platform to this daemon.
-func (c *Cluster) Stored(now time.Time) { c.stored = now }
+func (c *Cluster) Stored(now time.Time) { c.stored, c.failed = now, time.Time{} }
 
 // LastStored is when the platform last answered this daemon.
 func (c *Cluster) LastStored() time.Time { return c.stored }
@@ -198,18 +201,6 @@
 	return place, count
 }
 
-// Reads tells whether this daemon should read the platform for the others: the
-// news it has is old, and no other daemon of its data centre would come first.
-// current is when the news was last known to be in force. Daemons that are not
-// relays get their news a round of gossip later than relays, and wait for that.
-func (c *Cluster) Reads(now, current time.Time, leading bool) bool {
-	wait := staleAfter + time.Duration(c.rank(now, true))*rankStep
-	if !c.IsRelay(now) {
-		wait += c.Pace() * memberRounds
-	}
-	return leading || now.Sub(current) > wait
-}
-
 // GivesWay tells whether a leader should let another lead, since the platform
 // answers others and not it.
 func (c *Cluster) GivesWay(now time.Time) bool {
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -39,6 +39,8 @@
 		reply chan *wire.Delta
 	}
 	fetchedMsg struct{ kind string }
+	// storeFailedMsg says that the store did not answer this daemon.
+	storeFailedMsg struct{}
 	// urgentMsg says that there is news for the other daemons which cannot wait.
 	urgentMsg struct{}
 	// statusMsg asks what is in force here, and for the other daemons' addresses.
@@ -65,8 +67,10 @@
 	known  map[news.Kind]*atomic.Uint64
 	// reads tells whether this daemon reads the store, and turn how many of its data
 	// centre come before it; any goroutine may ask.
-	reads    atomic.Bool
-	turn     atomic.Int64
+	reads atomic.Bool
+	turn  atomic.Int64
+	// spare tells whether it reads beside the leader what cannot wait.
+	spare    atomic.Bool
 	members  *member.Cluster
 	keeper   *keeper.Keeper
 	lead     leadership
@@ -139,6 +143,8 @@
 		c.applySettings(m.settings)
 	case leadFailMsg:
 		c.lead.taking = false
+	case storeFailedMsg:
+		c.storeFailed(now)
 	case urgentMsg:
 		c.spreadNews(now, true)
 	case statusMsg:
@@ -152,6 +158,9 @@
 func (c *control) tick(now time.Time) {
 	c.reads.Store(c.members.Reads(now, c.caches[news.Servers].At(), c.keeper != nil))
 	c.turn.Store(int64(c.members.Turn(now)))
+	if c.due(now, &c.paces.spare, spareEvery) {
+		c.spare.Store(!c.leaving && c.members.IsSpare(now, c.r.current.Load().table.Leader.Daemon))
+	}
 	c.expire(now)
 	c.tryLead(now)
 	if c.keeper != nil {
@@ -163,6 +172,16 @@
 	c.r.ready.Store(!c.leaving && c.isReady(now))
 }
 
+// storeFailed tells the other daemons at the first failure of a reader, so that another
+// one reads in its place at once.
+func (c *control) storeFailed(now time.Time) {
+	first := c.members.FailedAt().IsZero()
+	c.members.StoreFailed(now)
+	if first {
+		c.spreadNews(now, true)
+	}
+}
+
 // isReady tells whether requests can be served: there is a configuration, and
 // the servers are known. Keys without holders yet do not hold the rest back.
 func (c *control) isReady(now time.Time) bool {
--- a/io/process/router/follow.go
+++ b/io/process/router/follow.go
@@ -17,7 +17,7 @@
 	ctx := r.tomb.Context(context.Background())
 	pause, listed, sure := backoffLeast, false, true
 	for r.tomb.Alive() {
-		if !r.control.reads.Load() && r.control.through(kind) > 0 {
+		if !r.readsNow(kind) {
 			sleep(ctx, idlePoll)
 			continue
 		}
@@ -31,6 +31,7 @@
 			}
 			listed, sure = listed && !isForgotten(err), isForgotten(err)
 			r.log.Warn("store: no news", "kind", kind, "since", r.control.through(kind), "err", err)
+			r.post(storeFailedMsg{})
 			r.rest(ctx, pause)
 			pause = min(2*pause, backoffMost)
 			continue
@@ -42,13 +43,23 @@
 			return nil
 		}
 		<-done
-		if kind == news.Servers {
+		switch {
+		case !r.control.reads.Load():
+			sleep(ctx, sparePace)
+		case kind == news.Servers:
 			sleep(ctx, serverPace)
 		}
 	}
 	return nil
 }
 
+// readsNow tells whether this daemon is to read a kind of object. A start reads all kinds
+// once, the spare beside the leader only what requests go by.
+func (r *Router) readsNow(kind news.Kind) bool {
+	urgent := kind == news.Config || kind == news.Servers || kind == news.Outs
+	return r.control.reads.Load() || r.control.through(kind) == 0 || urgent && r.control.spare.Load()
+}
+
 // rest waits after a failed call, the longer the more daemons of the data centre come
 // before this one, and until none is needed any more.
 func (r *Router) rest(ctx context.Context, pause time.Duration) {
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -42,7 +42,7 @@
 }
 
 // paces are when gossip of each kind last went out.
-type paces struct{ near, leader, far, seeds, issuers time.Time }
+type paces struct{ near, leader, far, seeds, issuers, spare time.Time }
 
 // due tells whether it is time for a kind of gossip, and notes it.
 func (c *control) due(now time.Time, last *time.Time, pace time.Duration) bool {
@@ -92,7 +92,7 @@
 	t := c.r.current.Load().table
 	h := &wire.Gossip{
 		Name: c.r.self.Name, Address: c.r.self.Address, DataCentre: c.r.self.DataCentre, Incarnation: c.r.self.Incarnation, Strength: c.r.self.Strength,
-		Leaving: c.leaving || c.keeper != nil && c.members.GivesWay(now), StoredAgeMillis: age(now, c.members.LastStored()), Epoch: t.Epoch, Seq: t.Seq,
+		Leaving: c.leaving || c.keeper != nil && c.members.GivesWay(now), StoredAgeMillis: age(now, c.members.LastStored()), StoreFailedAgeMillis: age(now, c.members.FailedAt()), Epoch: t.Epoch, Seq: t.Seq,
 		Leader: t.Leader.Daemon, LeaderIncarnation: t.Leader.Incarnation, LeaderAgeMillis: c.leaderAge(now, t.Leader),
 	}
 	for _, k := range news.Kinds {
@@ -163,7 +163,7 @@
 	}
 	before := c.members.Count()
 	c.members.Heard(now, member.Member{Name: h.Name, Address: h.Address, DataCentre: h.DataCentre, Incarnation: h.Incarnation, Strength: h.Strength},
-		member.Status{Leaving: h.Leaving, Stored: ago(now, h.StoredAgeMillis), Epoch: h.Epoch})
+		member.Status{Leaving: h.Leaving, Stored: ago(now, h.StoredAgeMillis), Failed: ago(now, h.StoreFailedAgeMillis), Epoch: h.Epoch})
 	if h.Leader != h.Name && h.LeaderAgeMillis >= 0 {
 		c.members.HeardOf(h.Leader, h.LeaderIncarnation, ago(now, h.LeaderAgeMillis))
 	}
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -30,6 +30,12 @@
 	// serverPace is the pause between two reads of the servers' changes, which
 	// come many times a second. A leaving server must be known within two seconds.
 	serverPace = 300 * time.Millisecond
+	// sparePace is the same for the spare reader, of all kinds: most changes have come to
+	// it from the leader by then, and need not be told twice.
+	sparePace = 700 * time.Millisecond
+	// spareEvery paces the look who the spare reader is, for which relays of all data
+	// centres are put in order.
+	spareEvery = 200 * time.Millisecond
 	// serverWait and quietWait are how long a watch may hear nothing: servers
 	// write every second or two, the rest changes rarely.
 	serverWait = 600 * time.Millisecond
