Reports that tell of answers only are passed on; counts and crashes get the tests they lacked

Cause: a daemon's counts went to its relay, and from there to the leader, only if they held requests for keys. Paces of servers whose answers came after the last request were dropped: the leader took a slowed holder for a usual one a round longer. Found by reading.

Change: whatever is counted is passed on (TestAnswersAloneAreReported). Tests beside it, each of a safeguard that none held: crashed servers are avoided by the next request of the same content, a new leader learns of all paces once, paces of servers that left are forgotten.

--- a/io/process/router/counts.go
+++ b/io/process/router/counts.go
@@ -24,9 +24,9 @@
 		return
 	}
 	h := c.gossipNow(now)
-	epoch := c.r.current.Load().table.Epoch
-	h.Heat, h.Paces = c.r.takeHeat(c.counts.relayed, epoch != c.counts.epoch)
-	c.counts = countReport{at: now, epoch: epoch}
+	last := c.counts
+	c.counts = countReport{at: now, epoch: c.r.current.Load().table.Epoch}
+	h.Heat, h.Paces = c.r.takeHeat(last.relayed, c.counts.epoch != last.epoch)
 	if c.keeper != nil {
 		c.heats.add(h)
 		return
@@ -35,18 +35,21 @@
 	if relays := c.members.Relays(now); !relay && len(relays) > 0 {
 		to = relays[0]
 	}
-	if to != "" && len(h.Heat) > 0 {
+	if to != "" && tellsCounts(h) {
 		go c.r.sendGossip(to, h)
 	}
 }
 
+// tellsCounts tells whether gossip carries counts: of requests, or only of answers.
+func tellsCounts(h *wire.Gossip) bool { return len(h.Heat)+len(h.Paces) > 0 }
+
 // takeHeat takes in another daemon's counts: the leader for good, a relay to pass
 // them on with its own.
 func (c *control) takeHeat(now time.Time, h *wire.Gossip) {
 	switch {
 	case c.keeper != nil:
 		c.heats.add(h)
-	case len(h.Heat) > 0 && h.DataCentre == c.r.self.DataCentre && c.members.IsRelay(now):
+	case tellsCounts(h) && h.DataCentre == c.r.self.DataCentre && c.members.IsRelay(now):
 		c.r.addHeat(h.Heat)
 		c.counts.relayed = append(c.counts.relayed, h.Paces...)
 	}
--- a/io/process/router/serve_test.go
+++ b/io/process/router/serve_test.go
@@ -9,6 +9,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"catkinstep/core/connection/wire"
+	"catkinstep/core/process/keeper"
 	"catkinstep/core/request/spread"
 	"catkinstep/core/version/config"
 	"catkinstep/core/version/fleet"
@@ -76,3 +78,73 @@
 		So(o.need.Tried, ShouldResemble, []string{"a"})
 	})
 }
+
+// Guards against a request that goes on crashing servers, the same one or the next.
+func TestCrashesAreHeeded(t *testing.T) {
+	crashed := func(servers ...string) (*Router, *order) {
+		r, o := still(), lookup(time.Second)
+		o.route.Attempts = 9
+		for _, s := range servers {
+			r.lost(o, s)
+		}
+		return r, o
+	}
+	Convey("The next request of the same content turns to other servers", t, func() {
+		r, _ := crashed("a", "b")
+		next := lookup(time.Second)
+		So(r.crashes(next), ShouldBeFalse)
+		So(next.need.Lost, ShouldResemble, []string{"a", "b"})
+	})
+	Convey("After the last loss that is allowed it is not sent again", t, func() {
+		r, o := crashed("a", "b")
+		So(r.tried(o, false).Again(), ShouldBeTrue)
+		r, o = crashed("a", "b", "c")
+		So(r.tried(o, false).Again(), ShouldBeFalse)
+	})
+}
+
+// Guards against a new leader that takes slowed holders for usual ones until they answer again.
+func TestNewLeaderLearnsThePaces(t *testing.T) {
+	Convey("It is told of each server once, and of what is new after that", t, func() {
+		r := still()
+		leads := func(epoch uint64) {
+			r.current.Store(r.current.Load().withConfig(config.Config{Services: []config.Service{{Name: "s", Keyed: true}}}).withTable(grant.Table{Epoch: epoch}))
+		}
+		leads(1)
+		r.serversAt(second(1), 10, entryOf("a", 5))
+		v, _ := r.current.Load().fleet.Find("a")
+		n := spread.Need{Route: "look", Aim: time.Second, Near: "x"}
+		r.spread.Begin(t0, v, n)
+		r.spread.End(t0, v, n, t0, spread.Answered, &spread.Report{Running: 1, Slots: 3, Pace: 4})
+		r.control.keeper = keeper.New(t0, grant.Table{Epoch: 1}, 1)
+		slow := func(at float64) bool {
+			r.control.heats = newHeats()
+			r.control.sendHeat(second(at), true)
+			return r.control.heats.paces.Factors()["a"] > 1
+		}
+		So(slow(10), ShouldBeTrue)
+		So(slow(20), ShouldBeFalse)
+		leads(2)
+		So(slow(30), ShouldBeTrue)
+	})
+}
+
+// Guards against reports that are dropped since they tell of answers only.
+func TestAnswersAloneAreReported(t *testing.T) {
+	Convey("Paces without requests are passed on", t, func() {
+		So(tellsCounts(&wire.Gossip{Paces: []*wire.Pace{{Server: "a"}}}), ShouldBeTrue)
+		So(tellsCounts(&wire.Gossip{Heat: []*wire.Heat{{Service: "s"}}}), ShouldBeTrue)
+		So(tellsCounts(&wire.Gossip{}), ShouldBeFalse)
+	})
+}
+
+// Guards against paces of servers that left, which would be kept for good.
+func TestPacesOfGoneServersAreForgotten(t *testing.T) {
+	Convey("Only listed servers are kept", t, func() {
+		h := newHeats()
+		h.add(&wire.Gossip{Paces: []*wire.Pace{{Server: "a", Factor: 4, Answers: 9}, {Server: "b", Factor: 4, Answers: 9}}})
+		h.roll(t0, config.Config{}, fleet.New([]fleet.Server{{ID: "a", Born: 1}}))
+		So(h.paces.Factors(), ShouldContainKey, "a")
+		So(h.paces.Factors(), ShouldNotContainKey, "b")
+	})
+}
