Permits: one rule for when they help, a line for an issuer that does not answer, more tests

Change: how well daemons know a queue by themselves stood twice, with its constant; it is permit.Known now. An issuer that does not answer is named in the log, once in a while that it is left out for, and permits.counted shows what an issuer counts, so that permits that are never given back can be seen. Tests of what none held: permits are given back when attempts end, other servers are asked in turn and no more, old permits expire, the next issuer is asked, frames are written whole.

--- a/core/process/keeper/limits.go
+++ b/core/process/keeper/limits.go
@@ -48,15 +48,9 @@
 	return out
 }
 
-// permits tells whether permits are worth asking for at a server: where few daemons send
-// to it, each knows its queue well enough.
+// permits tells whether permits are worth asking for at a server.
 func (k *Keeper) permits(s *share, v fleet.Server) bool {
-	return k.known(v) < 1 && permit.Worth(time.Duration(s.each*s.factor(v)*float64(time.Second)))
-}
-
-// known is how well daemons know a server's queue by themselves, from 0 to 1.
-func (k *Keeper) known(v fleet.Server) float64 {
-	return min(1, fewDaemons*float64(max(1, v.Slots))/float64(max(1, k.daemons)))
+	return permit.Known(k.daemons, v.Slots) < 1 && permit.Worth(time.Duration(s.each*s.factor(v)*float64(time.Second)))
 }
 
 // limitsOf returns the limits of one service. Keys on their way count where they go.
@@ -86,7 +80,7 @@
 	if k.permits(s, v) {
 		return fullAt + permitsMore
 	}
-	return fullAt + knownMore*k.known(v)
+	return fullAt + knownMore*permit.Known(k.daemons, v.Slots)
 }
 
 // limitsAt returns the limits of the buckets that one server holds.
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -100,8 +100,6 @@
 	// short. They are given to whoever comes first: were hot keys let through further,
 	// they would take them all.
 	permitsMore = 0.15
-	// fewDaemons is how many daemons for each slot of a holder know its queue.
-	fewDaemons = 4.0
 	// fenceShift leaves room for so many fences in one epoch (2^24).
 	fenceShift = 24
 )
--- a/core/request/permit/permit.go
+++ b/core/request/permit/permit.go
@@ -6,6 +6,8 @@
 )
 
 const (
+	// fewDaemons is how many daemons for each slot of a server know its queue.
+	fewDaemons = 4.0
 	// leastWork is the shortest work for which permits are worth their two messages.
 	leastWork = 50 * time.Millisecond
 	// backLeast is the shortest wait that a refusal asks for, and backSpread keeps
@@ -17,6 +19,12 @@
 // Worth tells whether permits are worth asking for where requests take so long.
 func Worth(work time.Duration) bool { return work >= leastWork }
 
+// Known is how well daemons know a server's queue by themselves, from 0 to 1. Where few send
+// to it, each sees most of its requests; permits would cost more than they tell.
+func Known(daemons, slots int) float64 {
+	return min(1, fewDaemons*float64(max(1, slots))/float64(max(1, daemons)))
+}
+
 // Request asks for a permit.
 type Request struct {
 	// Server names the server and its run.
@@ -82,6 +90,15 @@
 	}
 }
 
+// Count is how many requests the Issuer counts now, at all servers.
+func (i *Issuer) Count() int {
+	n := 0
+	for _, at := range i.servers {
+		n += len(at)
+	}
+	return n
+}
+
 // Expire forgets what has surely ended: its end may never be reported, as of requests by
 // a daemon that lost power.
 func (i *Issuer) Expire(now time.Time) {
--- a/core/request/permit/permit_test.go
+++ b/core/request/permit/permit_test.go
@@ -51,6 +51,10 @@
 		q.Patience = 0
 		So(NewIssuer(1).Ask(t0, q).Granted, ShouldBeTrue)
 	})
+	Convey("Few daemons know a queue without permits, many do not", t, func() {
+		So(Known(9, 3), ShouldEqual, 1)
+		So(Known(195, 3), ShouldBeLessThan, 0.1)
+	})
 	Convey("Short work is not worth the asking", t, func() {
 		So(Worth(5*time.Millisecond), ShouldBeFalse)
 		So(Worth(500*time.Millisecond), ShouldBeTrue)
@@ -66,7 +70,9 @@
 		}
 		So(i.Ask(after(3*time.Second), asks(9)).Granted, ShouldBeFalse)
 		So(i.Ask(after(4*time.Second), asks(9)).Granted, ShouldBeTrue)
+		So(i.Count(), ShouldEqual, 1)
 		i.Expire(after(9 * time.Second))
+		So(i.Count(), ShouldEqual, 0)
 		So(i.servers, ShouldBeEmpty)
 	})
 }
--- a/core/request/spread/options.go
+++ b/core/request/spread/options.go
@@ -36,8 +36,6 @@
 	// have a queue of others' requests.
 	rankStep = 0.4
 	rankMost = 3
-	// fewDaemons is how many daemons for each slot of a server know its queue.
-	fewDaemons = 4
 	// turnedAwayShare is the part of a request's usual time within which a reset
 	// means that the server took no more, and not that it was lost with the request.
 	turnedAwayShare = 0.1
--- a/core/request/spread/permits_test.go
+++ b/core/request/spread/permits_test.go
@@ -60,3 +60,14 @@
 		So(Choice{Reason: ColdFull, Contended: true}.Doubtful(), ShouldBeFalse)
 	})
 }
+
+// Guards against a holder that the leader takes for idle, since all its requests are refused without being sent.
+func TestRefusedPermitsTellOfTheQueue(t *testing.T) {
+	Convey("A server that gave no permit counts as full, and has nothing under way", t, func() {
+		s, v := fresh(), servers(1)[0]
+		s.Begin(t0, v, need(t0))
+		s.End(t0, v, need(t0), t0, NotPermitted, nil)
+		So(s.TakePaces(false), ShouldResemble, []Pace{{Server: "s0", Heard: 1, Full: 1}})
+		So(s.Own(), ShouldBeEmpty)
+	})
+}
--- a/io/connection/mesh/kept_test.go
+++ b/io/connection/mesh/kept_test.go
@@ -1,8 +1,11 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -92,3 +95,31 @@
 		So(announcesBody([]byte("catkin")), ShouldBeFalse)
 	})
 }
+
+// record is a connection that keeps what is written.
+type record struct {
+	net.Conn
+	bytes.Buffer
+}
+
+func (r *record) Read(p []byte) (int, error)  { return r.Buffer.Read(p) }
+func (r *record) Write(p []byte) (int, error) { return r.Buffer.Write(p) }
+
+// Guards against frames whose header and body come apart, or in another order.
+func TestFramesAreWrittenWhole(t *testing.T) {
+	Convey("A header waits for its body; what has none does not wait", t, func() {
+		out := &record{}
+		c := &heardConn{Conn: out}
+		update, header, body := []byte{0, 1, 0, 1, 0, 0, 0, 3, 0, 0, 1, 0}, []byte{0, 0, 0, 0, 0, 0, 0, 3, 0, 0, 0, 2}, []byte("hi")
+		for _, p := range [][]byte{update, header} {
+			n, err := c.Write(p)
+			So(n, ShouldEqual, len(p))
+			So(err, ShouldBeNil)
+		}
+		So(out.Bytes(), ShouldResemble, update)
+		n, err := c.Write(body)
+		So(n, ShouldEqual, len(body))
+		So(err, ShouldBeNil)
+		So(out.Bytes(), ShouldResemble, slices.Concat(update, header, body))
+	})
+}
--- a/io/process/router/permit.go
+++ b/io/process/router/permit.go
@@ -70,7 +70,9 @@
 		c.r.permits.issuers.Store(&living)
 		c.r.mu.Lock()
 		c.r.permits.issuer.Expire(time.Now())
+		count := c.r.permits.issuer.Count()
 		c.r.mu.Unlock()
+		c.r.meters.set("permits.counted", uint64(count))
 	}
 }
 
@@ -183,17 +185,22 @@
 	reply, err := r.askShort(wait, issuer, &wire.Call{Kind: &wire.Call_Permit{Permit: m}})
 	if err != nil || reply.Permit == nil {
 		r.meters.add("permits.unanswered")
-		r.log.Debug("permits: no answer", "issuer", issuer, "server", q.Server, "err", err)
-		if ctx.Err() == nil {
-			r.mu.Lock()
-			r.permits.absent[issuer] = time.Now().Add(absentFor)
-			r.mu.Unlock()
+		if ctx.Err() == nil { // else the caller left
+			r.issuerLost(issuer, err)
 		}
 		return permit.Answer{}, false
 	}
 	return answerOf(reply.Permit), true
 }
 
+// issuerLost leaves an issuer out for a while. Until then others are asked in its place.
+func (r *Router) issuerLost(issuer string, err error) {
+	r.log.Info("permits: issuer does not answer", "issuer", issuer, "absentFor", absentFor.String(), "err", err)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.permits.absent[issuer] = time.Now().Add(absentFor)
+}
+
 func answerOf(m *wire.PermitReply) permit.Answer {
 	return permit.Answer{Granted: m.Granted, Back: millis(m.BackMillis)}
 }
--- a/io/process/router/permit_test.go
+++ b/io/process/router/permit_test.go
@@ -2,12 +2,19 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"catkinstep/core/process/member"
+	"catkinstep/core/request/permit"
 	"catkinstep/core/request/spread"
+	"catkinstep/core/version/config"
+	"catkinstep/io/connection/mesh"
 )
 
 // contended makes a router that issues permits for the holder of all keys.
@@ -71,6 +78,78 @@
 	})
 }
 
+// Guards against permits that are never given back, which close a server for as long as its callers wait.
+func TestAttemptsGiveTheirPermitsBack(t *testing.T) {
+	Convey("An attempt that has ended is counted no more", t, func() {
+		r := contended()
+		for range 3 {
+			o := lookup(300 * time.Millisecond)
+			o.Request.Request = httptest.NewRequest(http.MethodGet, "/look", nil)
+			So(r.attempt(context.Background(), o).Status, ShouldEqual, http.StatusServiceUnavailable)
+		}
+		So(r.meters.vars.Get("permits.asked").String(), ShouldNotEqual, "0")
+		So(r.permits.issuer.Count(), ShouldEqual, 0)
+	})
+	Convey("Nor is one whose permit may have been given, as its answer did not come", t, func() {
+		r := contended()
+		o := lookup(time.Second)
+		v, c := r.owner(r.current.Load(), o, time.Now())
+		r.mesh = listenNowhere(t)
+		r.permits.issuers.Store(&map[string][]string{"x": {"127.0.0.1:1"}})
+		c = r.askPermit(context.Background(), o, v, c)
+		So(c.Refused(), ShouldBeFalse)
+		So(o.permit.issuer, ShouldEqual, "127.0.0.1:1")
+		So(r.issuerOf(v, "a 1"), ShouldBeEmpty)
+	})
+}
+
+// listenNowhere makes the daemon's end of connections to others, to which none come.
+func listenNowhere(t *testing.T) *mesh.Mesh {
+	m, err := mesh.Listen("127.0.0.1:0", nil)
+	So(err, ShouldBeNil)
+	t.Cleanup(func() { _ = m.Close() })
+	return m
+}
+
+// Guards against a request that is refused for one long queue while other servers have room.
+func TestOtherServersAreAsked(t *testing.T) {
+	Convey("Servers of a kind are asked in turn, and then no more", t, func() {
+		r := contended()
+		for i := range 20 {
+			r.control.members.Met(member.Member{Name: fmt.Sprint("d", i), Address: fmt.Sprint("d", i)})
+		}
+		r.control.share()
+		r.serversAt(second(2), 20, entryOf("b", 11), entryOf("c", 12), entryOf("d", 13), entryOf("e", 14))
+		o := lookup(time.Second)
+		o.key, o.service.Keyed, o.need.Service = -1, false, config.Service{Name: "s"}
+		for _, v := range r.current.Load().fleet.All() {
+			for id := range uint64(20) {
+				r.permits.issuer.Ask(time.Now(), permit.Request{Server: v.ID + " 1", ID: id, Slots: 20, Work: time.Second, Lasts: time.Minute})
+			}
+			r.spread.Begin(time.Now(), v, o.need)
+			r.spread.End(time.Now(), v, o.need, time.Now(), spread.Answered, &spread.Report{Running: 3, Waiting: 9, Slots: 3})
+		}
+		reply := r.attempt(context.Background(), o)
+		So(reply.Status, ShouldEqual, http.StatusServiceUnavailable)
+		So(r.meters.vars.Get("refused."+string(contendedNow)).String(), ShouldEqual, "1")
+		So(r.meters.vars.Get("permits.asked").String(), ShouldEqual, fmt.Sprint(1+othersMost))
+		So(r.spread.Own(), ShouldBeEmpty) // what was not sent is not under way
+	})
+}
+
+// Guards against an issuer that keeps what daemons which lost power never gave back.
+func TestIssuersForget(t *testing.T) {
+	Convey("What must have ended is dropped, and the count shown", t, func() {
+		r := contended()
+		_, refused := begun(r, 1)
+		So(refused, ShouldBeEmpty)
+		r.permits.issuer.Ask(time.Now().Add(-time.Minute), permit.Request{Server: "other", ID: 1, Slots: 1, Lasts: time.Second})
+		r.control.listIssuers(second(1))
+		So(r.permits.issuer.Count(), ShouldEqual, 1)
+		So(r.meters.vars.Get("permits.counted").String(), ShouldEqual, "1")
+	})
+}
+
 // Guards against requests that are held up or refused since nobody issues permits.
 func TestNoIssuer(t *testing.T) {
 	Convey("Requests go to the holder without a permit", t, func() {
@@ -81,6 +160,15 @@
 		r.permits.issuers.Store(&map[string][]string{})
 		So(begunOne(r), ShouldBeTrue)
 	})
+	Convey("One that did not answer is passed over for the next", t, func() {
+		r := contended()
+		v, _ := r.current.Load().fleet.Find("a")
+		r.permits.issuers.Store(&map[string][]string{"x": {"me", "you"}})
+		first := r.issuerOf(v, "a 1")
+		r.issuerLost(first, nil)
+		So(r.issuerOf(v, "a 1"), ShouldNotEqual, first)
+		So(r.issuerOf(v, "a 1"), ShouldNotBeEmpty)
+	})
 	Convey("A list of contended holders that is old counts no more", t, func() {
 		r := contended()
 		r.permits.until = time.Now()
