A daemon of a much stronger host takes the lead from one on a weak host

Cause: whoever starts first takes the first lead, on a host of any strength. On a weak one (0.16 of a core, 20 Mbit/s of 200 for strong ones) what the leader has to send to the daemons of its data centre waits for its processor and link when many servers change.

Change: a relay whose host is at least twice as strong reads the store while such a leader leads, and takes over while the store answers it. Equal hosts change nothing.

TestStrongHostsLead fails without it.

--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -20,6 +20,9 @@
 	// stood in for before a leaving server has to be known, two seconds after its
 	// word.
 	staleAfter = 1600 * time.Millisecond
+	// muchStronger is by how many times a host must be stronger than the leader's for its
+	// daemon to take over: each change of the leader holds up moves for a moment.
+	muchStronger = 2.0
 	// outAfter is how long a leader may fail to reach the platform, while others
 	// do, before it gives way.
 	outAfter = 1200 * time.Millisecond
@@ -252,7 +255,7 @@
 		return now, true, true
 	case p.gone:
 		return now, true, false
-	case p.Leaving && c.leads(now, p):
+	case p.Leaving && c.leads(now, p), c.relieves(now, p):
 		return now, true, false
 	case p.heard.IsZero():
 		return c.knownSince.Add(silentAfter), now.Sub(c.knownSince) > silentAfter, false
@@ -260,6 +263,14 @@
 	return p.heard.Add(silentAfter), !c.leads(now, p), false
 }
 
+// relieves tells whether this daemon should take the lead from a leader on a much weaker
+// host, although that lives. Whoever starts first takes the first lead. On a weak host, news
+// waits for its processor and its link when many servers change: the daemons of its
+// data centre go on sending to servers that have left.
+func (c *Cluster) relieves(now time.Time, leader *peer) bool {
+	return leader != nil && leader.Strength > 0 && c.self.Strength >= muchStronger*leader.Strength && c.leads(now, leader) && c.IsRelay(now)
+}
+
 // GaveWay tells whether a former leader is known to have ended, or to know of a
 // newer epoch and so to have stopped granting.
 func (c *Cluster) GaveWay(l grant.Leader, epoch uint64) bool {
--- a/core/process/member/member_test.go
+++ b/core/process/member/member_test.go
@@ -134,3 +134,50 @@
 		So(RetryPause(c.Turn(at(9.1)), pause), ShouldEqual, pause)
 	})
 }
+
+// Guards against a leader on a weak host, whose reading of the platform stands still while servers leave.
+func TestStrongHostsLead(t *testing.T) {
+	strong := func(name, place string, strength float64) Member {
+		m := member(name, place, 1)
+		m.Strength = strength
+		return m
+	}
+	weakLeads := func(self Member, stored time.Time) *Cluster {
+		c := New(self, t0)
+		c.Stored(stored)
+		c.Heard(at(10), strong("weak", "y", 0.2), Status{Stored: at(10)})
+		return c
+	}
+	l := grant.Leader{Daemon: "weak", Incarnation: 1}
+	leads := func(c *Cluster, now time.Time) bool {
+		try, ended := c.MayLead(now, l)
+		So(ended, ShouldBeFalse)
+		return try
+	}
+	Convey("A daemon of a much stronger host takes over while the platform answers it", t, func() {
+		c := weakLeads(strong("b", "x", 0.8), at(9.9))
+		So(leads(c, at(10.1)), ShouldBeTrue)
+		So(leads(weakLeads(strong("b", "x", 0.8), at(8)), at(10.1)), ShouldBeFalse)
+		Convey("and reads to find that out", func() {
+			So(c.Reads(at(10.1), at(10), false), ShouldBeTrue)
+		})
+		Convey("but not from a leader that was not heard lately, before that counts as lost", func() {
+			So(c.Reads(at(10).Add(silentAfter), at(10).Add(silentAfter), false), ShouldBeFalse)
+		})
+	})
+	Convey("One of a host that is hardly stronger, or unknown, does not", t, func() {
+		for _, strength := range []float64{0, 0.2, 0.3} {
+			c := weakLeads(strong("b", "x", strength), at(9.9))
+			So(leads(c, at(10.1)), ShouldBeFalse)
+			So(c.Reads(at(10.1), at(10), false), ShouldBeFalse)
+		}
+	})
+	Convey("Of several the first relays do", t, func() {
+		c := weakLeads(strong("c", "x", 0.8), at(9.9))
+		c.Heard(at(10), strong("a", "x", 0.8), Status{Stored: at(10)})
+		So(leads(c, at(10.1)), ShouldBeFalse)
+		So(leads(c, at(10.1).Add(rankStep)), ShouldBeTrue)
+		c.Heard(at(10.1), strong("b", "x", 0.8), Status{Stored: at(10)})
+		So(c.Reads(at(10.2), at(10.2), false), ShouldBeFalse)
+	})
+}
--- a/core/process/member/reader.go
+++ b/core/process/member/reader.go
@@ -15,13 +15,14 @@
 // Reads tells whether this daemon should read the platform for the others: the
 // news it has is old, and no other daemon of its data centre would come first.
 // current is when the news was last known to be in force. Daemons that are not
-// relays get their news a round of gossip later than relays, and wait for that.
+// relays get their news a round of gossip later than relays, and wait for that. One
+// that should lead in place of a weaker one reads as well, to find out whether it can.
 func (c *Cluster) Reads(now, current time.Time, leading bool) bool {
 	wait := staleAfter + time.Duration(c.rank(now, true))*rankStep
 	if !c.IsRelay(now) {
 		wait += c.Pace() * memberRounds
 	}
-	return leading || now.Sub(current) > wait
+	return leading || now.Sub(current) > wait || c.relieves(now, c.peers[c.known.Daemon])
 }
 
 // IsSpare tells whether this daemon reads beside the leader. The platform may refuse the
