News is fetched from a second daemon when the first one asked is slow

Cause: one fetch of a kind at a time, three seconds at most.

Change: after 0.3 s another daemon that offers news is asked as well, a third never. What is slow in any case (a large configuration on weak links) goes twice at worst.

--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -38,7 +38,7 @@
 		fetch *wire.Fetch
 		reply chan *wire.Delta
 	}
-	fetchedMsg struct{ kind string }
+	fetchedMsg struct{ kind, address string }
 	// storeFailedMsg says that the store did not answer this daemon.
 	storeFailedMsg struct{}
 	// urgentMsg says that there is news for the other daemons which cannot wait.
@@ -70,17 +70,17 @@
 	reads atomic.Bool
 	turn  atomic.Int64
 	// spare tells whether it reads beside the leader what cannot wait.
-	spare    atomic.Bool
-	members  *member.Cluster
-	keeper   *keeper.Keeper
-	lead     leadership
-	leaving  bool
-	seeds    []string
-	entries  *entries
-	paces    paces
-	calling  map[string]bool
-	fetching map[string]bool
-	counts   countReport
+	spare   atomic.Bool
+	members *member.Cluster
+	keeper  *keeper.Keeper
+	lead    leadership
+	leaving bool
+	seeds   []string
+	entries *entries
+	paces   paces
+	calling map[string]bool
+	fetches fetches
+	counts  countReport
 	// tables are those that were in force before, the newest last.
 	tables  []grant.Table
 	stored  storedTable
@@ -101,7 +101,7 @@
 	c := &control{
 		r: r, caches: map[news.Kind]*news.Cache{}, known: map[news.Kind]*atomic.Uint64{},
 		members: member.New(r.self, now), entries: newEntries(),
-		calling: map[string]bool{}, fetching: map[string]bool{}, counts: countReport{at: now}, heats: newHeats(), started: now, boot: boot.New(now), seeds: r.settings.Seeds,
+		calling: map[string]bool{}, fetches: fetches{}, counts: countReport{at: now}, heats: newHeats(), started: now, boot: boot.New(now), seeds: r.settings.Seeds,
 	}
 	for _, k := range news.Kinds {
 		c.caches[k], c.known[k] = news.NewCache(k), &atomic.Uint64{}
@@ -124,7 +124,7 @@
 	case fetchMsg:
 		m.reply <- c.fetched(now, m.fetch)
 	case fetchedMsg:
-		delete(c.fetching, m.kind)
+		c.fetches.end(m.kind, m.address)
 	case tableMsg:
 		if c.applyTable(now, m.table) {
 			c.spreadNews(now, false)
--- a/io/process/router/fetch.go
+++ b/io/process/router/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"catkinstep/core/connection/wire"
@@ -9,17 +10,49 @@
 	"catkinstep/core/version/news"
 )
 
-// fetch asks another daemon for changes; one call for each kind at a time.
-func (c *control) fetch(address string, f *wire.Fetch) {
-	if c.fetching[f.Kind] {
-		return
+// fetchPatience is how long a fetch is left alone before another daemon is asked too.
+const fetchPatience = 300 * time.Millisecond
+
+// fetches are the calls under way that ask for changes, by kind: one for each, and a
+// second one to another daemon when the first takes long. A daemon whose processor or link
+// is busy answers after seconds, while others have the same news.
+type fetches map[string][]fetching
+
+type fetching struct {
+	address string
+	began   time.Time
+}
+
+// begin notes a call, and tells whether it may be made.
+func (f fetches) begin(now time.Time, kind, address string) bool {
+	out := f[kind]
+	switch len(out) {
+	case 0:
+	case 1:
+		if out[0].address == address || now.Sub(out[0].began) < fetchPatience {
+			return false
+		}
+	default:
+		return false
+	}
+	f[kind] = append(out, fetching{address: address, began: now})
+	return true
+}
+
+// end notes that a call has ended.
+func (f fetches) end(kind, address string) {
+	f[kind] = slices.DeleteFunc(f[kind], func(v fetching) bool { return v.address == address })
+}
+
+// fetch asks another daemon for changes.
+func (c *control) fetch(now time.Time, address string, f *wire.Fetch) {
+	if c.fetches.begin(now, f.Kind, address) {
+		go c.r.sendFetch(address, f)
 	}
-	c.fetching[f.Kind] = true
-	go c.r.sendFetch(address, f)
 }
 
 func (r *Router) sendFetch(address string, f *wire.Fetch) {
-	defer r.post(fetchedMsg{kind: f.Kind})
+	defer r.post(fetchedMsg{kind: f.Kind, address: address})
 	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), fetchTimeout)
 	defer cancel()
 	asked := r.now()
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -179,7 +179,7 @@
 	c.heardLimits(now, h.Limits)
 	t := c.r.current.Load().table
 	if (grant.Table{Epoch: h.Epoch, Seq: h.Seq}).Newer(t) {
-		c.fetch(h.Address, &wire.Fetch{Kind: tableKind, Since: t.Seq, Epoch: t.Epoch})
+		c.fetch(now, h.Address, &wire.Fetch{Kind: tableKind, Since: t.Seq, Epoch: t.Epoch})
 	}
 	for _, k := range h.Known {
 		cache := c.caches[news.Kind(k.Kind)]
@@ -187,7 +187,7 @@
 			continue
 		}
 		if k.Through > cache.Through() {
-			c.fetch(h.Address, &wire.Fetch{Kind: k.Kind, Since: cache.Through()})
+			c.fetch(now, h.Address, &wire.Fetch{Kind: k.Kind, Since: cache.Through()})
 		} else if k.Through == cache.Through() && k.Through > 0 {
 			before := cache.At()
 			cache.Merge(news.Delta{Kind: news.Kind(k.Kind), Through: k.Through, At: ago(now, k.AgeMillis)})
