Only the leader and the spare tell at once that the store fails them

Cause: in an outage of the store all daemons of a site come to read it, and each one's first failure went to its whole data centre and all relays: some 40 messages each with 195 hosts. History that was dropped is no failure either.

Change: others note it, and it goes with their usual gossip.

--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -172,12 +172,13 @@
 	c.r.ready.Store(!c.leaving && c.isReady(now))
 }
 
-// storeFailed tells the other daemons at the first failure of a reader, so that another
-// one reads in its place at once.
+// storeFailed tells the other daemons at the first failure of the leader or the spare, so
+// that another one reads in its place at once. In an outage all daemons come to try: theirs
+// need not be told.
 func (c *control) storeFailed(now time.Time) {
 	first := c.members.FailedAt().IsZero()
 	c.members.StoreFailed(now)
-	if first {
+	if first && (c.keeper != nil || c.spare.Load()) {
 		c.spreadNews(now, true)
 	}
 }
--- a/io/process/router/follow.go
+++ b/io/process/router/follow.go
@@ -31,7 +31,9 @@
 			}
 			listed, sure = listed && !isForgotten(err), isForgotten(err)
 			r.log.Warn("store: no news", "kind", kind, "since", r.control.through(kind), "err", err)
-			r.post(storeFailedMsg{})
+			if !isForgotten(err) {
+				r.post(storeFailedMsg{})
+			}
 			r.rest(ctx, pause)
 			pause = min(2*pause, backoffMost)
 			continue
