--- a/io/process/router/sent.go
+++ b/io/process/router/sent.go
@@ -35,11 +35,12 @@
 	first, again := r.sent.Note(now, sent.Hash(o.id))
 	r.mu.Unlock()
 	ago, name := now.Sub(first), r.speech.Names().FirstSent
-	if ms, err := strconv.ParseInt(o.Header.Get(name), 10, 64); err == nil {
+	ms, err := strconv.ParseInt(o.Header.Get(name), 10, 64)
+	o.Header.Del(name)
+	if err == nil {
 		ago = max(ago, time.Duration(ms)*time.Millisecond)
 	}
-	o.Header.Del(name)
-	if ago > 0 {
+	if again || err == nil {
 		o.Header.Set(name, strconv.FormatInt(ago.Milliseconds()+1, 10))
 	}
 	return firstSent{hash: sent.Hash(o.id), at: first}, again
--- /dev/null
+++ b/io/process/router/sent_test.go
@@ -0,0 +1,105 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"catkinstep/core/connection/names"
+	"catkinstep/core/connection/wire"
+	"catkinstep/core/request/sent"
+	"catkinstep/io/connection/link"
+)
+
+// booked is an order of a booking with an id.
+func booked(id string) *order {
+	o := lookup(time.Second)
+	o.route.Idempotent, o.id = false, id
+	o.Request.Request = httptest.NewRequest(http.MethodPost, "/book", nil)
+	return o
+}
+
+func (r *Router) ends(o *order, a *link.Answer, err error) {
+	first, again := r.noteSent(o)
+	r.noteEnd(context.Background(), first, again, a, err)
+}
+
+// tells is whether the next attempt of an id bears its age.
+func (r *Router) tells(id string) bool {
+	o := booked(id)
+	r.noteSent(o)
+	return o.Header.Get(names.Default().FirstSent) != ""
+}
+
+var (
+	errBroken  = &link.Error{Op: "read", Kind: link.Unsure}
+	errNotSent = &link.Error{Op: "dial", Kind: link.Refused}
+)
+
+// Guards against a booking whose holder cannot tell that it was sent before, and against one that is refused although it never was.
+func TestAgeOfABooking(t *testing.T) {
+	Convey("It is told with what was sent before and may have run", t, func() {
+		r := still()
+		r.ends(booked("a"), nil, errBroken)
+		So(r.tells("a"), ShouldBeTrue)
+		So(r.tells("other"), ShouldBeFalse)
+	})
+	Convey("What surely did not run was not sent, unless an earlier attempt may have run", t, func() {
+		r := still()
+		r.ends(booked("a"), nil, errNotSent)
+		r.ends(booked("b"), &link.Answer{NotRun: true}, nil)
+		r.ends(booked("c"), nil, errBroken)
+		r.ends(booked("c"), nil, errNotSent)
+		So(r.tells("a"), ShouldBeFalse)
+		So(r.tells("b"), ShouldBeFalse)
+		So(r.tells("c"), ShouldBeTrue)
+	})
+	Convey("A caller may know of an earlier time", t, func() {
+		r, o := still(), booked("a")
+		o.Header.Set(names.Default().FirstSent, "60000")
+		r.noteSent(o)
+		So(o.Header.Get(names.Default().FirstSent), ShouldEqual, "60001")
+	})
+}
+
+// Guards against a second run by way of a daemon that never saw the booking.
+func TestOtherDaemonsLearnOfUnansweredBookings(t *testing.T) {
+	Convey("What may have run without an answer is told, what was answered is not", t, func() {
+		r, other := still(), still()
+		r.ends(booked("a"), nil, errBroken)
+		r.ends(booked("b"), &link.Answer{Status: http.StatusOK}, nil)
+		r.ends(booked("c"), nil, errNotSent)
+		told := r.sentNews()
+		So(told, ShouldHaveLength, 1)
+		So(told[0].Id, ShouldEqual, sent.Hash("a"))
+		other.heardOfSent([]*wire.Sent{{Id: told[0].Id, AgoMillis: 900}})
+		So(other.tells("a"), ShouldBeTrue)
+		So(other.sentNews(), ShouldHaveLength, 1) // passed on
+		Convey("once", func() {
+			other.unanswered = recent[firstSent]{}
+			other.heardOfSent([]*wire.Sent{{Id: told[0].Id, AgoMillis: 800}})
+			So(other.sentNews(), ShouldBeEmpty)
+		})
+	})
+	Convey("Also when its caller left before the answer", t, func() {
+		r := still()
+		ctx, leave := context.WithCancel(context.Background())
+		first, again := r.noteSent(booked("a"))
+		leave()
+		r.noteEnd(ctx, first, again, &link.Answer{Status: http.StatusOK}, nil)
+		So(r.sentNews(), ShouldHaveLength, 1)
+	})
+	Convey("No more than a bounded number at once", t, func() {
+		var news recent[int]
+		for i := range tellMost {
+			So(news.add(t0, i), ShouldBeTrue)
+		}
+		So(news.add(t0, 0), ShouldBeFalse)
+		So(news.list(t0.Add(tellFor)), ShouldBeEmpty)
+		So(news.add(t0.Add(tellFor), 0), ShouldBeTrue)
+	})
+}
--- a/io/standin/server/grant.go
+++ b/io/standin/server/grant.go
@@ -63,10 +63,9 @@
 		time.Sleep(releasePoll)
 	}
 	s.mu.Lock()
-	known := v.bookings.hand(time.Now(), k.From, k.To)
+	known := v.bookings.handText(time.Now(), k.From, k.To)
 	s.mu.Unlock()
-	text, _ := json.Marshal(known) // strings and numbers always marshal
-	w.Header().Set(names.Default().Handover, string(text))
+	w.Header().Set(names.Default().Handover, known)
 }
 
 func (s *Server) works(v *life, k native.Keys) bool {
--- a/io/standin/server/ids.go
+++ b/io/standin/server/ids.go
@@ -106,6 +106,12 @@
 	Answer *Answer `json:"answer,omitempty"`
 }
 
+// handText is the text of a handover.
+func (b *bookings) handText(now time.Time, from, to int) string {
+	text, _ := json.Marshal(b.hand(now, from, to)) // strings and numbers always marshal
+	return string(text)
+}
+
 // hand lists what is known of a range whose work has ended.
 func (b *bookings) hand(now time.Time, from, to int) handover {
 	h := handover{AllForMillis: -1}
