Protocol for Speech; index and data centre for place

No behaviour changes. A daemon's place among others by name is an index; the rank is how many come before it among those that could do the same. The interface that is a protocol is called one.

--- a/cmd/catkinstep/edge.go
+++ b/cmd/catkinstep/edge.go
@@ -25,7 +25,7 @@
 	out := logs.New(os.Stdout)
 	defer out.Close()
 	logger := slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: c.level()}))
-	r := router.New(s.Daemon, bridge.NewStore(s.StoreAddress), bridge.NewSpeech(), router.WithLogger(logger))
+	r := router.New(s.Daemon, bridge.NewStore(s.StoreAddress), bridge.NewProtocol(), router.WithLogger(logger))
 	go reload(ctx, e.Settings, r, logger)
 	return r.Run(ctx)
 }
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -177,8 +177,8 @@
 // since they may still send to servers.
 func (c *Cluster) Count() int { return len(c.peers) + 1 }
 
-// Place is this daemon's place among all that there may be, by name.
-func (c *Cluster) Place() int {
+// Index is where this daemon stands among all that there may be, by name.
+func (c *Cluster) Index() int {
 	n := 0
 	for name := range c.peers {
 		if name < c.self.Name {
@@ -188,9 +188,9 @@
 	return n
 }
 
-// NearPlace is this daemon's place among those of its data centre that there may be, by
+// NearIndex is where this daemon stands among those of its data centre that there may be, by
 // name, and how many these are.
-func (c *Cluster) NearPlace() (place, count int) {
+func (c *Cluster) NearIndex() (index, count int) {
 	count = 1
 	for name, p := range c.peers {
 		if p.DataCentre != c.self.DataCentre {
@@ -198,10 +198,10 @@
 		}
 		count++
 		if name < c.self.Name {
-			place++
+			index++
 		}
 	}
-	return place, count
+	return index, count
 }
 
 // GivesWay tells whether a leader should let another lead, since the platform
@@ -294,7 +294,7 @@
 	return !p.gone && now.Sub(p.heard) < silentAfter
 }
 
-// rank is this daemon's place among the living that could do the same.
+// rank is how many come before this daemon among the living that could do the same.
 func (c *Cluster) rank(now time.Time, near bool) int {
 	n := 0
 	for _, p := range c.peers {
--- a/core/process/member/member_test.go
+++ b/core/process/member/member_test.go
@@ -106,7 +106,7 @@
 		c.Heard(at(10.1), member("a", "x", 2), Status{Epoch: 4})
 		c.Heard(at(10.2), member("a", "x", 1), Status{Leaving: true})
 		So(c.Count(), ShouldEqual, 3)
-		So(c.Place(), ShouldEqual, 1)
+		So(c.Index(), ShouldEqual, 1)
 		So(c.peers["a"].Leaving, ShouldBeFalse)
 	})
 }
--- a/core/process/member/reader.go
+++ b/core/process/member/reader.go
@@ -34,8 +34,8 @@
 		return false
 	}
 	at := c.dataCentreOf(leader)
-	for _, place := range append(c.places(), c.self.DataCentre) {
-		for _, m := range c.relays(now, place) {
+	for _, dc := range append(c.dataCentres(), c.self.DataCentre) {
+		for _, m := range c.relays(now, dc) {
 			if m.Name != leader && comesFirst(at, m, c.self) && c.mayRead(now, m.Name) {
 				return false
 			}
--- a/core/process/member/relay.go
+++ b/core/process/member/relay.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// relaysOfPlace is how many daemons of a data centre relay gossip for it. Every other
+	// relaysPerDataCentre is how many daemons of a data centre relay gossip for it. Every other
 	// one sends them what it knows and asks them for the rest, so that a data
 	// centre of n daemons has 2n calls in a round in place of n*n. Two, so that the
 	// loss of one is not noticed.
-	relaysOfPlace = 2
+	relaysPerDataCentre = 2
 	// paceLeast is the shortest pause between two rounds of gossip, and paceEach
 	// what each daemon of the data centre adds to it: a relay hears about 40 messages a
 	// second however many there are.
@@ -51,9 +51,9 @@
 // FarRelays lists the daemons that relay for other data centres.
 func (c *Cluster) FarRelays(now time.Time) []string {
 	var out []Member
-	for _, place := range c.places() {
-		if place != c.self.DataCentre {
-			out = append(out, c.relays(now, place)...)
+	for _, dc := range c.dataCentres() {
+		if dc != c.self.DataCentre {
+			out = append(out, c.relays(now, dc)...)
 		}
 	}
 	return c.addresses(out)
@@ -94,29 +94,29 @@
 
 // relays are the strongest daemons of a data centre that are not known to be
 // lost, by name among equals. Strong hosts bear the messages of the others best.
-func (c *Cluster) relays(now time.Time, place string) []Member {
+func (c *Cluster) relays(now time.Time, dc string) []Member {
 	if c.relaysAt == nil || !c.relaysTime.Equal(now) {
 		c.relaysAt, c.relaysTime = map[string][]Member{}, now
 	}
-	if have, ok := c.relaysAt[place]; ok {
+	if have, ok := c.relaysAt[dc]; ok {
 		return have
 	}
-	c.relaysAt[place] = c.findRelays(now, place)
-	return c.relaysAt[place]
+	c.relaysAt[dc] = c.findRelays(now, dc)
+	return c.relaysAt[dc]
 }
 
-func (c *Cluster) findRelays(now time.Time, place string) []Member {
+func (c *Cluster) findRelays(now time.Time, dc string) []Member {
 	var all []Member
-	if place == c.self.DataCentre {
+	if dc == c.self.DataCentre {
 		all = append(all, c.self)
 	}
 	for _, p := range c.peers {
-		if p.DataCentre == place && !c.isLost(now, p) {
+		if p.DataCentre == dc && !c.isLost(now, p) {
 			all = append(all, p.Member)
 		}
 	}
 	slices.SortFunc(all, before)
-	return all[:min(relaysOfPlace, len(all))]
+	return all[:min(relaysPerDataCentre, len(all))]
 }
 
 // Living lists the daemons of each data centre that are not known to be lost, this one
@@ -152,7 +152,7 @@
 	}
 }
 
-func (c *Cluster) places() []string {
+func (c *Cluster) dataCentres() []string {
 	var out []string
 	for _, p := range c.peers {
 		if !slices.Contains(out, p.DataCentre) {
--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		o := s.weigh(now, n, v, loads.of(v.DataCentre))
-		o.cost += s.detour(n, near, subset.Rank(s.limits.NearPlace, s.limits.Near, at, count))
+		o.cost += s.detour(n, near, subset.Rank(s.limits.NearIndex, s.limits.Near, at, count))
 		if best.Reason == None || better(o, best) {
 			best = o
 		}
--- a/core/request/spread/cold.go
+++ b/core/request/spread/cold.go
@@ -31,8 +31,8 @@
 	n := max(1, s.limits.Daemons)
 	over := coldMargin * (v.ColdRate*(s.limits.ColdFactor-1) + s.limits.ColdSlack)
 	entitled := max(1, min(n, int(over)))
-	place := (s.limits.Place + int(xxhash.Sum64String(server)%uint64(n))) % n
-	if place >= entitled {
+	index := (s.limits.Index + int(xxhash.Sum64String(server)%uint64(n))) % n
+	if index >= entitled {
 		return rate{}
 	}
 	return rate{perSecond: v.ColdRate / float64(entitled), burst: max(1, over/float64(n))}
--- a/core/request/spread/fleet_test.go
+++ b/core/request/spread/fleet_test.go
@@ -78,7 +78,7 @@
 	p := &place{random: rand.New(rand.NewPCG(3, 1)), now: t0, work: work.Seconds(), service: Need{Route: "r", Service: service, Aim: aim, Priority: 1, Near: "x"}}
 	p.service.Service.Connections = 0
 	for i := range daemons {
-		p.daemons = append(p.daemons, New(uint64(i), Limits{ColdFactor: 1.5, ColdSlack: 5, Daemons: daemons, Near: daemons, NearPlace: i}))
+		p.daemons = append(p.daemons, New(uint64(i), Limits{ColdFactor: 1.5, ColdSlack: 5, Daemons: daemons, Near: daemons, NearIndex: i}))
 	}
 	for i := range servers {
 		v := fleet.Server{ID: fmt.Sprintf("s%02d", i), Service: "s", DataCentre: "x", Slots: 3, Born: 1}
--- a/core/request/spread/options.go
+++ b/core/request/spread/options.go
@@ -71,21 +71,21 @@
 	ColdSlack  float64
 	// Daemons is how many daemons there are.
 	Daemons int
-	// Place is this daemon's place among them, from 0.
-	Place int
-	// Near is how many daemons there are in this one's data centre, and NearPlace its
-	// place among them, from 0.
-	Near, NearPlace int
+	// Index is where this daemon stands among them, from 0.
+	Index int
+	// Near is how many daemons there are in this one's data centre, and NearIndex where
+	// it stands among them, from 0.
+	Near, NearIndex int
 }
 
 // WithDaemons returns the limits among another number of daemons.
-func (l Limits) WithDaemons(n, place int) Limits {
-	l.Daemons, l.Place = max(1, n), place
+func (l Limits) WithDaemons(n, index int) Limits {
+	l.Daemons, l.Index = max(1, n), index
 	return l
 }
 
 // WithNear returns the limits among another number of daemons of the data centre.
-func (l Limits) WithNear(n, place int) Limits {
-	l.Near, l.NearPlace = n, place
+func (l Limits) WithNear(n, index int) Limits {
+	l.Near, l.NearIndex = n, index
 	return l
 }
--- a/core/request/spread/speed_test.go
+++ b/core/request/spread/speed_test.go
@@ -9,7 +9,7 @@
 
 // BenchmarkChoose is a choice among the servers of a large site while no near one is free.
 func BenchmarkChoose(b *testing.B) {
-	s := New(1, Limits{ColdFactor: 1.5, ColdSlack: 5, Daemons: 195, Near: 32, NearPlace: 7})
+	s := New(1, Limits{ColdFactor: 1.5, ColdSlack: 5, Daemons: 195, Near: 32, NearIndex: 7})
 	var list []fleet.Server
 	for i, v := range servers(240) {
 		v.DataCentre = []string{"x", "y", "z", "u", "v", "w"}[i%6]
--- a/core/request/spread/spread_test.go
+++ b/core/request/spread/spread_test.go
@@ -199,7 +199,7 @@
 		var spreads []*Spread
 		for i := range daemons {
 			l := limits
-			l.Place = i
+			l.Index = i
 			s := New(uint64(i), l)
 			s.AssumeCold(v, t0.Add(time.Minute))
 			spreads = append(spreads, s)
--- a/io/process/native/daemon.go
+++ b/io/process/native/daemon.go
@@ -70,7 +70,7 @@
 		o(&s)
 	}
 	d := &Daemon{prefs: p, platform: plat.New(p.Platform, p.DataCentre), done: make(chan struct{})}
-	d.Router = router.New(Settings(p), NewStore(d.platform), Speech{}, router.WithLogger(s.log))
+	d.Router = router.New(Settings(p), NewStore(d.platform), Protocol{}, router.WithLogger(s.log))
 	if s.operator != nil {
 		l, err := net.Listen("tcp", p.Operator)
 		if err != nil {
--- a/io/process/native/speech.go
+++ b/io/process/native/protocol.go
@@ -61,24 +61,24 @@
 	RetryAfter string `json:"retryAfter,omitempty"`
 }
 
-// Speech implements router.Speech.
-type Speech struct{}
+// Protocol implements router.Protocol.
+type Protocol struct{}
 
 // Names returns the header names.
-func (Speech) Names() names.Names { return names.Default() }
+func (Protocol) Names() names.Names { return names.Default() }
 
 // Grant builds the call that makes a server hold a range.
-func (Speech) Grant(c grant.Call) link.Request {
+func (Protocol) Grant(c grant.Call) link.Request {
 	return post(GrantPath, c.Address, Keys{From: c.From, To: c.To, Fence: c.Fence, HoldMillis: c.Hold.Milliseconds(), Handover: c.Handover, Origin: c.Origin})
 }
 
 // Release builds the call that makes a server let go of a range.
-func (Speech) Release(c grant.Call) link.Request {
+func (Protocol) Release(c grant.Call) link.Request {
 	return post(ReleasePath, c.Address, Keys{From: c.From, To: c.To, Fence: c.Fence})
 }
 
 // Result sorts the answer to either call.
-func (Speech) Result(a *link.Answer) (r grant.Result, handover string) {
+func (Protocol) Result(a *link.Answer) (r grant.Result, handover string) {
 	switch {
 	case a.Status == http.StatusOK:
 		return grant.Done, a.Header.Get(names.Default().Handover)
@@ -100,7 +100,7 @@
 
 // ID takes the caller's id, or makes one. A booking that is sent again under its id is
 // the same booking where a service is divided by key: the key's holder knows the ids.
-func (Speech) ID(h http.Header) string {
+func (Protocol) ID(h http.Header) string {
 	for _, name := range []string{headerIdem, names.Default().ID} {
 		if id := h.Get(name); id != "" {
 			return id
@@ -110,13 +110,13 @@
 }
 
 // Patience is how long the caller waits, if it says.
-func (Speech) Patience(h http.Header) (time.Duration, bool) {
+func (Protocol) Patience(h http.Header) (time.Duration, bool) {
 	d, err := time.ParseDuration(h.Get(HeaderTimeout))
 	return d, err == nil && d > 0
 }
 
 // Key is the number of the key that a request is about.
-func (p Speech) Key(s config.Service, path string, h http.Header) (int, bool) {
+func (p Protocol) Key(s config.Service, path string, h http.Header) (int, bool) {
 	text := h.Get(HeaderKey)
 	switch {
 	case s.KeyByID:
@@ -138,14 +138,14 @@
 }
 
 // Answered adds what callers get beside a server's own answer.
-func (Speech) Answered(h http.Header, id, server string) {
+func (Protocol) Answered(h http.Header, id, server string) {
 	h.Set(names.Default().ID, id)
 	h.Set(HeaderOutcome, OutcomeAnswered)
 	h.Set(HeaderServer, server)
 }
 
 // Refused forms an answer that is not a server's.
-func (Speech) Refused(f caller.Refusal) (http.Header, []byte) {
+func (Protocol) Refused(f caller.Refusal) (http.Header, []byte) {
 	out := Failure{Code: f.Reason, Ran: OutcomeNotRun, RequestID: f.ID}
 	if f.MaybeRan {
 		out.Ran = OutcomeUnknown
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -194,7 +194,7 @@
 
 // isAnswer tells a server's own answer from what something else wrote.
 func (r *Router) isAnswer(a *link.Answer) bool {
-	return a.Status >= http.StatusMultipleChoices || a.Header.Get(r.speech.Names().Signature) != ""
+	return a.Status >= http.StatusMultipleChoices || a.Header.Get(r.protocol.Names().Signature) != ""
 }
 
 // mayRepeat tells whether another attempt is allowed and can still help.
--- a/io/process/router/boot.go
+++ b/io/process/router/boot.go
@@ -15,7 +15,7 @@
 		return
 	default:
 	}
-	patience, _ := r.speech.Patience(q.Header)
+	patience, _ := r.protocol.Patience(q.Header)
 	wait := time.NewTimer(r.boot.Wait(r.now(), patience))
 	defer wait.Stop()
 	select {
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -285,8 +285,8 @@
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
 	c.r.daemons = c.members.Count()
-	place, near := c.members.NearPlace()
-	c.r.spread.Limit(c.r.limits().WithDaemons(c.members.Count(), c.members.Place()).WithNear(near, place))
+	index, near := c.members.NearIndex()
+	c.r.spread.Limit(c.r.limits().WithDaemons(c.members.Count(), c.members.Index()).WithNear(near, index))
 	for _, b := range c.r.budgets {
 		b.SetShare(c.r.retryShare() * retryMargin)
 		b.SetBurst(c.r.burst())
--- a/io/process/router/control_test.go
+++ b/io/process/router/control_test.go
@@ -21,7 +21,7 @@
 	"catkinstep/io/process/setup"
 )
 
-// mute is a Speech of nobody.
+// mute is a Protocol of nobody.
 type mute struct{}
 
 func (mute) Names() names.Names                         { return names.Default() }
--- a/io/process/router/doc.go
+++ b/io/process/router/doc.go
@@ -8,6 +8,6 @@
 //
 // # Usage
 //
-//	r, err := router.New(settings, store, speech, router.WithLogger(logger))
+//	r, err := router.New(settings, store, protocol, router.WithLogger(logger))
 //	err = r.Run(ctx) // until the context ends; then it stops without cutting
 package router
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -132,7 +132,7 @@
 	w := r.links.get(linkKey{address: cmd.Address, id: cmd.Holder.Server, born: cmd.Holder.Born, use: forGrants})
 	w.turn.Lock()
 	if r.now().Before(cmd.Before) {
-		q := r.speech.Grant(cmd.Call)
+		q := r.protocol.Grant(cmd.Call)
 		q.KeptOnly = cmd.Renewal
 		m.Result, _ = r.order(w, cmd.Holder, q, grantTimeout)
 	}
@@ -146,7 +146,7 @@
 	m := keeper.ReleasedMsg{Cmd: cmd, Result: grant.NotSent}
 	if r.now().Before(cmd.Before) {
 		w := r.links.get(linkKey{address: cmd.Address, id: cmd.Holder.Server, born: cmd.Holder.Born, use: forReleases})
-		m.Result, m.Handover = r.order(w, cmd.Holder, r.speech.Release(cmd.Call), releaseTimeout)
+		m.Result, m.Handover = r.order(w, cmd.Holder, r.protocol.Release(cmd.Call), releaseTimeout)
 	}
 	r.meters.add("releases." + m.Result.String())
 	r.post(keeperMsg{msg: m})
@@ -158,7 +158,7 @@
 	defer cancel()
 	a, err := w.Do(ctx, q)
 	if err == nil {
-		return r.speech.Result(a)
+		return r.protocol.Result(a)
 	}
 	if !q.KeptOnly || !link.NotRun(err) {
 		r.log.Info("keys: call to server failed", "target", q.Target, "server", h.Server, "host", q.Host, "err", err)
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -104,8 +104,8 @@
 	Save(ctx context.Context, kind news.Kind, name string, value []byte, revision uint64) (news.Item, error)
 }
 
-// Speech is the protocol of backend servers.
-type Speech interface {
+// Protocol is how backend servers and callers are talked to.
+type Protocol interface {
 	Names() names.Names
 	Grant(grant.Call) link.Request
 	Release(grant.Call) link.Request
@@ -114,7 +114,7 @@
 	Callers
 }
 
-// Callers is the protocol of callers.
+// Callers is the part of a Protocol that callers see.
 type Callers interface {
 	// ID names one try of a caller.
 	ID(h http.Header) string
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -40,7 +40,7 @@
 type Router struct {
 	settings setup.Settings
 	store    Store
-	speech   Speech
+	protocol Protocol
 	log      *slog.Logger
 	hold     time.Duration
 	now      func() time.Time
@@ -107,9 +107,9 @@
 const inboxSize = 256
 
 // New returns a Router that does nothing yet.
-func New(s setup.Settings, st Store, sp Speech, opts ...Option) *Router {
+func New(s setup.Settings, st Store, sp Protocol, opts ...Option) *Router {
 	r := &Router{
-		settings: s, store: st, speech: sp, log: slog.Default(),
+		settings: s, store: st, protocol: sp, log: slog.Default(),
 		hold: keeper.DefaultHold, now: clock.Now, meters: newMeters(), bounds: s, daemons: 1,
 		inbox: make(chan any, inboxSize), running: make(chan struct{}),
 		budgets: map[string]*retry.Budget{}, suspects: crash.New(crashBound, crashKeep), sent: sent.New(keepSent), heat: map[heatKey]heatCount{},
--- a/io/process/router/sent.go
+++ b/io/process/router/sent.go
@@ -24,7 +24,7 @@
 
 // keepsIDs tells whether the holder of a request's key keeps its id.
 func (r *Router) keepsIDs(o *order) bool {
-	return !o.route.Idempotent && o.key >= 0 && r.speech.Names().FirstSent != ""
+	return !o.route.Idempotent && o.key >= 0 && r.protocol.Names().FirstSent != ""
 }
 
 // noteSent notes that a request is about to be sent, and tells its server when it first
@@ -34,7 +34,7 @@
 	r.mu.Lock()
 	first, again := r.sent.Note(now, sent.Hash(o.id))
 	r.mu.Unlock()
-	ago, name := now.Sub(first), r.speech.Names().FirstSent
+	ago, name := now.Sub(first), r.protocol.Names().FirstSent
 	ms, err := strconv.ParseInt(o.Header.Get(name), 10, 64)
 	o.Header.Del(name)
 	if err == nil {
@@ -103,6 +103,6 @@
 func (r *Router) outcomeLost(o *order, server string) caller.Reply {
 	r.meters.add("sent.lost")
 	r.log.Info("request: may have run at a lost holder", "id", o.id, "route", o.route.Name, "key", o.key, "server", server,
-		"firstSentMillis", o.Header.Get(r.speech.Names().FirstSent))
+		"firstSentMillis", o.Header.Get(r.protocol.Names().FirstSent))
 	return *r.plain(o.id, http.StatusBadGateway, reasonLost)
 }
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -81,7 +81,7 @@
 func (r *Router) handle(ctx context.Context, q caller.Request) caller.Reply {
 	r.awaitBoot(ctx, q)
 	s := r.current.Load()
-	id := r.speech.ID(q.Header)
+	id := r.protocol.ID(q.Header)
 	if !s.configured {
 		return r.refuse(id, "", reasonNoConfig, notReadyRetry)
 	}
@@ -114,11 +114,11 @@
 	o := &order{Request: q, id: id, route: route, key: -1, target: strings.TrimPrefix(q.RequestURI, route.Strip)}
 	o.service, _ = s.config.Service(route.Pick(r.draw()))
 	o.deadline = q.Read.Add(route.Timeout)
-	if patience, ok := r.speech.Patience(q.Header); ok && patience < route.Timeout {
+	if patience, ok := r.protocol.Patience(q.Header); ok && patience < route.Timeout {
 		o.deadline = q.Read.Add(patience)
 	}
 	if o.service.Keyed {
-		if o.key, ok = r.speech.Key(o.service, o.target, q.Header); !ok || o.key < 0 || o.key > grant.LastKey {
+		if o.key, ok = r.protocol.Key(o.service, o.target, q.Header); !ok || o.key < 0 || o.key > grant.LastKey {
 			r.log.Info("request: no key", "id", id, "route", route.Name, "path", o.target)
 			return nil, r.plain(id, http.StatusBadRequest, reasonNoKey)
 		}
@@ -134,14 +134,14 @@
 // answer is a server's answer as the caller gets it.
 func (r *Router) answer(o *order, a *link.Answer) caller.Reply {
 	h := a.Header
-	h.Del(r.speech.Names().Load)
-	r.speech.Answered(h, o.id, a.Server)
+	h.Del(r.protocol.Names().Load)
+	r.protocol.Answered(h, o.id, a.Server)
 	return caller.Reply{Status: a.Status, Header: h, Body: a.Body}
 }
 
 // forwarded are the headers that go on to the server.
 func (r *Router) forwarded(o *order) http.Header {
-	h, n := o.Header, r.speech.Names()
+	h, n := o.Header, r.protocol.Names()
 	if h.Get(n.ID) != o.id {
 		h.Set(n.ID, o.id)
 	}
