--- a/core/process/keeper/origin_test.go
+++ b/core/process/keeper/origin_test.go
@@ -38,7 +38,7 @@
 		s.lets(2*time.Second, grant.Done)
 		So(originsOf(s.grantsTo("b")), ShouldResemble, []grant.Origin{grant.Handed, grant.Kept})
 	})
-	Convey("After a holder that was lost it is told so", t, func() {
+	Convey("After a holder that was lost its grant says so", t, func() {
 		s := begin(held)
 		s.fleet(b)
 		s.lets(time.Minute, grant.Ended)
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -173,8 +173,8 @@
 }
 
 // storeFailed tells the other daemons at the first failure of the leader or the spare, so
-// that another one reads in its place at once. In an outage all daemons come to try: theirs
-// need not be told.
+// that another one reads in its place at once. In an outage all daemons come to try: their
+// failures are no news.
 func (c *control) storeFailed(now time.Time) {
 	first := c.members.FailedAt().IsZero()
 	c.members.StoreFailed(now)
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -31,7 +31,7 @@
 	// come many times a second. A leaving server must be known within two seconds.
 	serverPace = 300 * time.Millisecond
 	// sparePace is the same for the spare reader, of all kinds: most changes have come to
-	// it from the leader by then, and need not be told twice.
+	// it from the leader by then, and are not passed on twice.
 	sparePace = 700 * time.Millisecond
 	// spareEvery paces the look who the spare reader is, for which relays of all data
 	// centres are put in order.
--- a/io/process/router/sent.go
+++ b/io/process/router/sent.go
@@ -16,7 +16,7 @@
 // holders keep them.
 const keepSent = 2 * time.Minute
 
-// firstSent is an id that was sent and may have run, as other daemons are told of it.
+// firstSent is an id that was sent and may have run, as other daemons learn of it.
 type firstSent struct {
 	hash uint64
 	at   time.Time
@@ -61,7 +61,7 @@
 		return
 	}
 	if !r.unanswered.add(time.Now(), f) {
-		r.meters.add("sent.untold")
+		r.meters.add("sent.notPassedOn")
 		return
 	}
 	if link.KindOf(err) == link.Unsure {
@@ -93,7 +93,7 @@
 	for _, s := range news {
 		at := now.Add(-millis(s.AgoMillis))
 		if r.sent.Learn(now, s.Id, at) && !r.unanswered.add(now, firstSent{hash: s.Id, at: at}) {
-			r.meters.add("sent.untold")
+			r.meters.add("sent.notPassedOn")
 		}
 	}
 }
--- a/io/process/router/sent_test.go
+++ b/io/process/router/sent_test.go
@@ -42,7 +42,7 @@
 
 // Guards against a booking whose holder cannot tell that it was sent before, and against one that is refused although it never was.
 func TestAgeOfABooking(t *testing.T) {
-	Convey("It is told with what was sent before and may have run", t, func() {
+	Convey("It goes with what was sent before and may have run", t, func() {
 		r := still()
 		r.ends(booked("a"), nil, errBroken)
 		So(r.tells("a"), ShouldBeTrue)
@@ -68,20 +68,20 @@
 
 // Guards against a second run by way of a daemon that never saw the booking.
 func TestOtherDaemonsLearnOfUnansweredBookings(t *testing.T) {
-	Convey("What may have run without an answer is told, what was answered is not", t, func() {
+	Convey("What may have run without an answer is passed on, what was answered is not", t, func() {
 		r, other := still(), still()
 		r.ends(booked("a"), nil, errBroken)
 		r.ends(booked("b"), &link.Answer{Status: http.StatusOK}, nil)
 		r.ends(booked("c"), nil, errNotSent)
-		told := r.sentNews()
-		So(told, ShouldHaveLength, 1)
-		So(told[0].Id, ShouldEqual, sent.Hash("a"))
-		other.heardOfSent([]*wire.Sent{{Id: told[0].Id, AgoMillis: 900}})
+		found := r.sentNews()
+		So(found, ShouldHaveLength, 1)
+		So(found[0].Id, ShouldEqual, sent.Hash("a"))
+		other.heardOfSent([]*wire.Sent{{Id: found[0].Id, AgoMillis: 900}})
 		So(other.tells("a"), ShouldBeTrue)
-		So(other.sentNews(), ShouldHaveLength, 1) // passed on
+		So(other.sentNews(), ShouldHaveLength, 1) // it goes on from there
 		Convey("once", func() {
 			other.unanswered = recent[firstSent]{}
-			other.heardOfSent([]*wire.Sent{{Id: told[0].Id, AgoMillis: 800}})
+			other.heardOfSent([]*wire.Sent{{Id: found[0].Id, AgoMillis: 800}})
 			So(other.sentNews(), ShouldBeEmpty)
 		})
 	})
@@ -95,11 +95,11 @@
 	})
 	Convey("No more than a bounded number at once", t, func() {
 		var news recent[int]
-		for i := range tellMost {
+		for i := range passOnMost {
 			So(news.add(t0, i), ShouldBeTrue)
 		}
 		So(news.add(t0, 0), ShouldBeFalse)
-		So(news.list(t0.Add(tellFor)), ShouldBeEmpty)
-		So(news.add(t0.Add(tellFor), 0), ShouldBeTrue)
+		So(news.list(t0.Add(passOnFor)), ShouldBeEmpty)
+		So(news.add(t0.Add(passOnFor), 0), ShouldBeTrue)
 	})
 }
--- a/io/process/router/serve_test.go
+++ b/io/process/router/serve_test.go
@@ -105,7 +105,7 @@
 
 // Guards against a new leader that takes slowed holders for usual ones until they answer again.
 func TestNewLeaderLearnsThePaces(t *testing.T) {
-	Convey("It is told of each server once, and of what is new after that", t, func() {
+	Convey("Each server is reported once, and what is new after that", t, func() {
 		r := still()
 		leads := func(epoch uint64) {
 			r.current.Store(r.current.Load().withConfig(config.Config{Services: []config.Service{{Name: "s", Keyed: true}}}).withTable(grant.Table{Epoch: epoch}))
--- a/io/standin/server/ids.go
+++ b/io/standin/server/ids.go
@@ -15,8 +15,8 @@
 	keepIDs = 2 * time.Minute
 	// purgeEvery paces the search for ids that are too old.
 	purgeEvery = time.Second
-	// onTheWay covers the way of a booking whose age is told.
-	onTheWay = time.Second
+	// transit bounds the time in which a booking with its age gets here.
+	transit = time.Second
 )
 
 // booking is one request that must run once, from its arrival on.
@@ -75,7 +75,7 @@
 // knewAt tells whether a booking of a key that was sent at a time would be known.
 func (b *bookings) knewAt(now time.Time, key int, at time.Time) bool {
 	since, ok := b.since[key]
-	return ok && since.Before(at.Add(-onTheWay)) && now.Sub(at) < keepIDs
+	return ok && since.Before(at.Add(-transit)) && now.Sub(at) < keepIDs
 }
 
 func (b *bookings) purge(now time.Time) {
