Load sends bookings to keyed services again; a refused copy takes no id away

Cause, found by reading: of two copies of a booking at one daemon, one that did not run made the daemon forget the id, also when the other one may have run.

Change: an attempt that may have run is noted anew when it ends (the test fails without). Load sends bookings of keyed services again while their outcome is unknown; a try that was refused after one that may have run counts as unknown, and a refused connection as not run, which the oracle checks.

--- a/io/process/router/sent.go
+++ b/io/process/router/sent.go
@@ -54,10 +54,15 @@
 	unanswered := err != nil && !notRun || ctx.Err() != nil
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if notRun && !again {
-		r.sent.Forget(f.hash)
+	if notRun {
+		if !again {
+			r.sent.Forget(f.hash)
+		}
+		return
 	}
-	if notRun || !unanswered {
+	// Another copy that did not run may have made it forgotten.
+	r.sent.Learn(time.Now(), f.hash, f.at)
+	if !unanswered {
 		return
 	}
 	if !r.unanswered.add(time.Now(), f) {
--- a/io/process/router/sent_test.go
+++ b/io/process/router/sent_test.go
@@ -58,6 +58,15 @@
 		So(r.tells("b"), ShouldBeFalse)
 		So(r.tells("c"), ShouldBeTrue)
 	})
+	Convey("A copy that did not run takes nothing away from another one that may have", t, func() {
+		r := still()
+		refused, ran := booked("a"), booked("a")
+		first, again := r.noteSent(refused)
+		later, laterAgain := r.noteSent(ran)
+		r.noteEnd(context.Background(), first, again, nil, errNotSent)
+		r.noteEnd(context.Background(), later, laterAgain, nil, errBroken)
+		So(r.tells("a"), ShouldBeTrue)
+	})
 	Convey("A caller may know of an earlier time", t, func() {
 		r, o := still(), booked("a")
 		o.Header.Set(names.Default().FirstSent, "60000")
--- a/io/standin/load/load.go
+++ b/io/standin/load/load.go
@@ -57,6 +57,8 @@
 	// Keys is the number of keys; Skew their Zipf exponent, above 1, or 0 for even.
 	Keys uint64
 	Skew float64
+	// RunsOnce means that a booking is safely sent again under its id.
+	RunsOnce bool
 	// Timeout is what callers allow.
 	Timeout time.Duration
 	Seed    uint64
@@ -185,8 +187,10 @@
 
 func (g *Generator) make(c call) {
 	var o outcome
+	unknown := false // whether an earlier try may have run
 	for try := range uint64(resends) {
 		o = g.try(c, try)
+		unknown = unknown || o.reply.Outcome == "unknown"
 		if !o.again {
 			break
 		}
@@ -194,6 +198,9 @@
 		g.result.Resent++
 		g.mu.Unlock()
 	}
+	if unknown && o.reply.Outcome == "notRun" {
+		o.reply.Outcome = "unknown" // it is the last try that did not run
+	}
 	took := time.Since(c.due)
 	g.judge.Got(o.reply)
 	g.mu.Lock()
@@ -281,7 +288,9 @@
 	if err != nil {
 		return g.broken(c, host, err)
 	}
-	return read(c, resp, data)
+	o := read(c, resp, data)
+	o.again = c.booking && g.config.RunsOnce && o.reply.Outcome == "unknown" && o.code != "outcomeLost"
+	return o
 }
 
 // broken is a connection that brought no answer. That of a killed host is made
@@ -291,8 +300,13 @@
 	var timeout net.Error
 	late := errors.As(err, &timeout) && timeout.Timeout()
 	if refused || g.balancer.Killed(host) {
-		// A booking that was read may have run: only its caller can decide to book anew.
-		return outcome{reply: oracle.Reply{ID: c.id, Outcome: "unknown"}, code: "hostLost", again: refused || !c.booking}
+		// A booking that was read may have run. Where it would run a second time only its
+		// caller can decide to book anew.
+		reply := oracle.Reply{ID: c.id, Outcome: "unknown"}
+		if refused {
+			reply.Outcome = "notRun"
+		}
+		return outcome{reply: reply, code: "hostLost", again: refused || !c.booking || g.config.RunsOnce}
 	}
 	return outcome{reply: oracle.Reply{ID: c.id, Outcome: "unknown", Cut: !late}, code: "noAnswer"}
 }
