A refusal of a later try says that an earlier one may have run

What callers could see: a booking without an answer, sent again, refused with "notRun" since its key was moving. A caller that believed this of the booking would make it anew under another id.

Cause: "notRun" was decided by the tries of one request only. Now that daemons remember ids, one that knows of an earlier try which may have run says "unknown" with the same 503 and Retry-After. TestRefusalOfALaterTry fails without. Refusals keep their line in the log, with earlierTry; a lost outcome has the line of requests that were given up, so that report losses counts it.

Nothing changes where servers keep no ids.

--- a/core/request/sent/sent.go
+++ b/core/request/sent/sent.go
@@ -44,6 +44,12 @@
 	return true
 }
 
+// Has tells whether an id is remembered.
+func (m *Memory) Has(hash uint64) bool {
+	_, ok := m.first(hash)
+	return ok
+}
+
 // Forget drops an id whose request surely did not run.
 func (m *Memory) Forget(hash uint64) {
 	delete(m.now, hash)
--- a/core/request/sent/sent_test.go
+++ b/core/request/sent/sent_test.go
@@ -25,7 +25,9 @@
 	Convey("One that surely did not run was not sent", t, func() {
 		m := New(time.Minute)
 		m.Note(t0, 7)
+		So(m.Has(7), ShouldBeTrue)
 		m.Forget(7)
+		So(m.Has(7), ShouldBeFalse)
 		_, again := m.Note(t0.Add(time.Second), 7)
 		So(again, ShouldBeFalse)
 	})
--- a/io/process/router/refuse.go
+++ b/io/process/router/refuse.go
@@ -15,7 +15,7 @@
 		return r.answer(o, o.held)
 	}
 	if !o.maybeRan {
-		return r.refuse(o.id, o.route.Name, reason, after, r.grounds(o, c)...)
+		return r.refuseOrder(o, reason, after, r.grounds(o, c)...)
 	}
 	status := http.StatusBadGateway
 	if !time.Now().Before(o.deadline) {
@@ -32,11 +32,22 @@
 		"left", time.Until(o.deadline).String(), "attempts", o.attempts(), "config", s.config.Version, "epoch", s.table.Epoch, "seq", s.table.Seq}
 }
 
-func (r *Router) refuse(id, route, reason string, after time.Duration, grounds ...any) caller.Reply {
-	after = max(after, minRetry)
-	r.meters.add("refused." + reason)
-	r.log.Info("request: refused, not run", append([]any{"id", id, "route", route, "reason", reason, "retryAfter", after.String()}, grounds...)...)
-	return r.refusal(caller.Refusal{ID: id, Status: http.StatusServiceUnavailable, Reason: reason, After: after})
+// refuseOrder refuses a request that was understood. That this try did not run says nothing
+// of an earlier one under the same id: its caller would book anew, under another.
+func (r *Router) refuseOrder(o *order, reason string, after time.Duration, grounds ...any) caller.Reply {
+	f := caller.Refusal{ID: o.id, Status: http.StatusServiceUnavailable, Reason: reason, After: after, MaybeRan: r.wasSent(o)}
+	if f.MaybeRan {
+		grounds = append(grounds, "earlierTry", "mayHaveRun")
+	}
+	return r.refuse(f, o.route.Name, grounds...)
+}
+
+// refuse tells a caller that a try did not run, and when to come back.
+func (r *Router) refuse(f caller.Refusal, route string, grounds ...any) caller.Reply {
+	f.After = max(f.After, minRetry)
+	r.meters.add("refused." + f.Reason)
+	r.log.Info("request: refused, not run", append([]any{"id", f.ID, "route", route, "reason", f.Reason, "retryAfter", f.After.String()}, grounds...)...)
+	return r.refusal(f)
 }
 
 // minRetry keeps callers from coming back within the time that an answer takes.
--- a/io/process/router/sent.go
+++ b/io/process/router/sent.go
@@ -27,6 +27,17 @@
 	return !o.route.Idempotent && o.key >= 0 && r.protocol.Names().FirstSent != ""
 }
 
+// wasSent tells whether a request that must run once was sent under its id before, and may
+// have run.
+func (r *Router) wasSent(o *order) bool {
+	if !r.keepsIDs(o) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent.Has(sent.Hash(o.id))
+}
+
 // noteSent notes that a request is about to be sent, and tells its server when it first
 // was. A caller may know of an earlier time than the daemons do.
 func (r *Router) noteSent(o *order) (firstSent, bool) {
@@ -107,7 +118,7 @@
 // run under this id.
 func (r *Router) outcomeLost(o *order, server string) caller.Reply {
 	r.meters.add("sent.lost")
-	r.log.Info("request: may have run at a lost holder", "id", o.id, "route", o.route.Name, "key", o.key, "server", server,
-		"firstSentMillis", o.Header.Get(r.protocol.Names().FirstSent))
+	r.log.Info("request: given up, may have run", "id", o.id, "route", o.route.Name, "reason", reasonLost, "service", o.service.Name, "key", o.key,
+		"server", server, "firstSentMillis", o.Header.Get(r.protocol.Names().FirstSent))
 	return *r.plain(o.id, http.StatusBadGateway, reasonLost)
 }
--- a/io/process/router/sent_test.go
+++ b/io/process/router/sent_test.go
@@ -12,6 +12,8 @@
 	"catkinstep/core/connection/names"
 	"catkinstep/core/connection/wire"
 	"catkinstep/core/request/sent"
+	"catkinstep/core/request/spread"
+	"catkinstep/io/connection/caller"
 	"catkinstep/io/connection/link"
 )
 
@@ -75,6 +77,37 @@
 	})
 }
 
+// lastRefusal is a protocol that keeps the last refusal.
+type lastRefusal struct {
+	mute
+	was *caller.Refusal
+}
+
+func (l lastRefusal) Refused(f caller.Refusal) (http.Header, []byte) {
+	*l.was = f
+	return http.Header{}, nil
+}
+
+// Guards against a caller that books anew under another id, since the refusal of a later try says "not run".
+func TestRefusalOfALaterTry(t *testing.T) {
+	Convey("It says that the booking may have run", t, func() {
+		r, was := still(), caller.Refusal{}
+		r.protocol = lastRefusal{was: &was}
+		refused := func(id string) caller.Refusal {
+			reply := r.giveUp(booked(id), spread.Choice{}, string(moving), time.Second)
+			So(reply.Status, ShouldEqual, http.StatusServiceUnavailable)
+			So(was.After, ShouldEqual, time.Second)
+			return was
+		}
+		So(refused("a").MaybeRan, ShouldBeFalse)
+		r.ends(booked("a"), nil, errNotSent)
+		So(refused("a").MaybeRan, ShouldBeFalse)
+		r.ends(booked("a"), nil, errBroken)
+		So(refused("a").MaybeRan, ShouldBeTrue)
+		So(refused("other").MaybeRan, ShouldBeFalse)
+	})
+}
+
 // Guards against a second run by way of a daemon that never saw the booking.
 func TestOtherDaemonsLearnOfUnansweredBookings(t *testing.T) {
 	Convey("What may have run without an answer is passed on, what was answered is not", t, func() {
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -83,7 +83,7 @@
 	s := r.current.Load()
 	id := r.protocol.ID(q.Header)
 	if !s.configured {
-		return r.refuse(id, "", reasonNoConfig, notReadyRetry)
+		return r.refuse(caller.Refusal{ID: id, Status: http.StatusServiceUnavailable, Reason: reasonNoConfig, After: notReadyRetry}, "")
 	}
 	o, bad := r.understand(s, q, id)
 	if bad != nil {
@@ -98,7 +98,7 @@
 // run serves a request that was understood.
 func (r *Router) run(ctx context.Context, o *order) caller.Reply {
 	if r.crashes(o) {
-		return r.refuse(o.id, o.route.Name, reasonCrashes, crashKeep/4)
+		return r.refuseOrder(o, reasonCrashes, crashKeep/4)
 	}
 	r.count(o)
 	return r.attempt(ctx, o)
