An id counts for one booking of one key

What a caller could get: the answer to another's booking, if both used the same id ("order-1") and one server held both keys.

Change: servers keep ids by key; the same id for another booking of the same key is answered 422. Daemons remember ids by service and key. Nothing changes where servers keep no ids.

--- a/core/request/sent/doc.go
+++ b/core/request/sent/doc.go
@@ -6,9 +6,10 @@
 // # Usage
 //
 //	m := sent.New(2 * time.Minute)
-//	first, again := m.Note(now, sent.Hash("order-7"))
-//	if !again { m.Forget(sent.Hash("order-7")) } // it surely did not run
-//	m.Learn(now, hash, at)                       // another daemon sent it then
+//	hash := sent.Hash("workshop", 61012, "order-7")
+//	first, again := m.Note(now, hash)
+//	if !again { m.Forget(hash) } // it surely did not run
+//	m.Learn(now, hash, at)       // another daemon sent it then
 //
 // A Memory is used under one lock; its functions do not fail.
 package sent
--- a/core/request/sent/sent.go
+++ b/core/request/sent/sent.go
@@ -1,14 +1,18 @@
 package sent
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Hash stands for an id. Two ids of one hash do no harm: the second counts as sent
-// earlier than it was, which matters only once its holder is lost.
-func Hash(id string) uint64 { return xxhash.Sum64String(id) }
+// Hash stands for the id of a request about a key: callers that do not know of each other
+// may use the same id for different keys. Two of one hash do no harm: the second counts as
+// sent earlier than it was, which matters only once its holder is lost.
+func Hash(service string, key int, id string) uint64 {
+	return xxhash.Sum64String(service + " " + strconv.Itoa(key) + " " + id)
+}
 
 // Memory holds when ids were first sent, each for at least a time and at most twice that.
 type Memory struct {
--- a/core/request/sent/sent_test.go
+++ b/core/request/sent/sent_test.go
@@ -9,6 +9,15 @@
 
 var t0 = time.Unix(1000, 0)
 
+func TestHash(t *testing.T) {
+	Convey("Only copies of one request have the same", t, func() {
+		So(Hash("s", 7, "a"), ShouldEqual, Hash("s", 7, "a"))
+		for _, other := range []uint64{Hash("t", 7, "a"), Hash("s", 8, "a"), Hash("s", 7, "b")} {
+			So(other, ShouldNotEqual, Hash("s", 7, "a"))
+		}
+	})
+}
+
 func TestNote(t *testing.T) {
 	Convey("The first time counts, whoever sent it", t, func() {
 		m := New(time.Minute)
--- a/io/process/native/again_test.go
+++ b/io/process/native/again_test.go
@@ -1,6 +1,8 @@
 package native_test
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -19,6 +21,17 @@
 
 func (y *yard) book(d *native.Daemon) got { return y.askID(d, http.MethodPost, booking, bench, "{}") }
 
+// refused is the status of a booking that is answered by its server, not in its usual form.
+func (y *yard) refused(d *native.Daemon, id, path string) int {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+d.Prefs().Callers+path, nil)
+	So(err, ShouldBeNil)
+	req.Header.Set("Idempotency-Key", id)
+	resp, err := y.client.Do(req)
+	So(err, ShouldBeNil)
+	So(resp.Body.Close(), ShouldBeNil)
+	return resp.StatusCode
+}
+
 // bookWithoutAnswer sends the booking to its holder, which runs it and cuts the answer off.
 func (y *yard) bookWithoutAnswer(d *native.Daemon) (holder string) {
 	holder = y.ask(d, http.MethodGet, bench, "").answer.Server
@@ -28,6 +41,23 @@
 	return holder
 }
 
+// Guards against a caller that gets another's answer, since both use the same id.
+func TestSameIDOfAnotherBooking(t *testing.T) {
+	Convey("Of another key it is another booking, of the same key it is refused", t, func() {
+		y := newYard(t, 1)
+		d := y.daemons[0]
+		So(y.settles(d), ShouldBeTrue)
+		So(y.book(d).status, ShouldEqual, http.StatusOK)
+		for key := range 8 {
+			path := fmt.Sprintf("/workshop/benches/other-%d", key)
+			a := y.askID(d, http.MethodPost, booking, path, "{}")
+			So(a.status, ShouldEqual, http.StatusOK)
+			So("/workshop"+a.answer.Path, ShouldEqual, path)
+		}
+		So(y.refused(d, booking, bench+"/drawer"), ShouldEqual, http.StatusUnprocessableEntity)
+	})
+}
+
 // Guards against a booking that runs twice, or is never answered, when its caller sends it again under its id.
 func TestBookingSentAgain(t *testing.T) {
 	Convey("Its holder answers it, whichever daemon is asked, and runs it once", t, func() {
--- a/io/process/router/sent.go
+++ b/io/process/router/sent.go
@@ -27,6 +27,9 @@
 	return !o.route.Idempotent && o.key >= 0 && r.protocol.Names().FirstSent != ""
 }
 
+// hash stands for a request that must run once, with all copies of it.
+func (o *order) hash() uint64 { return sent.Hash(o.service.Name, o.key, o.id) }
+
 // wasSent tells whether a request that must run once was sent under its id before, and may
 // have run.
 func (r *Router) wasSent(o *order) bool {
@@ -35,7 +38,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sent.Has(sent.Hash(o.id))
+	return r.sent.Has(o.hash())
 }
 
 // noteSent notes that a request is about to be sent, and tells its server when it first
@@ -43,7 +46,7 @@
 func (r *Router) noteSent(o *order) (firstSent, bool) {
 	now := time.Now()
 	r.mu.Lock()
-	first, again := r.sent.Note(now, sent.Hash(o.id))
+	first, again := r.sent.Note(now, o.hash())
 	r.mu.Unlock()
 	ago, name := now.Sub(first), r.protocol.Names().FirstSent
 	ms, err := strconv.ParseInt(o.Header.Get(name), 10, 64)
@@ -54,7 +57,7 @@
 	if again || err == nil {
 		o.Header.Set(name, strconv.FormatInt(ago.Milliseconds()+1, 10))
 	}
-	return firstSent{hash: sent.Hash(o.id), at: first}, again
+	return firstSent{hash: o.hash(), at: first}, again
 }
 
 // noteEnd takes in how a request that must run once ended at its holder. The other daemons
--- a/io/process/router/sent_test.go
+++ b/io/process/router/sent_test.go
@@ -11,7 +11,6 @@
 
 	"catkinstep/core/connection/names"
 	"catkinstep/core/connection/wire"
-	"catkinstep/core/request/sent"
 	"catkinstep/core/request/spread"
 	"catkinstep/io/connection/caller"
 	"catkinstep/io/connection/link"
@@ -49,6 +48,10 @@
 		r.ends(booked("a"), nil, errBroken)
 		So(r.tells("a"), ShouldBeTrue)
 		So(r.tells("other"), ShouldBeFalse)
+		elsewhere := booked("a")
+		elsewhere.key++
+		r.noteSent(elsewhere)
+		So(elsewhere.Header.Get(names.Default().FirstSent), ShouldBeEmpty)
 	})
 	Convey("What surely did not run was not sent, unless an earlier attempt may have run", t, func() {
 		r := still()
@@ -117,7 +120,7 @@
 		r.ends(booked("c"), nil, errNotSent)
 		found := r.sentNews()
 		So(found, ShouldHaveLength, 1)
-		So(found[0].Id, ShouldEqual, sent.Hash("a"))
+		So(found[0].Id, ShouldEqual, booked("a").hash())
 		other.heardOfSent([]*wire.Sent{{Id: found[0].Id, AgoMillis: 900}})
 		So(other.tells("a"), ShouldBeTrue)
 		So(other.sentNews(), ShouldHaveLength, 1) // it goes on from there
--- a/io/standin/server/ids.go
+++ b/io/standin/server/ids.go
@@ -19,10 +19,18 @@
 	transit = time.Second
 )
 
+// bookingID names a booking. Callers that do not know of each other may use the same id for
+// different keys.
+type bookingID struct {
+	key int
+	id  string
+}
+
 // booking is one request that must run once, from its arrival on.
 type booking struct {
-	key int
-	at  time.Time
+	// path is what was booked; another request may not use its id.
+	path string
+	at   time.Time
 	// done is closed once what follows is final.
 	done chan struct{}
 	// answer is what the caller gets, each time that the booking is sent.
@@ -31,9 +39,9 @@
 	refused bool
 }
 
-// bookings are the ids that a life of a server knows of, by id.
+// bookings are those that a life of a server knows of.
 type bookings struct {
-	byID   map[string]*booking
+	byID   map[bookingID]*booking
 	purged time.Time
 	// since is from when on all bookings of a key are known; all ever made where it is
 	// zero. A key that is not in it is unknown.
@@ -41,22 +49,22 @@
 }
 
 func newBookings() *bookings {
-	return &bookings{byID: map[string]*booking{}, since: map[int]time.Time{}}
+	return &bookings{byID: map[bookingID]*booking{}, since: map[int]time.Time{}}
 }
 
 // begin returns the booking of an id, and whether it is new.
-func (b *bookings) begin(now time.Time, id string, key int) (*booking, bool) {
+func (b *bookings) begin(now time.Time, id bookingID, path string) (*booking, bool) {
 	b.purge(now)
 	if v := b.byID[id]; v != nil {
 		return v, false
 	}
-	v := &booking{key: key, at: now, done: make(chan struct{})}
+	v := &booking{path: path, at: now, done: make(chan struct{})}
 	b.byID[id] = v
 	return v, true
 }
 
 // refuse forgets a booking that did not run: it may be sent again.
-func (b *bookings) refuse(id string) {
+func (b *bookings) refuse(id bookingID) {
 	if v := b.byID[id]; v != nil {
 		v.refused = true
 		close(v.done)
@@ -65,7 +73,7 @@
 }
 
 // end keeps the answer of a booking; one without an answer never gets another.
-func (b *bookings) end(id string, a *Answer) {
+func (b *bookings) end(id bookingID, a *Answer) {
 	if v := b.byID[id]; v != nil {
 		v.answer = a
 		close(v.done)
@@ -101,6 +109,7 @@
 type handed struct {
 	ID        string `json:"id"`
 	Key       int    `json:"key"`
+	Path      string `json:"path"`
 	AgoMillis int64  `json:"agoMillis"`
 	// Answer is missing where the booking got none.
 	Answer *Answer `json:"answer,omitempty"`
@@ -128,12 +137,12 @@
 		}
 	}
 	for id, v := range b.byID {
-		if v.key < from || v.key > to {
+		if id.key < from || id.key > to {
 			continue
 		}
 		select {
 		case <-v.done:
-			h.Bookings = append(h.Bookings, handed{ID: id, Key: v.key, AgoMillis: now.Sub(v.at).Milliseconds(), Answer: v.answer})
+			h.Bookings = append(h.Bookings, handed{ID: id.id, Key: id.key, Path: v.path, AgoMillis: now.Sub(v.at).Milliseconds(), Answer: v.answer})
 		default: // it waits for a slot, and will be refused
 		}
 	}
@@ -174,12 +183,13 @@
 
 func (b *bookings) adopt(now time.Time, h handover) {
 	for _, v := range h.Bookings {
-		if b.byID[v.ID] != nil {
+		id := bookingID{key: v.Key, id: v.ID}
+		if b.byID[id] != nil {
 			continue
 		}
-		n := &booking{key: v.Key, at: now.Add(-time.Duration(v.AgoMillis) * time.Millisecond), done: make(chan struct{}), answer: v.Answer}
+		n := &booking{path: v.Path, at: now.Add(-time.Duration(v.AgoMillis) * time.Millisecond), done: make(chan struct{}), answer: v.Answer}
 		close(n.done)
-		b.byID[v.ID] = n
+		b.byID[id] = n
 	}
 }
 
@@ -194,17 +204,22 @@
 			refuse(w, r, http.StatusMisdirectedRequest)
 			return
 		}
-		if v.bookings.byID[q.id] == nil && q.age > 0 && !v.bookings.knewAt(now, q.key, now.Add(-q.age)) {
+		if v.bookings.byID[q.booking()] == nil && q.age > 0 && !v.bookings.knewAt(now, q.key, now.Add(-q.age)) {
 			s.mu.Unlock()
 			answerLost(w, q)
 			return
 		}
-		b, isNew := v.bookings.begin(now, q.id, q.key)
+		b, isNew := v.bookings.begin(now, q.booking(), r.URL.Path)
 		s.mu.Unlock()
 		if isNew {
 			s.run(v, w, r, q)
 			return
 		}
+		if b.path != r.URL.Path {
+			w.Header().Set(names.Default().ID, q.id)
+			http.Error(w, "the id belongs to another booking of this key", http.StatusUnprocessableEntity)
+			return
+		}
 		select {
 		case <-b.done:
 		case <-r.Context().Done():
@@ -228,7 +243,7 @@
 // noteEnd keeps the answer of a booking that has ended; nil where it got none.
 func (v *life) noteEnd(q request, a *Answer) {
 	if !q.idempotent {
-		v.bookings.end(q.id, a)
+		v.bookings.end(q.booking(), a)
 	}
 }
 
@@ -239,6 +254,8 @@
 	w.WriteHeader(http.StatusConflict)
 }
 
+func (q request) booking() bookingID { return bookingID{key: q.key, id: q.id} }
+
 // ageOf is how long ago the request was first sent under its id, or 0.
 func ageOf(r *http.Request) time.Duration {
 	ms, err := strconv.ParseInt(r.Header.Get(names.Default().FirstSent), 10, 64)
--- a/io/standin/server/serve.go
+++ b/io/standin/server/serve.go
@@ -81,7 +81,7 @@
 func (s *Server) refuseNew(v *life, w http.ResponseWriter, r *http.Request, q request, status int) {
 	s.mu.Lock()
 	if !q.idempotent {
-		v.bookings.refuse(q.id)
+		v.bookings.refuse(q.booking())
 	}
 	s.mu.Unlock()
 	refuse(w, r, status)
