mesh: a connection accepted during Close is closed, too

What callers saw: nothing; their requests are answered before.

Cause: Close closes the accepted connections that it finds in a map, and then waits for their goroutines. A connection whose Accept had returned, but that was not in the map yet, was missed. Its goroutine waits in AcceptStream until the daemon at the other end closes it, and that daemon keeps its session as long as calls on it are answered.

Change: track adds a connection to the map only while the mesh is alive, under the lock under which Close reads it, after it has killed the mesh. Close finds it there, or accept closes it.

--- a/io/connection/mesh/mesh.go
+++ b/io/connection/mesh/mesh.go
@@ -59,10 +59,15 @@
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: ListenerFailed, Err: err}
 	}
+	return newMesh(l, handler), nil
+}
+
+// newMesh returns a Mesh that accepts calls of other daemons from a listener.
+func newMesh(l net.Listener, handler Handler) *Mesh {
 	m := &Mesh{listener: l, handler: handler, accepted: map[*muxConn]bool{}}
 	m.pool.open = m.dial
 	m.tomb.Go(m.accept)
-	return m, nil
+	return m
 }
 
 // Call sends a call on a stream of its own and waits for its reply until the context ends.
@@ -150,13 +155,27 @@
 		if err != nil {
 			continue
 		}
-		m.mu.Lock()
-		m.accepted[mc] = true
-		m.mu.Unlock()
+		if !m.track(mc) {
+			_ = mc.Close()
+			return nil
+		}
 		m.tomb.Go(func() error { return m.serveConn(mc) })
 	}
 }
 
+// track records an accepted connection, so that Close closes it. It returns false if Close may
+// already have closed the accepted connections. One that is missed stays open for as long as the
+// daemon at the other end lives, and Close does not return.
+func (m *Mesh) track(mc *muxConn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.tomb.Alive() {
+		return false
+	}
+	m.accepted[mc] = true
+	return true
+}
+
 // serveConn handles the calls on an accepted connection. The contexts of the calls are
 // cancelled when the connection ends, since nobody waits for the replies then.
 func (m *Mesh) serveConn(mc *muxConn) error {
