mesh: a session opened while the pool is closed is closed, too

What callers saw: nothing.

Cause: openEntry read closed, gave up the lock, and marked the entry as ready only then. If the pool was closed in between, close skipped the entry as not ready, and openEntry left the session open because the pool had not been closed when it looked.

Change: the entry becomes ready under the lock.

--- a/io/connection/mesh/pool.go
+++ b/io/connection/mesh/pool.go
@@ -68,8 +68,8 @@
 	e.value, e.err = p.open(context.Background(), address)
 	p.mu.Lock()
 	closed := p.closed
+	close(e.ready) // with the lock held: close either finds the session ready, or leaves it to this function
 	p.mu.Unlock()
-	close(e.ready)
 	if closed && e.err == nil {
 		_ = e.value.Close()
 	}
