Tests of shutdown and shared streams in functions of a subject each

The second half of TestShutdownAwaitsRequests is now TestShutdownOfNewConnections, that of TestSharedStream TestNotify; a server that holds its replies back stood twice in the caller's tests.

--- a/io/connection/caller/caller_test.go
+++ b/io/connection/caller/caller_test.go
@@ -152,9 +152,7 @@
 		s, address := startServer(t, echo)
 		c := dial(address)
 		defer c.Close() //nolint:errcheck // a test's client
-		for s.Accepted() < 1 {
-			time.Sleep(time.Millisecond)
-		}
+		awaitCount(s.Accepted, 1)
 		shutDown(s)
 		c.get("/1")
 		resp, body := c.readReply()
@@ -176,6 +174,11 @@
 		So(body, ShouldEqual, "/2")
 		So(resp.Close, ShouldBeTrue)
 	})
+}
+
+// Guards against a shutdown that ends before the connections that callers have just opened are
+// accepted, or that waits for one on which nothing is sent.
+func TestShutdownOfNewConnections(t *testing.T) {
 	Convey("Shutdown waits for connections that are only just being accepted", t, func() {
 		s, address := startServer(t, echo)
 		shutDownDone := make(chan struct{})
@@ -197,9 +200,7 @@
 		s, address := startServer(t, echo)
 		c := dial(address)
 		defer c.Close() //nolint:errcheck // a test's client
-		for s.Accepted() < 1 {
-			time.Sleep(time.Millisecond)
-		}
+		awaitCount(s.Accepted, 1)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
 		s.Shutdown(ctx)
@@ -207,23 +208,34 @@
 	})
 }
 
+// startBlockedServer starts a server that answers requests once release is closed. It counts the
+// requests that it has started.
+func startBlockedServer(t *testing.T) (s *Server, address string, started *atomic.Int32, release chan struct{}) {
+	started, release = &atomic.Int32{}, make(chan struct{})
+	s, address = startServer(t, func(ctx context.Context, r Request) Reply {
+		started.Add(1)
+		<-release
+		return echo(ctx, r)
+	})
+	return s, address, started, release
+}
+
+// awaitCount waits until count returns at least n.
+func awaitCount[N int32 | int64](count func() N, n N) {
+	for count() < n {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Guards against a shutdown that leaves accepted requests unanswered.
 func TestShutdown(t *testing.T) {
 	Convey("Every request that was read gets its reply", t, func() {
-		release := make(chan struct{})
-		var started atomic.Int32
-		s, address := startServer(t, func(ctx context.Context, r Request) Reply {
-			started.Add(1)
-			<-release
-			return echo(ctx, r)
-		})
+		s, address, started, release := startBlockedServer(t)
 		c := dial(address)
 		defer c.Close() //nolint:errcheck // a test's client
 		c.get("/1")
 		c.get("/2")
-		for started.Load() < 2 {
-			time.Sleep(time.Millisecond)
-		}
+		awaitCount(started.Load, 2)
 		s.BeginShutdown()
 		close(release)
 		first, body1 := c.readReply()
@@ -238,19 +250,11 @@
 		So(s.Running(), ShouldEqual, 0)
 	})
 	Convey("No request is accepted while another is pending on the connection", t, func() {
-		release := make(chan struct{})
-		var started atomic.Int32
-		s, address := startServer(t, func(ctx context.Context, r Request) Reply {
-			started.Add(1)
-			<-release
-			return echo(ctx, r)
-		})
+		s, address, started, release := startBlockedServer(t)
 		c := dial(address)
 		defer c.Close() //nolint:errcheck // a test's client
 		c.get("/1")
-		for started.Load() < 1 {
-			time.Sleep(time.Millisecond)
-		}
+		awaitCount(started.Load, 1)
 		s.BeginShutdown()
 		c.get("/2")
 		time.Sleep(50 * time.Millisecond)
--- a/io/connection/mesh/shared_test.go
+++ b/io/connection/mesh/shared_test.go
@@ -55,6 +55,9 @@
 		So(err, ShouldBeNil)
 		So(r.Status.Daemon, ShouldEqual, "next")
 	})
+}
+
+func TestNotify(t *testing.T) {
 	Convey("Calls with and without a reply arrive in the order in which they were sent", t, func() {
 		received := make(chan string, 3)
 		b := listen(func(_ context.Context, c *wire.Call) *wire.Reply {
