--- a/io/standin/server/request.go
+++ b/io/standin/server/request.go
@@ -9,6 +9,7 @@
 	"catkinstep/core/connection/names"
 )
 
+// request holds what the method and the headers of a request say.
 type request struct {
 	id         string
 	key        int
--- a/io/standin/server/serve.go
+++ b/io/standin/server/serve.go
@@ -26,8 +26,6 @@
 	RunCount int `json:"count"`
 }
 
-// request holds what the method and the headers of a request say.
-
 func (s *Server) serve(inst *instance, w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	switch {
