token: one token bucket in the place of two

Cause: spread's limit of cold servers and quota's limit of workspaces each had a token bucket of their own, and the limits that servers name need a third. Change: package core/request/token; both use it. No change of behaviour: the tests of both packages pass unchanged but for the names.

--- a/core/process/quota/limiter.go
+++ b/core/process/quota/limiter.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"catkinstep/core/request/token"
 	"catkinstep/core/version/space"
 )
 
@@ -93,7 +94,7 @@
 	rate, steadyRate meanRate
 	// isolatedRate is the steady rate when the contact with the leader was lost.
 	isolatedRate float64
-	bucket       bucket
+	bucket       token.Bucket
 }
 
 // NewLimiter returns a Limiter of a daemon that knows no other and has no contact with the leader yet.
@@ -129,7 +130,7 @@
 func (l *Limiter) rejoin() {
 	l.isolated, l.wasReachable = false, true
 	for _, u := range l.usages {
-		u.bucket.tokens = lowShareBurst
+		u.bucket.Set(lowShareBurst)
 	}
 }
 
@@ -163,9 +164,9 @@
 		u.total.Refused++
 		return l.retryAfter(limit.Wait), false
 	}
-	if rate, burst := l.ownLimit(now, u, w.Allowance, limited); !u.bucket.take(now, rate, burst) {
+	if rate := l.ownLimit(now, u, w.Allowance, limited); !u.bucket.TryTake(now, rate) {
 		u.total.Refused++
-		return l.retryAfter(u.bucket.wait(rate)), false
+		return l.retryAfter(u.bucket.Wait(now, rate)), false
 	}
 	u.add(now, 1)
 	return 0, true
@@ -174,18 +175,18 @@
 // ownLimit is the rate, and the number of requests at once, that this daemon does not exceed
 // whatever the leader says. limited is set if the leader's last word was that the workspace asks for
 // too much: its earlier rate is no measure then.
-func (l *Limiter) ownLimit(now time.Time, u *usage, a space.Allowance, limited bool) (rate, burst float64) {
+func (l *Limiter) ownLimit(now time.Time, u *usage, a space.Allowance, limited bool) token.Rate {
 	evenShare := a.Rate / float64(l.daemons)
 	if l.isolated && (l.wasReachable || now.Sub(l.startedAt) > startTime) {
-		rate = evenShare
+		rate := evenShare
 		if !limited {
 			rate = max(rate, isolatedRateFactor*u.isolatedRate)
 		}
-		return rate, max(minIsolatedBurst, isolatedBurstTime.Seconds()*rate)
+		return token.Rate{PerSecond: rate, Burst: max(minIsolatedBurst, isolatedBurstTime.Seconds()*rate)}
 	}
 	own := max(u.steadyRate.at(now), min(u.rate.at(now), fastGrowthRate))
-	rate = max(evenShare, growthFactor*own)
-	return rate, max(burstTime.Seconds()*rate, minBurst, lowShareBurst-evenShare)
+	rate := max(evenShare, growthFactor*own)
+	return token.Rate{PerSecond: rate, Burst: max(burstTime.Seconds()*rate, minBurst, lowShareBurst-evenShare)}
 }
 
 // Count adds a further attempt of an admitted request, since each one that runs counts.
@@ -202,7 +203,7 @@
 	}
 	u := l.usage(w.Name)
 	u.add(now, -1)
-	u.bucket.tokens++
+	u.bucket.Return()
 }
 
 // TakeCounts returns the counts since the last call and resets them. A count may be negative
@@ -230,7 +231,7 @@
 func (l *Limiter) usage(workspace string) *usage {
 	u := l.usages[workspace]
 	if u == nil {
-		u = &usage{rate: meanRate{window: rateWindow}, steadyRate: meanRate{window: steadyWindow}, bucket: bucket{tokens: lowShareBurst}}
+		u = &usage{rate: meanRate{window: rateWindow}, steadyRate: meanRate{window: steadyWindow}, bucket: token.New(lowShareBurst)}
 		l.usages[workspace] = u
 	}
 	return u
--- a/core/process/quota/ways_test.go
+++ b/core/process/quota/ways_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"catkinstep/core/request/token"
 	"catkinstep/core/version/space"
 )
 
@@ -27,14 +28,14 @@
 // evenShares gives each daemon the same share of the allowance.
 type evenShares struct {
 	site    int
-	buckets [maxDaemons]bucket
+	buckets [maxDaemons]token.Bucket
 }
 
 func (e *evenShares) admit(d int, now time.Time, w space.Workspace) bool {
 	share := w.Allowance.Rate / float64(e.site)
-	return e.buckets[d].take(now, share, max(1, share))
+	return e.buckets[d].TryTake(now, token.Rate{PerSecond: share, Burst: max(1, share)})
 }
-func (e *evenShares) restart(d int)                           { e.buckets[d] = bucket{} }
+func (e *evenShares) restart(d int)                           { e.buckets[d] = token.Bucket{} }
 func (*evenShares) report(int, time.Time, bool)               {}
 func (*evenShares) relay(int, bool)                           {}
 func (*evenShares) round(time.Time, float64, space.Workspace) {}
@@ -47,7 +48,7 @@
 type leases struct {
 	site    int
 	daemons [maxDaemons]struct {
-		bucket  bucket
+		bucket  token.Bucket
 		asked   int
 		share   float64 // in force at the daemon
 		until   time.Time
@@ -74,11 +75,11 @@
 	if now.Before(x.until) {
 		rate += x.share
 	}
-	return x.bucket.take(now, rate, max(1, rate))
+	return x.bucket.TryTake(now, token.Rate{PerSecond: rate, Burst: max(1, rate)})
 }
 func (l *leases) restart(d int) {
 	x := &l.daemons[d]
-	x.bucket, x.asked, x.share, x.until = bucket{}, 0, 0, time.Time{}
+	x.bucket, x.asked, x.share, x.until = token.Bucket{}, 0, 0, time.Time{}
 }
 func (l *leases) report(d int, _ time.Time, lost bool) {
 	x := &l.daemons[d]
--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -132,7 +132,7 @@
 		return ConnectionLimit
 	case now.Add(expected / 2).After(req.Deadline):
 		return DeadlineTooNear
-	case now.Before(st.coldUntil) && !st.coldBucket.hasToken(now, b.coldRateLimit(req.Service, server.ID)):
+	case now.Before(st.coldUntil) && !st.coldBucket.Has(now, b.coldRateLimit(req.Service, server.ID)):
 		return ColdServer
 	case load >= float64(server.Slots) && now.Add(expected).After(req.ReceivedAt.Add(b.latencyBudget(req))):
 		return AllBusy
--- a/core/request/spread/cold_test.go
+++ b/core/request/spread/cold_test.go
@@ -47,7 +47,7 @@
 		}
 		b.AssumeCold(server, t0.Add(time.Minute))
 		limit := b.coldRateLimit(service, server.ID)
-		So(takeAll(), ShouldEqual, int(limit.burst))
+		So(takeAll(), ShouldEqual, int(limit.Burst))
 		b.AssumeCold(server, t0.Add(time.Minute))
 		So(takeAll(), ShouldEqual, 0)
 	})
--- a/core/request/spread/cold_world_test.go
+++ b/core/request/spread/cold_world_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"catkinstep/core/request/token"
 	"catkinstep/core/version/config"
 	"catkinstep/core/version/fleet"
 )
@@ -80,7 +81,7 @@
 func (w *coldWorld) start(d *coldDaemon, at time.Duration) {
 	d.balancer = New(w.random.Uint64(), w.limits(d, at))
 	d.balancer.AssumeCold(w.server, t0.Add(time.Hour))
-	d.balancer.stateOf(w.server).coldBucket = tokenBucket{}
+	d.balancer.stateOf(w.server).coldBucket = token.Bucket{}
 }
 
 // limits returns what a daemon knows of the others.
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"catkinstep/core/request/token"
 	"catkinstep/core/version/fleet"
 )
 
@@ -19,9 +20,11 @@
 	failureRate         float64
 	pausedUntil         time.Time
 	connectFailed       bool // a connection attempt failed, and no response came since
-	coldBucket          tokenBucket
-	startMillis         int64 // distinguishes the instances of the server
-	coldUntil           time.Time
+	// coldBucket limits the requests from this daemon to a cold server. It starts empty, since a
+	// daemon may have used its share just before it restarted.
+	coldBucket  token.Bucket
+	startMillis int64 // distinguishes the instances of the server
+	coldUntil   time.Time
 	// loadReports counts the reports of the server's load since the stats were last taken,
 	// and longQueueReports those of them with a long queue.
 	loadReports, longQueueReports int
@@ -77,7 +80,7 @@
 	st.inFlight++
 	st.startTimes = append(st.startTimes, now)
 	if now.Before(st.coldUntil) {
-		st.coldBucket.take(now, b.coldRateLimit(req.Service, server.ID))
+		st.coldBucket.Take(now, b.coldRateLimit(req.Service, server.ID))
 	}
 }
 
@@ -165,7 +168,7 @@
 
 // FillColdBucket makes the whole burst of a cold server available at once. It must be called only
 // for a server that was not in use until now.
-func (b *Balancer) FillColdBucket(server fleet.Server) { b.stateOf(server).coldBucket.fillIfUnused() }
+func (b *Balancer) FillColdBucket(server fleet.Server) { b.stateOf(server).coldBucket.FillIfUnused() }
 
 // stateOf returns the state of a server. A restarted server gets a new state. Requests that
 // refer to an earlier instance don't bring its state back, since the new one may still be cold.
