LIMIT: servers that name a limit get no more than that, over all daemons

Callers saw nothing; a server in need got what it could not take: 139 requests in 4 s where 78 were allowed, 56 where 12 were. Cause: no code read the limit that servers name in their responses. Class: a bound over all daemons that none of them knows of, like the cold limit before it had one.

Ruled out: each host keeping to it alone (with 1.2 a second one server got 22 in one), late news (the rate does not fall for as long as the limit stands).

Change: core/request/limit. Responses with and without a limit are merged into a table, the newest counts, changes go with gossip, and a daemon whose table differs gets the rest in the reply. Requests without a key keep to shares that need no talk (the cold limit's way, now one piece of code). Requests with a key have one server, and few of them come by a daemon that has a share: the leader issues tokens, only the part that belongs to daemons it has contact with; without contact a daemon keeps to its own share. The leader lets about as many requests through as get a token, and moves keys away from such a holder.

--- a/core/connection/names/names.go
+++ b/core/connection/names/names.go
@@ -28,6 +28,9 @@
 	// slots, and optionally the current service time in percent of the typical one. It is
 	// removed before a response is passed on to a caller.
 	Load string
+	// RateLimit is how many requests a second the server takes from all daemons together. A server
+	// in need sends it in its responses for as long as it takes no more. It stays in the reply.
+	RateLimit string
 	// Key is the number of the request's key. A deployment may let callers send it to daemons
 	// under the same name.
 	Key string
@@ -56,6 +59,7 @@
 		Signature:   "Catkinstep-Signature",
 		NotRun:      "Catkinstep-Not-Run",
 		Load:        "Catkinstep-Load",
+		RateLimit:   "Catkinstep-Rate-Limit",
 		Key:         "Catkinstep-Key-Number",
 		Handover:    "Catkinstep-Handover",
 		FirstSent:   "Catkinstep-First-Sent-Millis",
--- a/core/process/keeper/balance.go
+++ b/core/process/keeper/balance.go
@@ -46,11 +46,16 @@
 
 // queueModel returns the queueing model of a server.
 func (s *serviceState) queueModel(srv fleet.Server) queue.Server {
-	maxRate := 0.0
-	if srv.ColdLeft > 0 {
-		maxRate = s.coldRate
+	return queue.New(srv.Slots, s.serviceTimeSeconds*s.slowdown(srv), s.latencyTarget.Seconds(), s.maxRate(srv))
+}
+
+// maxRate returns how many requests a second may be sent to a server, or 0 if there is no limit.
+func (s *serviceState) maxRate(srv fleet.Server) float64 {
+	limit := s.rateLimits[srv.ID]
+	if srv.ColdLeft > 0 && s.coldRate > 0 && (limit == 0 || s.coldRate < limit) {
+		return s.coldRate
 	}
-	return queue.New(srv.Slots, s.serviceTimeSeconds*s.slowdown(srv), s.latencyTarget.Seconds(), maxRate)
+	return limit
 }
 
 // slowdown returns the ratio of a server's service times to the typical ones; 1 if unknown.
@@ -252,6 +257,9 @@
 		if to.ColdLeft > 0 && s.requestRate(p.load) > s.coldRate*coldRateShare {
 			continue // a cold target would refuse most of these requests
 		}
+		if limit := s.rateLimits[to.ID]; limit > 0 && s.requestRate(p.load) > limit {
+			continue // and so would a target that takes fewer
+		}
 		if p.benefit = -max((sourceLoad-p.load)/s.effectiveSlots(from), p.load/s.effectiveSlots(to)); p.benefit > best.benefit {
 			best = p
 		}
--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -58,13 +58,14 @@
 	balancedAt time.Time
 	// firstKeysRoundAt is the time of the last round that gave keys to servers without any.
 	firstKeysRoundAt time.Time
-	// The fields from busySlots to coldRate are those of the latest LoadMsg for the service,
+	// The fields from busySlots to rateLimits are those of the latest LoadMsg for the service,
 	// which describes them.
 	busySlots          []float64
 	slowdowns          map[string]float64
 	serviceTimeSeconds float64
 	latencyTarget      time.Duration
 	coldRate           float64
+	rateLimits         map[string]float64
 	// moveDuration is the average time for which a move closes a range.
 	moveDuration time.Duration
 }
@@ -288,7 +289,8 @@
 	}
 	for _, s := range k.services {
 		if s.service == m.Service {
-			s.busySlots, s.slowdowns, s.serviceTimeSeconds, s.latencyTarget, s.coldRate = m.BusySlots, m.Slowdowns, m.ServiceTimeSeconds, m.LatencyTarget, m.ColdRate
+			s.busySlots, s.slowdowns, s.serviceTimeSeconds, s.latencyTarget = m.BusySlots, m.Slowdowns, m.ServiceTimeSeconds, m.LatencyTarget
+			s.coldRate, s.rateLimits = m.ColdRate, m.RateLimits
 		}
 	}
 }
--- a/core/process/keeper/limits.go
+++ b/core/process/keeper/limits.go
@@ -93,6 +93,9 @@
 		sum += s.busySlots[b]
 	}
 	capacity, limited := k.limitState.control.Capacity(now, srv.ID, k.maxBusyShare(s, srv)*s.effectiveSlots(srv), sum)
+	if named := s.rateLimits[srv.ID] * rateLimitHeadroom * s.serviceTimeSeconds; named > 0 && sum > named && (!limited || named < capacity) {
+		capacity, limited = named, true
+	}
 	if !limited {
 		return nil
 	}
--- a/core/process/keeper/load_test.go
+++ b/core/process/keeper/load_test.go
@@ -26,6 +26,8 @@
 	slots              float64            // of each server
 	// coldRate is how many requests a second a cold server can handle.
 	coldRate float64
+	// rateLimits are how many requests a second servers take, by server ID, if they have named it.
+	rateLimits map[string]float64
 }
 
 // newLoadModel returns the model of a service that gets requestsPerSecond in total, and the
@@ -57,7 +59,7 @@
 		total := time.Duration(float64(n) * l.serviceTimeSeconds * float64(time.Second))
 		l.meter.Add(testService, i, n, total, latencyTargetOverServiceTime*total)
 	}
-	m := LoadMsg{Service: testService, Slowdowns: l.slowdowns, ColdRate: l.coldRate}
+	m := LoadMsg{Service: testService, Slowdowns: l.slowdowns, ColdRate: l.coldRate, RateLimits: l.rateLimits}
 	for _, load := range l.meter.CloseWindow(now) {
 		m.BusySlots, m.ServiceTimeSeconds, m.LatencyTarget = load.BusySlots, load.ServiceTime.Seconds(), load.LatencyTarget
 	}
--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -43,6 +43,8 @@
 	LatencyTarget time.Duration
 	// ColdRate is how many requests a second a cold server can handle.
 	ColdRate float64
+	// RateLimits are how many requests a second servers take, by server ID, if they have named it.
+	RateLimits map[string]float64
 	// Reports counts the load reports of servers of any service since the last LoadMsg.
 	Reports []QueueReport
 }
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -96,6 +96,9 @@
 	// divided to count their load. There are ten for each of 200 servers, so that keys can
 	// be distributed evenly among that many.
 	Buckets = 2048
+	// rateLimitHeadroom is how many more requests than a holder takes, by the limit that it has named,
+	// may ask the leader for its tokens: so many that none is left over.
+	rateLimitHeadroom = 1.5
 	// limitInterval is the time between two rounds of limits for overloaded holders; the
 	// counts that they are computed from are updated as often.
 	limitInterval = 500 * time.Millisecond
--- a/core/request/spread/benchmark_test.go
+++ b/core/request/spread/benchmark_test.go
@@ -32,7 +32,7 @@
 func BenchmarkColdRank(b *testing.B) {
 	balancer := New(1, Limits{ColdFactor: 1.5, ColdSlack: 5}.WithMembers(membersOf(1500, 7)))
 	for b.Loop() {
-		clear(balancer.coldRanks)
-		balancer.coldRank("s17")
+		clear(balancer.senderRanks)
+		balancer.senderRank("s17")
 	}
 }
--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -116,15 +116,19 @@
 	choice := Choice{Server: server, ExpectedLatency: expected, canServeNow: load < float64(server.Slots) && slowdown < maxLocalSlowdown}
 	nearlyFull := load >= float64(server.Slots-1) || expectedLoad >= float64(server.Slots)/2
 	choice.Contended = nearlyFull && permit.QueueVisibility(b.limits.Daemons, server.Slots) < 1
-	choice.Reason = b.refusalReason(now, req, server, st, expected, load)
-	if choice.Refused() {
+	limitWait, limitUsedUp := b.limitWait(now, req, server, st)
+	choice.Reason = b.refusalReason(now, req, server, st, expected, load, limitUsedUp)
+	switch {
+	case choice.Reason == ServerLimited:
+		choice.RetryAfter = max(limitWait, b.retryAfter(req, expected))
+	case choice.Refused():
 		choice.RetryAfter = b.retryAfter(req, expected)
 	}
 	return candidate{Choice: choice, cost: cost}
 }
 
 // refusalReason returns why a request must not be sent to a server now, or "" if it may be.
-func (b *Balancer) refusalReason(now time.Time, req Requirements, server fleet.Server, st *serverState, expected time.Duration, load float64) Reason {
+func (b *Balancer) refusalReason(now time.Time, req Requirements, server fleet.Server, st *serverState, expected time.Duration, load float64, limitUsedUp bool) Reason {
 	switch {
 	case now.Before(st.pausedUntil), st.connectFailed && st.inFlight > 0:
 		return ServerUnreachable
@@ -134,6 +138,8 @@
 		return DeadlineTooNear
 	case now.Before(st.coldUntil) && !st.coldBucket.Has(now, b.coldRateLimit(req.Service, server.ID)):
 		return ColdServer
+	case limitUsedUp:
+		return ServerLimited
 	case load >= float64(server.Slots) && now.Add(expected).After(req.ReceivedAt.Add(b.latencyBudget(req))):
 		return AllBusy
 	case st.failureRate > failingThreshold && b.random.Float64() > probeShare:
--- a/core/request/spread/requirements.go
+++ b/core/request/spread/requirements.go
@@ -38,9 +38,11 @@
 
 // Reasons for refusals.
 const (
-	NoServer        Reason = "none"       // no server is available
-	AllBusy         Reason = "allBusy"    // the queues are too long for a reply in time
-	ColdServer      Reason = "coldServer" // the request rate allowed at a cold server is used up
+	NoServer   Reason = "none"       // no server is available
+	AllBusy    Reason = "allBusy"    // the queues are too long for a reply in time
+	ColdServer Reason = "coldServer" // the request rate allowed at a cold server is used up
+	// ServerLimited means that the server takes no more requests for now, by the limit that it has named.
+	ServerLimited   Reason = "serverLimited"
 	ConnectionLimit Reason = "connections"
 	DeadlineTooNear Reason = "deadlineTooNear"
 	ServerFailing   Reason = "serverFailing"
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -23,6 +23,7 @@
 	// coldBucket limits the requests from this daemon to a cold server. It starts empty, since a
 	// daemon may have used its share just before it restarted.
 	coldBucket  token.Bucket
+	limit       rateLimit
 	startMillis int64 // distinguishes the instances of the server
 	coldUntil   time.Time
 	// loadReports counts the reports of the server's load since the stats were last taken,
@@ -50,28 +51,28 @@
 	servers    map[string]*serverState
 	peers      map[string]peerLoad // by daemon
 	groupLoads map[serverGroup]*groupLoad
-	// coldRanks caches the results of coldRank by server until the limits change.
-	coldRanks map[string]int
+	// senderRanks caches the results of senderRank by server until the limits change.
+	senderRanks map[string]int
 }
 
 // New returns a Balancer without any measurements.
 func New(seed uint64, l Limits) *Balancer {
 	return &Balancer{
-		random:     rand.New(rand.NewPCG(seed, 11)),
-		limits:     l,
-		routes:     map[string]*routeStats{},
-		services:   map[string]*serviceStats{},
-		servers:    map[string]*serverState{},
-		peers:      map[string]peerLoad{},
-		groupLoads: map[serverGroup]*groupLoad{},
-		coldRanks:  map[string]int{},
+		random:      rand.New(rand.NewPCG(seed, 11)),
+		limits:      l,
+		routes:      map[string]*routeStats{},
+		services:    map[string]*serviceStats{},
+		servers:     map[string]*serverState{},
+		peers:       map[string]peerLoad{},
+		groupLoads:  map[serverGroup]*groupLoad{},
+		senderRanks: map[string]int{},
 	}
 }
 
 // SetLimits replaces the limits, for example when the number of daemons changes.
 func (b *Balancer) SetLimits(l Limits) {
 	b.limits = l
-	clear(b.coldRanks)
+	clear(b.senderRanks)
 }
 
 // Begin records that a request is being sent to a server.
@@ -79,6 +80,7 @@
 	st := b.stateOf(server)
 	st.inFlight++
 	st.startTimes = append(st.startTimes, now)
+	b.takeLimited(now, req, server, st)
 	if now.Before(st.coldUntil) {
 		st.coldBucket.Take(now, b.coldRateLimit(req.Service, server.ID))
 	}
@@ -131,6 +133,7 @@
 		}
 		st.failureRate += outcomeWeight / 3 * (1 - st.failureRate)
 	case PermitDenied:
+		st.returnLimited(req)
 		st.markFull(now, 2*server.Slots)
 	case ConnectionRefused:
 		st.pausedUntil = now.Add(connectionRefusedPause)
--- a/core/request/token/bucket.go
+++ b/core/request/token/bucket.go
@@ -11,6 +11,15 @@
 	Burst     float64
 }
 
+// Senders returns how many of a number of daemons may use a rate that they share without talking to
+// each other: as many as there are whole tokens in its burst. All of them may hold one.
+func (r Rate) Senders(daemons int) int { return max(1, min(daemons, int(r.Burst))) }
+
+// Divided returns the part of a rate that belongs to each of its senders.
+func (r Rate) Divided(daemons int) Rate {
+	return Rate{PerSecond: r.PerSecond / float64(r.Senders(daemons)), Burst: max(1, r.Burst/float64(max(1, daemons)))}
+}
+
 // Bucket is a token bucket whose rate may change from call to call. It is not safe for
 // concurrent use.
 type Bucket struct {
--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -61,6 +62,10 @@
 	OutcomeLost bool
 	// Load is the load that the server reports, or nil.
 	Load *Load
+	// RateLimited means that the server names a limit, and RateLimit is how many requests a second
+	// it takes; NaN if what it says is no number.
+	RateLimited bool
+	RateLimit   float64
 	// Server is the ID of the server that the request was sent to.
 	Server string
 }
@@ -167,6 +172,7 @@
 		resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Body: body, Server: cl.serverID}
 		resp.Declined = httpResp.Header.Get(cl.names.NotRun) != "" || httpResp.StatusCode == http.StatusMisdirectedRequest
 		resp.OutcomeLost = cl.names.OutcomeLost != "" && httpResp.Header.Get(cl.names.OutcomeLost) != ""
+		resp.RateLimit, resp.RateLimited = parseRateLimit(httpResp.Header.Get(cl.names.RateLimit))
 		if resp.Load = parseLoad(httpResp.Header.Get(cl.names.Load)); resp.Load != nil {
 			resp.Load.Bytes = len(body)
 		}
@@ -255,6 +261,19 @@
 	return l
 }
 
+// parseRateLimit parses the header in which a server names its limit. It returns false if there is
+// none.
+func parseRateLimit(header string) (perSecond float64, named bool) {
+	if header == "" {
+		return 0, false
+	}
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(header), 64)
+	if err != nil {
+		return math.NaN(), true
+	}
+	return perSecond, true
+}
+
 func keepAliveTimeout(header string) (time.Duration, bool) {
 	for _, part := range strings.Split(header, ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
--- a/io/process/router/allowance.go
+++ b/io/process/router/allowance.go
@@ -83,10 +83,15 @@
 	return map[string]any{"top": top, "rest": rest}
 }
 
-// updateWorkspaceLimiter records whether this daemon can reach the leader.
-func (c *control) updateWorkspaceLimiter(now time.Time) {
+// updateLeaderContact records whether this daemon has contact with the leader.
+func (c *control) updateLeaderContact(now time.Time) {
 	leader := c.r.current.Load().table.Leader.Daemon
 	reachable := c.keeper != nil || leader != "" && now.Sub(c.members.LastHeard(leader)) < leaderContactTimeout+c.members.GossipInterval()
+	contact := leaderContact{reachable: reachable, leading: c.keeper != nil, address: c.members.AddressOf(leader)}
+	if contact.leading {
+		contact.reachableShare = c.reachableShare(now)
+	}
+	c.r.leaderContact.Store(&contact)
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
 	c.r.workspaceLimiter.SetLeaderReachable(time.Now(), reachable)
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -36,6 +36,7 @@
 		if !choice.Refused() || choice.RefusalUncertain() { // a permit may override an uncertain refusal
 			choice = r.ensurePermit(ctx, req, server, choice)
 		}
+		choice = r.ensureToken(ctx, req, server, choice)
 		if choice.Reason == reasonServerContended && req.tryOtherServer(server) {
 			continue
 		}
@@ -134,6 +135,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.balancer.End(now, server, req.requirements, req.attemptStart, attemptOutcome(ctx, resp, err), loadReport(resp))
+	r.observeRateLimit(now, server, resp)
 	return resp, err
 }
 
--- a/io/process/router/clustercounts.go
+++ b/io/process/router/clustercounts.go
@@ -63,14 +63,14 @@
 func millis(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // closeWindow closes the current window and returns the load of each service.
-func (c *clusterCounts) closeWindow(now time.Time, cfg config.Config, servers *fleet.Fleet) []keeper.LoadMsg {
+func (c *clusterCounts) closeWindow(now time.Time, cfg config.Config, servers *fleet.Fleet, rateLimits map[string]float64) []keeper.LoadMsg {
 	c.slowdowns.Retain(func(server string) bool { _, ok := servers.Find(server); return ok })
 	slowdowns := c.slowdowns.Slowdowns()
 	var out []keeper.LoadMsg
 	for _, l := range c.meter.CloseWindow(now) {
 		service, _ := cfg.Service(l.Service)
 		out = append(out, keeper.LoadMsg{Service: l.Service, BusySlots: l.BusySlots, ServiceTimeSeconds: l.ServiceTime.Seconds(), LatencyTarget: l.LatencyTarget,
-			Slowdowns: slowdowns, ColdRate: service.ColdRate, Reports: c.queueReports})
+			Slowdowns: slowdowns, ColdRate: service.ColdRate, RateLimits: rateLimits, Reports: c.queueReports})
 		c.queueReports = nil // sent once: the reports cover the holders of all services
 	}
 	return out
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -177,7 +177,7 @@
 	c.gossip(now)
 	c.recordLoaded(now, "")
 	c.refreshIssuers(now)
-	c.updateWorkspaceLimiter(now)
+	c.updateLeaderContact(now)
 	c.r.ready.Store(!c.stopping && c.isReady(now))
 }
 
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -129,6 +129,7 @@
 		g.Known = append(g.Known, &wire.Known{Kind: string(k), Through: cache.Through(), AgeMillis: ageMillis(now, cache.CurrentAt())})
 	}
 	g.Suspects, g.Sent = c.r.recentSuspects(), c.r.recentUnanswered()
+	g.ServerLimits, g.ServerLimitsDigest = c.r.rateLimitNews(c.members.GossipInterval())
 	g.LimitsEpoch, g.LimitsSeq = c.limits.epoch, c.limits.seq
 	if c.members.IsRelay(now) {
 		g.Live = uint32(c.members.LiveLocalCount(now))
@@ -193,6 +194,7 @@
 	c.recordSender(now, g)
 	c.applyPeerLoad(now, g)
 	c.r.mergeUnanswered(g.Sent)
+	c.r.mergeRateLimits(g.ServerLimits)
 	if c.r.mergeSuspects(g.Suspects) {
 		c.propagateChange(now, false)
 	}
@@ -210,6 +212,9 @@
 	if g.DataCentre == c.r.self.DataCentre {
 		c.addLoad(now, reply, g.Name)
 	}
+	if g.ServerLimitsDigest != reply.ServerLimitsDigest {
+		reply.ServerLimits = c.r.someRateLimits()
+	}
 	if c.limits.newerThan(holderLimits{epoch: g.LimitsEpoch, seq: g.LimitsSeq}) {
 		reply.Limits = c.limits.toWire(now)
 	}
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -81,6 +81,7 @@
 	c.members.RecordStoreResponse(now)
 	c.keeper = keeper.New(now, m.table, m.revision, keeper.WithGrantTTL(c.r.grantTTL))
 	c.clusterCounts, c.allowances.controller = newClusterCounts(), quota.NewController(now)
+	c.r.resetIssuer()
 	c.r.log.Info("keys: leading", "epoch", m.table.Epoch, "before", c.leadership.previous.Daemon, "revision", m.revision)
 	c.updateKeeperFleet(now)
 	c.runKeeper(now)
@@ -98,7 +99,7 @@
 		return
 	}
 	s := c.r.current.Load()
-	for _, l := range c.clusterCounts.closeWindow(now, s.config, s.fleet) {
+	for _, l := range c.clusterCounts.closeWindow(now, s.config, s.fleet, c.r.rateLimitsByServer()) {
 		c.updateKeeper(now, l)
 	}
 	if workspaces, send := c.limitWorkspaces(now); send {
--- a/io/process/router/mesh.go
+++ b/io/process/router/mesh.go
@@ -60,6 +60,8 @@
 		}
 	case *wire.Call_Permit:
 		return &wire.Reply{Permit: r.issuePermit(kind.Permit)}
+	case *wire.Call_Token:
+		return r.handleToken(kind.Token)
 	case *wire.Call_PermitEnd:
 		r.handlePermitEnd(kind.PermitEnd)
 		return nil
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -26,6 +26,7 @@
 	"catkinstep/core/request/admit"
 	"catkinstep/core/request/crash"
 	"catkinstep/core/request/fair"
+	"catkinstep/core/request/limit"
 	"catkinstep/core/request/permit"
 	"catkinstep/core/request/retry"
 	"catkinstep/core/request/sent"
@@ -56,6 +57,8 @@
 	// tableUpdateCh is a channel that is closed and replaced when a new table comes into force.
 	tableUpdateCh atomic.Pointer[chan struct{}]
 	ready         atomic.Bool
+	// leaderContact says whom to ask for tokens.
+	leaderContact atomic.Pointer[leaderContact]
 	listening     chan struct{} // closed once all addresses are listened on
 	ended         chan struct{} // closed when Run returns
 	aborted       atomic.Bool
@@ -80,6 +83,10 @@
 	workspaceLimiter *quota.Limiter // keeps workspaces within their allowances
 	fairness         *fair.Meter    // finds the workspaces that would push out others
 	permits          permits
+	// rateLimits are the limits that servers have named, and issuer issues tokens for them while
+	// this daemon leads.
+	rateLimits *limit.Table
+	issuer     *limit.Issuer
 	// bootDone is closed once requests no longer wait for the first lists from the store.
 	bootDone chan struct{}
 	// boot limits how long a request waits for bootDone. control.boot records the lists read.
@@ -132,6 +139,8 @@
 	seed := seedOf(r.self)
 	r.admission, r.workspaceLimiter = admit.NewLimiter(seed), quota.NewLimiter(seed)
 	r.fairness = fair.NewMeter()
+	r.rateLimits, r.issuer = limit.NewTable(), limit.NewIssuer()
+	r.leaderContact.Store(&leaderContact{})
 	r.permits.issuer, r.permits.absentUntil, r.permits.lastID = permit.NewIssuer(seed), map[string]time.Time{}, seed
 	r.tableUpdateCh.Store(new(make(chan struct{})))
 	r.random = rand.New(rand.NewPCG(seed, 23))
--- a/io/process/router/serve_test.go
+++ b/io/process/router/serve_test.go
@@ -149,7 +149,7 @@
 	Convey("Only servers of the fleet are kept", t, func() {
 		counts := newClusterCounts()
 		counts.add(&wire.Gossip{Paces: []*wire.Pace{{Server: "a", Factor: 4, Answers: 9}, {Server: "b", Factor: 4, Answers: 9}}})
-		counts.closeWindow(t0, config.Config{}, fleet.New([]fleet.Server{{ID: "a", StartMillis: 1}}))
+		counts.closeWindow(t0, config.Config{}, fleet.New([]fleet.Server{{ID: "a", StartMillis: 1}}), nil)
 		So(counts.slowdowns.Slowdowns(), ShouldContainKey, "a")
 		So(counts.slowdowns.Slowdowns(), ShouldNotContainKey, "b")
 	})
--- a/io/process/router/servers.go
+++ b/io/process/router/servers.go
@@ -230,5 +230,6 @@
 	c.r.clientPool.closeRemoved(f)
 	c.r.mu.Lock()
 	c.r.balancer.Prune(f)
+	c.r.applyRateLimits(f)
 	c.r.mu.Unlock()
 }
