--- a/io/connection/link/link.go
+++ b/io/connection/link/link.go
@@ -41,6 +41,7 @@
 	serverID     string
 	names        names.Names
 	maxIdleConns int
+	dialer       Dialer
 
 	mu        sync.Mutex
 	idleConns []*conn
@@ -54,13 +55,37 @@
 	reused        bool // it served an earlier request
 }
 
+// Dialer opens connections to servers.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithDialer replaces the dialer, if it is not nil. Tests use it to simulate faults of the network.
+func WithDialer(d Dialer) Option {
+	return func(cl *Client) {
+		if d != nil {
+			cl.dialer = d
+		}
+	}
+}
+
 // New returns a Client for the server instance at an address. It sends serverID in the
 // instance header, by which any other server recognises that a request is not meant for it.
 // It keeps up to maxIdleConns idle connections.
-func New(address, serverID string, n names.Names, maxIdleConns int) *Client {
-	return &Client{address: address, serverID: serverID, names: n, maxIdleConns: maxIdleConns}
+func New(address, serverID string, n names.Names, maxIdleConns int, opts ...Option) *Client {
+	cl := &Client{address: address, serverID: serverID, names: n, maxIdleConns: maxIdleConns, dialer: defaultDialer}
+	for _, o := range opts {
+		o(cl)
+	}
+	return cl
 }
 
+// defaultDialer closes connections to hosts that no longer answer.
+var defaultDialer = &net.Dialer{Control: sock.Control(tcpUserTimeout), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 2}}
+
 // Close closes the idle connections. Those in use are closed after their requests.
 func (cl *Client) Close() {
 	cl.mu.Lock()
@@ -118,8 +143,7 @@
 func (cl *Client) dial(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	d := net.Dialer{Control: sock.Control(tcpUserTimeout), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 2}}
-	nc, err := d.DialContext(ctx, "tcp", cl.address)
+	nc, err := cl.dialer.DialContext(ctx, "tcp", cl.address)
 	if err != nil {
 		kind := ConnectFailed
 		if errors.Is(err, syscall.ECONNREFUSED) {
--- a/io/process/router/clients.go
+++ b/io/process/router/clients.go
@@ -38,6 +38,7 @@
 // clientPool holds a client for each server instance and purpose.
 type clientPool struct {
 	names   names.Names
+	dialer  link.Dialer // nil for the usual one
 	mu      sync.Mutex
 	clients map[clientKey]*serverClient
 }
@@ -55,7 +56,7 @@
 		if key.purpose != forRequests {
 			maxIdle = maxIdleGrantConns
 		}
-		client = &serverClient{Client: link.New(key.address, key.id, p.names, maxIdle)}
+		client = &serverClient{Client: link.New(key.address, key.id, p.names, maxIdle, link.WithDialer(p.dialer))}
 		p.clients[key] = client
 	}
 	return client
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -161,3 +161,6 @@
 
 // WithGrantTTL sets how long a grant is valid. The settings may shorten it.
 func WithGrantTTL(ttl time.Duration) Option { return func(r *Router) { r.grantTTL = ttl } }
+
+// WithServerDialer sets the dialer of connections to servers.
+func WithServerDialer(d link.Dialer) Option { return func(r *Router) { r.clientPool.dialer = d } }
