RECOVER: a host without links to the servers has its requests served by way of others

Cause: a host had no other way than its own links; no message between hosts carried a request. Class: one path where two exist.

Ruled out: late detection (it refused for the whole cut), and other hosts' servers (the others served).

Change. core/process/reach finds out by new connections only, since open ones may live on or hang: two that fail, or silence, lead to probes, and the host is cut off if all fail; one that succeeds ends that. core/request/carry chooses other daemons, those that agreed within the last 0.7 s, the own data centre first. They serve by their own configuration, table, permits, limits and cold shares. A request is counted once, where it came in: demand, allowance, retry budget; it is never sent on to a third; it is sent again only as it would be to a server; a refusal is passed on as not run only if the other daemon says so; a daemon that stops takes no more, and waits for those that it has. Calls have a connection of their own, and end with their caller if they may. Hosts of another region are not asked: a body must not leave it. After the cut, what was held against the servers is forgotten.

TestRequestIsCarried, TestCarriedRequestEndsAtOneHost, TestLostReplyOfCarrier, TestStopAwaitsCarriedRequests, TestCutOffHostIsFound, TestLostServersAreNoCut and TestCallBulk need no network but the last.

--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -46,6 +46,8 @@
 	Address     string `json:"address"`
 	DataCentre  string `json:"dataCentre"`
 	Incarnation uint64 `json:"incarnation"`
+	// Region is the group of data centres that requests must not leave on their way.
+	Region string `json:"region,omitempty"`
 	// CPUCapacity is the processing capacity of the host, in cores of usual speed; 0 if unknown.
 	CPUCapacity float64 `json:"strength,omitempty"`
 }
@@ -61,6 +63,8 @@
 	LastStoreFailure time.Time
 	// Epoch is the epoch of the newest table that the daemon knows.
 	Epoch uint64
+	// CutOff is set while the daemon's host reaches no backend servers.
+	CutOff bool
 }
 
 // peer is what is known of another daemon.
@@ -82,7 +86,9 @@
 	startedAt         time.Time
 	lastStoreResponse time.Time
 	lastStoreFailure  time.Time
-	peers             map[string]*peer // by name
+	// cutOff is set while this daemon's host reaches no backend servers.
+	cutOff bool
+	peers  map[string]*peer // by name
 	// observedLeader is the leader that was passed to the last call of ShouldTakeLead, and
 	// observedSince is when it was first passed. A leader that has sent no gossip yet counts as
 	// lost silenceTimeout after that.
@@ -141,7 +147,7 @@
 		return // delayed message of an earlier incarnation
 	}
 	c.peers[m.Name] = &peer{Member: m, Status: status, lastHeard: now}
-	if p == nil || p.Member != m || p.Leaving != status.Leaving || p.refused || !p.unansweredAt.IsZero() {
+	if p == nil || p.Member != m || p.Leaving != status.Leaving || p.CutOff != status.CutOff || p.refused || !p.unansweredAt.IsZero() {
 		c.invalidate()
 	}
 }
--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -136,7 +136,7 @@
 		return ConnectionLimit
 	case now.Add(expected / 2).After(req.Deadline):
 		return DeadlineTooNear
-	case now.Before(st.coldUntil) && !st.coldBucket.Has(now, b.coldRateLimit(req.Service, server.ID)):
+	case st.isCold(now) && !st.coldBucket.Has(now, b.coldRateLimit(req.Service, server.ID)):
 		return ColdServer
 	case limitUsedUp:
 		return ServerLimited
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -26,6 +26,8 @@
 	limit       rateLimit
 	startMillis int64 // distinguishes the instances of the server
 	coldUntil   time.Time
+	// refusedColdUntil is until when the server counts as cold since it has refused a connection.
+	refusedColdUntil time.Time
 	// loadReports counts the reports of the server's load since the stats were last taken,
 	// and longQueueReports those of them with a long queue.
 	loadReports, longQueueReports int
@@ -53,6 +55,8 @@
 	groupLoads map[serverGroup]*groupLoad
 	// senderRanks caches the results of senderRank by server until the limits change.
 	senderRanks map[string]int
+	// answeredAt is when a server last responded to a request of this daemon.
+	answeredAt time.Time
 }
 
 // New returns a Balancer without any measurements.
@@ -81,7 +85,7 @@
 	st.inFlight++
 	st.startTimes = append(st.startTimes, now)
 	b.takeLimited(now, req, server, st)
-	if now.Before(st.coldUntil) {
+	if st.isCold(now) {
 		st.coldBucket.Take(now, b.coldRateLimit(req.Service, server.ID))
 	}
 }
@@ -97,6 +101,7 @@
 	}
 	if outcome == Answered || outcome == Declined {
 		st.connectFailed = false
+		b.answeredAt = now
 	}
 	if report != nil {
 		st.reportedLoad = max(0, float64(report.Running+report.Waiting-st.inFlight-1))
@@ -137,7 +142,7 @@
 		st.markFull(now, 2*server.Slots)
 	case ConnectionRefused:
 		st.pausedUntil = now.Add(connectionRefusedPause)
-		st.coldUntil = now.Add(connectionRefusedPause + assumedColdTime)
+		st.refusedColdUntil = now.Add(connectionRefusedPause + assumedColdTime)
 	case ConnectFailed:
 		st.connectFailed, st.pausedUntil = true, now.Add(connectFailedPause)
 		st.failureRate += outcomeWeight * (1 - st.failureRate)
@@ -159,7 +164,7 @@
 	if st.startMillis > server.StartMillis { // the host's clock was set back before the restart
 		st = b.newState(server, st)
 	}
-	st.coldUntil = now.Add(server.ColdLeft)
+	st.coldUntil, st.refusedColdUntil = now.Add(server.ColdLeft), time.Time{}
 }
 
 // AssumeCold treats a server, which was not in use until now, as cold until the given time or
--- a/io/connection/caller/server.go
+++ b/io/connection/caller/server.go
@@ -34,6 +34,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Refusal is what the reply was made from if the daemon made it; nil for a server's response.
+	Refusal *Refusal
 }
 
 // Request is a request with its complete body.
--- a/io/connection/link/link.go
+++ b/io/connection/link/link.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// dialTimeout bounds the attempt to connect to a host that is down and sends no
+	// DialTimeout bounds the attempt to connect to a host that is down and sends no
 	// reply at all. A connection to a host that is up takes about a millisecond.
-	dialTimeout = 300 * time.Millisecond
+	DialTimeout = 300 * time.Millisecond
 	// maxIdleTime is the longest time for which a connection may be idle and still be reused,
 	// even if the server announces a longer idle timeout or none. Servers close idle
 	// connections after ten seconds, and a request must not be sent at that moment.
@@ -76,21 +76,29 @@
 // instance header, by which any other server recognises that a request is not meant for it.
 // It keeps up to maxIdleConns idle connections.
 func New(address, serverID string, n names.Names, maxIdleConns int, opts ...Option) *Client {
-	cl := &Client{address: address, serverID: serverID, names: n, maxIdleConns: maxIdleConns, dialer: defaultDialer}
+	cl := &Client{address: address, serverID: serverID, names: n, maxIdleConns: maxIdleConns, dialer: DefaultDialer}
 	for _, o := range opts {
 		o(cl)
 	}
 	return cl
 }
 
-// defaultDialer closes connections to hosts that no longer answer.
-var defaultDialer = &net.Dialer{Control: sock.Control(tcpUserTimeout), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 2}}
+// DefaultDialer closes connections to hosts that no longer answer.
+var DefaultDialer Dialer = &net.Dialer{Control: sock.Control(tcpUserTimeout), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 2}}
 
 // Close closes the idle connections. Those in use are closed after their requests.
 func (cl *Client) Close() {
+	cl.mu.Lock()
+	cl.closed = true
+	cl.mu.Unlock()
+	cl.CloseIdle()
+}
+
+// CloseIdle closes the idle connections. Later requests open new ones.
+func (cl *Client) CloseIdle() {
 	cl.mu.Lock()
 	idleConns := cl.idleConns
-	cl.idleConns, cl.closed = nil, true
+	cl.idleConns = nil
 	cl.mu.Unlock()
 	for _, c := range idleConns {
 		_ = c.Close()
@@ -141,7 +149,7 @@
 }
 
 func (cl *Client) dial(ctx context.Context) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	nc, err := cl.dialer.DialContext(ctx, "tcp", cl.address)
 	if err != nil {
--- a/io/connection/mesh/mesh.go
+++ b/io/connection/mesh/mesh.go
@@ -25,8 +25,8 @@
 	dialTimeout    = 300 * time.Millisecond
 	readBufferSize = 1024
 	// maxMessageSize is the maximum size of a message in bytes. It suffices for the largest
-	// body with its headers, and for any object.
-	maxMessageSize = 4 << 20
+	// response of a server with its header, and for any object.
+	maxMessageSize = 24 << 20
 )
 
 // pastDeadline is a deadline that ends all waiting reads and writes of a stream.
@@ -47,6 +47,7 @@
 	listener net.Listener
 	handler  Handler
 	pool     pool[*muxConn]
+	bulkPool pool[*muxConn] // of CallBulk
 
 	mu       sync.Mutex
 	accepted map[*muxConn]bool
@@ -65,7 +66,7 @@
 // newMesh returns a Mesh that accepts calls of other daemons from a listener.
 func newMesh(l net.Listener, handler Handler) *Mesh {
 	m := &Mesh{listener: l, handler: handler, accepted: map[*muxConn]bool{}}
-	m.pool.open = m.dial
+	m.pool.open, m.bulkPool.open = m.dial, m.dial
 	m.tomb.Go(m.accept)
 	return m
 }
@@ -81,24 +82,33 @@
 	if err != nil {
 		return nil, err
 	}
+	reply, err := callOn(ctx, mc, call)
+	// Bytes from the first half of the wait do not show that the connection still works.
+	if isUnanswered(err) && (mc.IsClosed() || mc.silentSince(startedAt.Add(time.Since(startedAt)/2))) {
+		m.pool.drop(address, mc)
+	}
+	return reply, err
+}
+
+// isUnanswered reports whether a call ended without any reply.
+func isUnanswered(err error) bool { return IsKind(err, NotSent) || IsKind(err, OutcomeUnknown) }
+
+// callOn sends a call on a new stream of a connection, and waits for its reply until the context ends.
+func callOn(ctx context.Context, mc *muxConn, call *wire.Call) (*wire.Reply, error) {
 	stream, err := mc.OpenStream()
 	if err != nil {
-		m.pool.drop(address, mc)
+		closeUnlessDone(ctx, mc)
 		return nil, &Error{Op: "call", Kind: NotSent, Err: err}
 	}
 	defer stream.Close() //nolint:errcheck // the reply has been read, or there is none
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(pastDeadline) })
 	defer stop()
 	if err := writeMessage(stream, call); err != nil {
-		m.pool.drop(address, mc)
+		closeUnlessDone(ctx, mc)
 		return nil, &Error{Op: "call", Kind: OutcomeUnknown, Err: err}
 	}
 	reply := &wire.Reply{}
 	if err := readMessage(bufio.NewReaderSize(stream, readBufferSize), reply); err != nil {
-		// Bytes from the first half of the wait do not show that the connection still works.
-		if mc.IsClosed() || mc.silentSince(startedAt.Add(time.Since(startedAt)/2)) {
-			m.pool.drop(address, mc)
-		}
 		return nil, &Error{Op: "call", Kind: OutcomeUnknown, Err: errors.Join(err, ctx.Err())}
 	}
 	if reply, err = decompress(reply); err != nil {
@@ -110,11 +120,20 @@
 	return reply, nil
 }
 
+// closeUnlessDone closes a connection on which a call failed, unless that is only since its context
+// has ended.
+func closeUnlessDone(ctx context.Context, mc *muxConn) {
+	if ctx.Err() == nil {
+		_ = mc.Close()
+	}
+}
+
 // Close closes the listener and all connections, and waits for the handlers.
 func (m *Mesh) Close() error {
 	m.tomb.Kill(nil)
 	_ = m.listener.Close()
 	m.pool.close()
+	m.bulkPool.close()
 	m.mu.Lock()
 	accepted := slices.Collect(maps.Keys(m.accepted))
 	m.mu.Unlock()
@@ -204,6 +223,10 @@
 		if err := readMessage(reader, call); err != nil {
 			return nil // no more calls, or an incomplete one, which gets no reply
 		}
+		if isCancellable(call) {
+			m.serveCancellable(ctx, stream, reader, call)
+			return nil
+		}
 		reply := m.handler(ctx, call)
 		if reply == nil {
 			continue
--- a/io/connection/mesh/pool.go
+++ b/io/connection/mesh/pool.go
@@ -91,6 +91,23 @@
 	_ = s.Close()
 }
 
+// dropAny drops the open session for an address, if there is one.
+func (p *pool[S]) dropAny(address string) {
+	p.mu.Lock()
+	e, ok := p.entries[address]
+	p.mu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case <-e.ready:
+		if e.err == nil {
+			p.drop(address, e.value)
+		}
+	default:
+	}
+}
+
 // close closes all sessions. openEntry closes those that are still being opened.
 func (p *pool[S]) close() {
 	p.mu.Lock()
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -27,6 +27,9 @@
 			}
 			return *rejection
 		}
+		if r.cutOff.Load() && !req.carried {
+			return r.sendByOthers(ctx, req)
+		}
 		tableUpdateCh := *r.tableUpdateCh.Load()
 		req.setLastResort()
 		server, choice := r.chooseServer(req)
@@ -246,5 +249,5 @@
 func (r *Router) tryWithdrawRetry(req *request) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budgets[req.service.Name].TryWithdraw()
+	return r.budgetOf(req.service.Name).TryWithdraw()
 }
--- a/io/process/router/benchmark_test.go
+++ b/io/process/router/benchmark_test.go
@@ -31,7 +31,7 @@
 			q := callerRequest("/x", nil)
 			for b.Loop() {
 				q.Header = http.Header{names.Default().APIKey: {"k1"}}
-				req, rejection := r.resolve(r.current.Load(), q, "id")
+				req, rejection := r.resolve(r.current.Load(), q, "id", nil)
 				if rejection != nil {
 					b.Fatal(rejection.Status)
 				}
--- /dev/null
+++ b/io/process/router/carry.go
@@ -0,0 +1,183 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"catkinstep/core/connection/wire"
+	"catkinstep/core/request/carry"
+	"catkinstep/core/request/spread"
+	"catkinstep/io/connection/caller"
+	"catkinstep/io/connection/link"
+	"catkinstep/io/connection/mesh"
+)
+
+const (
+	// reasonCutOff means that this host reaches no servers, and no other daemon carries its requests.
+	reasonCutOff = "hostCutOff"
+	// maxCarriers is to how many daemons one request is sent at most. Each but the last has said
+	// that it did not run.
+	maxCarriers = 3
+	// carryTransitTime is subtracted from the time until the caller's deadline for the way to the other
+	// daemon and back.
+	carryTransitTime = 5 * time.Millisecond
+)
+
+// carryOutcome is what became of a request at one other daemon.
+type carryOutcome int
+
+const (
+	carryAnswered    carryOutcome = iota // there is a reply for the caller
+	carryUnavailable                     // it did not run, and another daemon may serve it
+	carryUnknown                         // it may have run, and there is no reply
+)
+
+// sendByOthers sends a request by way of another daemon, since this host reaches no servers. A request
+// that may have run is sent again only as it would be to a server.
+func (r *Router) sendByOthers(ctx context.Context, req *request) caller.Reply {
+	var tried []string
+	for len(tried) < maxCarriers && ctx.Err() == nil {
+		peer, ok := r.beginCarry(tried)
+		if !ok {
+			break
+		}
+		reply, outcome := r.carryRecorded(ctx, req, peer)
+		r.endCarry(peer)
+		tried = append(tried, peer.Address)
+		switch outcome {
+		case carryAnswered:
+			return reply
+		case carryUnavailable:
+			continue
+		case carryUnknown:
+			r.metrics.increment("carry.unknown")
+			if !r.mayRetry(ctx, req, false) || !r.tryWithdrawRetry(req) {
+				return r.giveUp(req, spread.Choice{}, reasonAttemptFailed, 0)
+			}
+		}
+	}
+	return r.giveUp(req, spread.Choice{}, reasonCutOff, carryRefusalDelay)
+}
+
+func (r *Router) beginCarry(tried []string) (carry.Peer, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	peer, ok := r.carriers.Choose(time.Now(), tried)
+	if ok {
+		r.carriers.Begin(peer.Address)
+	}
+	return peer, ok
+}
+
+func (r *Router) endCarry(peer carry.Peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.carriers.End(peer.Address)
+}
+
+// carryRecorded sends a request to another daemon. If the holder of its key deduplicates it, it is also
+// recorded here that it was sent and how that ended: the other daemon may be lost with its record.
+func (r *Router) carryRecorded(ctx context.Context, req *request, peer carry.Peer) (caller.Reply, carryOutcome) {
+	if !r.holderDeduplicates(req) {
+		return r.carryBy(ctx, req, peer)
+	}
+	record, repeated := r.recordSent(req)
+	reply, outcome := r.carryBy(ctx, req, peer)
+	switch {
+	case outcome == carryUnknown || reply.Refusal != nil && reply.Refusal.MaybeRan:
+		r.recordSentOutcome(ctx, record, repeated, nil, &link.Error{Op: "carry", Kind: link.ConnectionLost, Err: errNoCarryReply})
+	case outcome == carryUnavailable || reply.Refusal != nil:
+		r.recordSentOutcome(ctx, record, repeated, nil, &link.Error{Op: "carry", Kind: link.NotSent, Err: errNoCarryReply})
+	default:
+		r.recordSentOutcome(ctx, record, repeated, &link.Response{}, nil)
+	}
+	return reply, outcome
+}
+
+var errNoCarryReply = errors.New("no response of a server by way of another daemon")
+
+// carryBy sends a request to another daemon and waits for the reply. Like the request to a server, it is
+// cancelled when the caller disconnects only if it is idempotent.
+func (r *Router) carryBy(ctx context.Context, req *request, peer carry.Peer) (caller.Reply, carryOutcome) {
+	if !req.route.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(2*responseMargin))
+	defer cancel()
+	r.metrics.increment("carry.sent")
+	reply, err := r.callBulk(ctx, peer.Address, &wire.Call{Kind: &wire.Call_Carry{Carry: r.carryMessage(req)}})
+	switch {
+	case mesh.IsKind(err, mesh.ConnectionRefused), mesh.IsKind(err, mesh.NotSent), mesh.IsKind(err, mesh.Remote):
+		r.declineCarrier(peer, err)
+		return caller.Reply{}, carryUnavailable
+	case err != nil || reply.Carry == nil:
+		r.log.Info("carry: no reply", "id", req.id, "route", req.route.Name, "daemon", peer.Address, "left", time.Until(req.deadline).String(), "err", err)
+		req.maybeRan = true
+		req.attempts.sent++
+		req.attempts.ran++
+		return caller.Reply{}, carryUnknown
+	}
+	return r.evaluateCarried(req, peer, reply.Carry)
+}
+
+// declineCarrier records that a daemon does not carry requests at present.
+func (r *Router) declineCarrier(peer carry.Peer, err error) {
+	r.log.Info("carry: daemon does not carry requests", "daemon", peer.Address, "err", err)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.carriers.RecordAnswer(time.Now(), peer.Address, false)
+}
+
+// evaluateCarried handles the reply of another daemon: a server's response, or a refusal.
+func (r *Router) evaluateCarried(req *request, peer carry.Peer, m *wire.CarryReply) (caller.Reply, carryOutcome) {
+	req.attempts.sent += int(m.Sent)
+	req.attempts.ran += int(m.Ran)
+	if !m.Refused {
+		r.clearSuspect(req)
+		return caller.Reply{Status: int(m.Status), Header: headerFromWire(m.Header), Body: m.Body}, carryAnswered
+	}
+	r.log.Info("carry: not served", "id", req.id, "route", req.route.Name, "daemon", peer.Address, "reason", m.Reason, "maybeRan", m.MaybeRan)
+	if m.MaybeRan {
+		req.maybeRan = true
+		return r.giveUp(req, spread.Choice{}, m.Reason, 0), carryAnswered
+	}
+	if slices.Contains(otherCarrierReasons, m.Reason) {
+		return caller.Reply{}, carryUnavailable
+	}
+	return r.giveUp(req, spread.Choice{}, m.Reason, millis(m.BackMillis)), carryAnswered
+}
+
+// otherCarrierReasons are the reasons of refusals that another daemon may not have: they are due to the
+// daemon's own host, links or configuration.
+var otherCarrierReasons = []string{reasonNotCarrying, reasonNoConfig, reasonNoRoute, reasonUnknownAPIKey, reasonConfigOutdated, string(spread.ServerUnreachable), string(spread.ConnectionLimit)}
+
+// carryMessage returns the message that asks another daemon to serve a request.
+func (r *Router) carryMessage(req *request) *wire.Carry {
+	m := &wire.Carry{Id: req.id, Method: req.Method, Host: req.Host, Target: req.RequestURI, Header: headerToWire(req.Header), Body: req.Body, Service: req.service.Name,
+		ElapsedMillis: millisOf(time.Since(req.ReadAt)), LeftMillis: millisOf(time.Until(req.deadline) - carryTransitTime), Deferred: req.requirements.Deferred, Sent: uint32(req.attempts.sent)}
+	if req.identity.hasKey {
+		m.ApiKeyHash = req.identity.keyHash[:]
+	}
+	return m
+}
+
+func headerToWire(h http.Header) []*wire.HeaderField {
+	var out []*wire.HeaderField
+	for name, values := range h {
+		for _, v := range values {
+			out = append(out, &wire.HeaderField{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+func headerFromWire(fields []*wire.HeaderField) http.Header {
+	h := make(http.Header, len(fields))
+	for _, f := range fields {
+		h[f.Name] = append(h[f.Name], f.Value)
+	}
+	return h
+}
--- a/io/process/router/clients.go
+++ b/io/process/router/clients.go
@@ -38,7 +38,8 @@
 // clientPool holds a client for each server instance and purpose.
 type clientPool struct {
 	names   names.Names
-	dialer  link.Dialer // nil for the usual one
+	dialer  link.Dialer // of all clients; nil for the usual one
+	inner   link.Dialer // that dialer without observation; nil for the usual one
 	mu      sync.Mutex
 	clients map[clientKey]*serverClient
 }
@@ -62,6 +63,14 @@
 	return client
 }
 
+// plainDialer returns the dialer without observation.
+func (p *clientPool) plainDialer() link.Dialer {
+	if p.inner != nil {
+		return p.inner
+	}
+	return link.DefaultDialer
+}
+
 // requestClient returns the client for callers' requests to a server.
 func (p *clientPool) requestClient(s fleet.Server) *serverClient {
 	return p.get(clientKey{address: s.Address, id: s.ID, startMillis: s.StartMillis})
@@ -79,6 +88,17 @@
 	}
 }
 
+// closeIdle closes the idle connections for requests of all clients.
+func (p *clientPool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, client := range p.clients {
+		if key.purpose == forRequests {
+			client.CloseIdle()
+		}
+	}
+}
+
 // close closes all clients, for the end of the daemon.
 func (p *clientPool) close() {
 	p.mu.Lock()
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -10,6 +10,7 @@
 	"catkinstep/core/process/boot"
 	"catkinstep/core/process/keeper"
 	"catkinstep/core/process/member"
+	"catkinstep/core/process/reach"
 	"catkinstep/core/version/grant"
 	"catkinstep/core/version/object"
 )
@@ -91,6 +92,9 @@
 	allowances        allowances
 	startedAt         time.Time
 	boot              boot.Boot
+	reach             *reach.Monitor
+	// pendingOffers holds the daemons that are being asked whether they carry requests.
+	pendingOffers map[string]bool
 }
 
 func newControl(r *Router, now time.Time) *control {
@@ -109,6 +113,8 @@
 		allowances:      newAllowances(now),
 		startedAt:       now,
 		boot:            boot.New(now),
+		reach:           reach.New(seedOf(r.self)),
+		pendingOffers:   map[string]bool{},
 	}
 	for _, k := range object.Kinds {
 		c.caches[k], c.knownRevisions[k] = object.NewCache(k), &atomic.Uint64{}
@@ -157,6 +163,10 @@
 		c.propagateChange(now, true)
 	case statusMsg:
 		m.reply <- c.status(now)
+	case reachMsg:
+		c.updateReach(now, m.msg)
+	case carryOfferEndedMsg:
+		delete(c.pendingOffers, m.address)
 	case stoppingMsg:
 		c.stopping = true
 		c.propagateToAll(now)
@@ -178,6 +188,8 @@
 	c.recordLoaded(now, "")
 	c.refreshIssuers(now)
 	c.updateLeaderContact(now)
+	c.checkReach(now)
+	c.offerCarry(now)
 	c.r.ready.Store(!c.stopping && c.isReady(now))
 }
 
--- a/io/process/router/fairness_test.go
+++ b/io/process/router/fairness_test.go
@@ -14,7 +14,7 @@
 func TestHeavyWorkspaceIsDeferred(t *testing.T) {
 	yard := space.Workspace{Name: "yard", KeyHashes: []space.KeyHash{space.HashKey("k2")}}
 	resolve := func(r *Router, key string) *request {
-		req, rejection := r.resolve(r.current.Load(), callerRequest("/x", keyHeader(key)), "id")
+		req, rejection := r.resolve(r.current.Load(), callerRequest("/x", keyHeader(key)), "id", nil)
 		So(rejection, ShouldBeNil)
 		r.recordDemand(req)
 		return req
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -45,7 +45,7 @@
 }
 
 // lastRuns holds when each periodic task last ran.
-type lastRuns struct{ localGossip, leaderGossip, remoteGossip, seedGossip, issuerList, standbyCheck, storedTableFetch time.Time }
+type lastRuns struct{ localGossip, leaderGossip, remoteGossip, seedGossip, issuerList, standbyCheck, storedTableFetch, reachCheck, carryOffer time.Time }
 
 // due reports whether a task that last ran at *last is due again. If so, it sets *last to now.
 func (c *control) due(now time.Time, last *time.Time, interval time.Duration) bool {
@@ -118,6 +118,7 @@
 	t := c.r.current.Load().table
 	g := &wire.Gossip{
 		Name: c.r.self.Name, Address: c.r.self.Address, DataCentre: c.r.self.DataCentre, Incarnation: c.r.self.Incarnation, Strength: c.r.self.CPUCapacity,
+		Region: c.r.self.Region, CutOff: c.reach.CutOff(),
 		Leaving: c.stopping || c.keeper != nil && c.members.ShouldStepDown(now), StoredAgeMillis: ageMillis(now, c.members.LastStoreResponse()), StoreFailedAgeMillis: ageMillis(now, c.members.LastStoreFailure()), Epoch: t.Epoch, Seq: t.Seq,
 		Leader: t.Leader.Daemon, LeaderIncarnation: t.Leader.Incarnation, LeaderAgeMillis: c.leaderAge(now, t.Leader),
 	}
@@ -225,8 +226,8 @@
 // centre.
 func (c *control) recordSender(now time.Time, g *wire.Gossip) {
 	before := c.members.Count()
-	c.members.RecordGossip(now, member.Member{Name: g.Name, Address: g.Address, DataCentre: g.DataCentre, Incarnation: g.Incarnation, CPUCapacity: g.Strength},
-		member.Status{Leaving: g.Leaving, LastStoreResponse: timeFromAge(now, g.StoredAgeMillis), LastStoreFailure: timeFromAge(now, g.StoreFailedAgeMillis), Epoch: g.Epoch})
+	c.members.RecordGossip(now, member.Member{Name: g.Name, Address: g.Address, DataCentre: g.DataCentre, Incarnation: g.Incarnation, Region: g.Region, CPUCapacity: g.Strength},
+		member.Status{Leaving: g.Leaving, LastStoreResponse: timeFromAge(now, g.StoredAgeMillis), LastStoreFailure: timeFromAge(now, g.StoreFailedAgeMillis), Epoch: g.Epoch, CutOff: g.CutOff})
 	if g.Leader != g.Name && g.LeaderAgeMillis >= 0 {
 		c.members.RecordIndirectContact(g.Leader, g.LeaderIncarnation, timeFromAge(now, g.LeaderAgeMillis))
 	}
--- a/io/process/router/gossip_test.go
+++ b/io/process/router/gossip_test.go
@@ -33,6 +33,12 @@
 	return m.Call(ctx, address, call)
 }
 
+func (m fakeMesh) CallBulk(ctx context.Context, address string, call *wire.Call) (*wire.Reply, error) {
+	return m.Call(ctx, address, call)
+}
+
+func (fakeMesh) DropBulk(string) {}
+
 func (fakeMesh) Notify(context.Context, string, *wire.Call) error { return nil }
 
 func (fakeMesh) Close() error { return nil }
--- a/io/process/router/mesh.go
+++ b/io/process/router/mesh.go
@@ -10,6 +10,8 @@
 type peerMesh interface {
 	Call(ctx context.Context, address string, call *wire.Call) (*wire.Reply, error)
 	CallShared(ctx context.Context, address string, call *wire.Call) (*wire.Reply, error)
+	CallBulk(ctx context.Context, address string, call *wire.Call) (*wire.Reply, error)
+	DropBulk(address string)
 	Notify(ctx context.Context, address string, call *wire.Call) error
 	Close() error
 }
@@ -26,6 +28,11 @@
 	return r.countedCall(ctx, address, call, r.mesh.CallShared)
 }
 
+// callBulk is like call, but for large messages and long calls; see mesh.CallBulk.
+func (r *Router) callBulk(ctx context.Context, address string, call *wire.Call) (*wire.Reply, error) {
+	return r.countedCall(ctx, address, call, r.mesh.CallBulk)
+}
+
 func (r *Router) countedCall(ctx context.Context, address string, call *wire.Call, send func(context.Context, string, *wire.Call) (*wire.Reply, error)) (*wire.Reply, error) {
 	r.metrics.addBytes(bytesOut, call)
 	reply, err := send(ctx, address, call)
@@ -62,6 +69,10 @@
 		return &wire.Reply{Permit: r.issuePermit(kind.Permit)}
 	case *wire.Call_Token:
 		return r.handleToken(kind.Token)
+	case *wire.Call_CarryOffer:
+		return &wire.Reply{CarryOffer: &wire.CarryOfferReply{Willing: r.carriesRequests()}}
+	case *wire.Call_Carry:
+		return r.handleCarry(ctx, kind.Carry)
 	case *wire.Call_PermitEnd:
 		r.handlePermitEnd(kind.PermitEnd)
 		return nil
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -163,4 +163,4 @@
 func WithGrantTTL(ttl time.Duration) Option { return func(r *Router) { r.grantTTL = ttl } }
 
 // WithServerDialer sets the dialer of connections to servers.
-func WithServerDialer(d link.Dialer) Option { return func(r *Router) { r.clientPool.dialer = d } }
+func WithServerDialer(d link.Dialer) Option { return func(r *Router) { r.clientPool.inner = d } }
--- a/io/process/router/ratelimit_test.go
+++ b/io/process/router/ratelimit_test.go
@@ -71,7 +71,7 @@
 
 // Guards against daemons that learn of a limit only when they exceed it, and do not learn of its end.
 func TestRateLimitsAreGossiped(t *testing.T) {
-	Convey("A daemon that was not told of a limit gets it in the reply to its gossip, and its end, too", t, func() {
+	Convey("A daemon that does not know of a limit gets it in the reply to its gossip, and its end, too", t, func() {
 		r, other := newRateLimitedRouter(), newTestRouter()
 		other.updateServers(atSecond(1), 10, serverItem("a", 5))
 		later := atSecond(3600) // when the limit is no news any more
--- a/io/process/router/refuse.go
+++ b/io/process/router/refuse.go
@@ -66,5 +66,5 @@
 
 func (r *Router) refusalReply(refusal caller.Refusal) caller.Reply {
 	header, body := r.protocol.RefusalReply(refusal)
-	return caller.Reply{Status: refusal.Status, Header: header, Body: body}
+	return caller.Reply{Status: refusal.Status, Header: header, Body: body, Refusal: &refusal}
 }
--- a/io/process/router/request.go
+++ b/io/process/router/request.go
@@ -25,6 +25,9 @@
 	// the request again.
 	fingerprint  uint64
 	requirements spread.Requirements
+	// carried is set if another daemon, whose host reaches no servers, has sent the request. It is not
+	// sent on to a third.
+	carried bool
 	// admitted is set once the limits for overloaded holders have admitted the request.
 	admitted bool
 	// rangeOpensBy is the time by which its range very probably opens, if the range is closed.
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -24,6 +24,7 @@
 	"catkinstep/core/process/member"
 	"catkinstep/core/process/quota"
 	"catkinstep/core/request/admit"
+	"catkinstep/core/request/carry"
 	"catkinstep/core/request/crash"
 	"catkinstep/core/request/fair"
 	"catkinstep/core/request/limit"
@@ -57,6 +58,10 @@
 	// tableUpdateCh is a channel that is closed and replaced when a new table comes into force.
 	tableUpdateCh atomic.Pointer[chan struct{}]
 	ready         atomic.Bool
+	// stopping is set when a shutdown begins, and cutOff while this host reaches no servers.
+	stopping, cutOff atomic.Bool
+	// carriedRunning is the number of requests that are served for other daemons.
+	carriedRunning atomic.Int64
 	// leaderContact says whom to ask for tokens.
 	leaderContact atomic.Pointer[leaderContact]
 	listening     chan struct{} // closed once all addresses are listened on
@@ -72,6 +77,8 @@
 	// suspects records the requests that may have been running at servers when these were lost.
 	suspects      *crash.Suspects
 	suspectBuffer piggybackBuffer[*wire.Suspect]
+	// carriers are the daemons that serve requests for this one while its host reaches no servers.
+	carriers *carry.Peers
 	// sentHistory holds the IDs of requests that must not run twice. unansweredBuffer holds
 	// those of them that may have run without a response, for the other daemons.
 	sentHistory      *sent.History
@@ -124,7 +131,7 @@
 		grantTTL: keeper.DefaultGrantTTL, now: clock.Now, metrics: newMetrics(), latestSettings: s, daemonCount: 1,
 		inbox: make(chan any, inboxSize), listening: make(chan struct{}), ended: make(chan struct{}),
 		budgets: map[string]*retry.Budget{}, suspects: crash.New(crashThreshold, crashRetention), sentHistory: sent.New(sentRetention), bucketLoads: map[bucketKey]bucketLoad{},
-		self: member.Member{Name: s.Name, Address: s.MeshAddress, DataCentre: s.DataCentre, CPUCapacity: s.CPUCapacity, Incarnation: uint64(time.Now().UnixMicro())},
+		self: member.Member{Name: s.Name, Address: s.MeshAddress, DataCentre: s.DataCentre, Region: s.Region, CPUCapacity: s.CPUCapacity, Incarnation: uint64(time.Now().UnixMicro())},
 	}
 	for _, o := range opts {
 		o(r)
@@ -133,12 +140,14 @@
 		r.grantTTL = min(r.grantTTL, s.MaxGrantTTL)
 	}
 	r.clientPool.names = p.Names()
+	r.clientPool.dialer = observedDialer{r: r, inner: r.clientPool.plainDialer()}
 	r.metrics.vars.Set("workspaces", expvar.Func(r.workspaceTotals))
 	r.burnMeter = burn.New(r.now())
 	r.reopenEstimator = reopen.New()
 	seed := seedOf(r.self)
 	r.admission, r.workspaceLimiter = admit.NewLimiter(seed), quota.NewLimiter(seed)
 	r.fairness = fair.NewMeter()
+	r.carriers = carry.New(s.Name)
 	r.rateLimits, r.issuer = limit.NewTable(), limit.NewIssuer()
 	r.leaderContact.Store(&leaderContact{})
 	r.permits.issuer, r.permits.absentUntil, r.permits.lastID = permit.NewIssuer(seed), map[string]time.Time{}, seed
@@ -230,11 +239,13 @@
 	defer cancel()
 	r.log.Info("router: stop", "running", r.callers.Running())
 	r.ready.Store(false)
+	r.stopping.Store(true)
 	r.callers.BeginShutdown()
 	r.post(stoppingMsg{})
 	sleep(ctx, shutdownAcceptTime)
 	_ = l.Close()
 	r.callers.Shutdown(ctx)
+	r.awaitCarried(ctx)
 	r.log.Info("router: stopped", "running", r.callers.Running(), "took", time.Since(startedAt).String())
 	r.tomb.Kill(nil)
 	_ = r.mesh.Close()
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +12,7 @@
 	"catkinstep/core/process/keeper"
 	"catkinstep/core/request/retry"
 	"catkinstep/core/request/spread"
+	"catkinstep/core/version/config"
 	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/grant"
 	"catkinstep/io/connection/caller"
@@ -61,7 +63,7 @@
 	if !snap.configured {
 		return r.refuse(caller.Refusal{ID: id, Status: http.StatusServiceUnavailable, Reason: reasonNoConfig, RetryAfter: notReadyRetryDelay}, "")
 	}
-	req, rejection := r.resolve(snap, callerReq, id)
+	req, rejection := r.resolve(snap, callerReq, id, nil)
 	if rejection != nil {
 		return *rejection
 	}
@@ -89,22 +91,19 @@
 }
 
 // resolve determines the route, service, key and deadline of a request. If the request
-// has no route or lacks its key, it returns the reply instead.
-func (r *Router) resolve(snap *snapshot, callerReq caller.Request, id string) (*request, *caller.Reply) {
+// has no route or lacks its key, it returns the reply instead. from is set if another daemon has
+// sent the request.
+func (r *Router) resolve(snap *snapshot, callerReq caller.Request, id string, from *carriedFrom) (*request, *caller.Reply) {
 	route, ok := snap.config.Match(callerReq.Host, callerReq.URL.EscapedPath(), callerReq.Method)
 	if !ok {
 		r.log.Info("request: no route", "id", id, "host", callerReq.Host, "path", callerReq.URL.Path, "version", snap.config.Version)
 		return nil, r.finalReply(id, http.StatusNotFound, reasonNoRoute)
 	}
 	req := &request{Request: callerReq, id: id, route: route, key: -1, target: strings.TrimPrefix(callerReq.RequestURI, route.StripPrefix)}
-	if rejection := r.identify(snap, req); rejection != nil {
+	if rejection := r.identify(snap, req, from); rejection != nil {
 		return nil, rejection
 	}
-	req.service, _ = snap.config.Service(route.PickService(r.randomFloat()))
-	req.deadline = callerReq.ReadAt.Add(route.Timeout)
-	if callerTimeout, ok := r.protocol.CallerTimeout(callerReq.Header); ok && callerTimeout < route.Timeout {
-		req.deadline = callerReq.ReadAt.Add(callerTimeout)
-	}
+	r.setDestination(snap, req, from)
 	if req.service.Keyed {
 		if req.key, ok = r.protocol.Key(req.service, req.target, callerReq.Header); !ok || req.key < 0 || req.key > grant.LastKey {
 			r.log.Info("request: no key", "id", id, "route", route.Name, "path", req.target)
@@ -116,6 +115,26 @@
 	return req, nil
 }
 
+// setDestination determines the service and the deadline of a request: those that another daemon has
+// determined, unless this one's configuration does not allow that service.
+func (r *Router) setDestination(snap *snapshot, req *request, from *carriedFrom) {
+	if from != nil {
+		req.deadline = from.deadline
+		if slices.ContainsFunc(req.route.Destinations, func(d config.Destination) bool { return d.Service == from.service }) {
+			req.service, _ = snap.config.Service(from.service)
+			return
+		}
+	}
+	req.service, _ = snap.config.Service(req.route.PickService(r.randomFloat()))
+	if from != nil {
+		return
+	}
+	req.deadline = req.ReadAt.Add(req.route.Timeout)
+	if callerTimeout, ok := r.protocol.CallerTimeout(req.Header); ok && callerTimeout < req.route.Timeout {
+		req.deadline = req.ReadAt.Add(callerTimeout)
+	}
+}
+
 // callerReply converts a server's response into the reply to the caller.
 func (r *Router) callerReply(req *request, resp *link.Response) caller.Reply {
 	header := resp.Header
@@ -155,12 +174,17 @@
 		k := bucketKey{service: req.service.Name, bucket: uint32(keeper.Bucket(req.key))}
 		r.bucketLoads[k] = r.bucketLoads[k].with(1, r.balancer.TypicalServiceTime(req.requirements), req.route.LatencyTarget)
 	}
-	budget := r.budgets[req.service.Name]
+	r.budgetOf(req.service.Name).Deposit()
+}
+
+// budgetOf returns the retry budget of a service. r.mu must be held.
+func (r *Router) budgetOf(service string) *retry.Budget {
+	budget := r.budgets[service]
 	if budget == nil {
 		budget = retry.NewBudget(r.retryShare()*retryUtilisation, int(r.retryBurst()))
-		r.budgets[req.service.Name] = budget
+		r.budgets[service] = budget
 	}
-	budget.Deposit()
+	return budget
 }
 
 func (r *Router) randomFloat() float64 {
--- a/io/process/router/servers.go
+++ b/io/process/router/servers.go
@@ -232,4 +232,5 @@
 	c.r.balancer.Prune(f)
 	c.r.applyRateLimits(f)
 	c.r.mu.Unlock()
+	c.updateReachableServers(c.r.now())
 }
--- a/io/process/router/traffic.go
+++ b/io/process/router/traffic.go
@@ -41,6 +41,10 @@
 		return "gossip"
 	case *wire.Call_Fetch:
 		return "fetch." + kind.Fetch.Kind
+	case *wire.Call_Token:
+		return "tokens"
+	case *wire.Call_Carry, *wire.Call_CarryOffer:
+		return "carried"
 	case *wire.Call_Permit, *wire.Call_PermitEnd:
 		return "permits"
 	}
--- a/io/process/router/workspace.go
+++ b/io/process/router/workspace.go
@@ -48,12 +48,17 @@
 
 // identify determines the caller's workspace by its API key. It returns the reply instead if the
 // route requires a key that is missing or unknown. A workspace that the caller names is ignored:
-// servers trust the name that they get.
-func (r *Router) identify(snap *snapshot, req *request) *caller.Reply {
+// servers trust the name that they get. from is set if another daemon has sent the request, which has
+// the key's hash.
+func (r *Router) identify(snap *snapshot, req *request, from *carriedFrom) *caller.Reply {
 	req.Header.Del(r.protocol.Names().Workspace)
 	if !snap.config.KeysRequired {
 		return nil
 	}
+	if from != nil {
+		req.identity.keyHash, req.identity.hasKey = from.keyHash, from.hasKey
+		return r.updateWorkspace(snap, req)
+	}
 	req.identity.keyHash, req.identity.hasKey = r.takeAPIKey(req.Header)
 	return r.updateWorkspace(snap, req)
 }
--- a/io/process/router/workspace_test.go
+++ b/io/process/router/workspace_test.go
@@ -48,11 +48,11 @@
 		r.now = func() time.Time { return atSecond(1) }
 		r.applyWorkspaces(1, atSecond(1), millWorkspace)
 		for _, header := range []http.Header{{}, keyHeader(""), keyHeader("k2"), keyHeader("K1"), keyHeader("k1 "), keyHeader("k1", "k1"), keyHeader(strings.Repeat("k", 10000))} {
-			_, rejection := r.resolve(r.current.Load(), callerRequest("/x", header), "id")
+			_, rejection := r.resolve(r.current.Load(), callerRequest("/x", header), "id", nil)
 			So(rejection, ShouldNotBeNil)
 			So(rejection.Status, ShouldEqual, http.StatusUnauthorized)
 		}
-		req, rejection := r.resolve(r.current.Load(), callerRequest("/x", keyHeader("k1")), "id")
+		req, rejection := r.resolve(r.current.Load(), callerRequest("/x", keyHeader("k1")), "id", nil)
 		So(rejection, ShouldBeNil)
 		So(req.requirements.Priority, ShouldEqual, 0)
 	})
@@ -62,7 +62,7 @@
 		for path, workspace := range map[string]string{"/x": "mill", "/open/x": ""} {
 			header := keyHeader("k1")
 			header.Set(names.Default().Workspace, "forged")
-			req, rejection := r.resolve(r.current.Load(), callerRequest(path, header), "id")
+			req, rejection := r.resolve(r.current.Load(), callerRequest(path, header), "id", nil)
 			So(rejection, ShouldBeNil)
 			sent := r.forwardedHeader(req)
 			So(sent.Get(names.Default().Workspace), ShouldEqual, workspace)
@@ -72,7 +72,7 @@
 	Convey("Without workspaces no key is needed, and a forged name is dropped all the same", t, func() {
 		r := newTestRouter()
 		r.current.Store(r.current.Load().withConfig(config.Config{Routes: []config.Route{{Name: "r", Host: "h", Prefix: "/", Destinations: []config.Destination{{Service: "s", Weight: 1}}}}}.WithIndex()))
-		req, rejection := r.resolve(r.current.Load(), callerRequest("/x", http.Header{names.Default().Workspace: {"forged"}}), "id")
+		req, rejection := r.resolve(r.current.Load(), callerRequest("/x", http.Header{names.Default().Workspace: {"forged"}}), "id", nil)
 		So(rejection, ShouldBeNil)
 		So(r.forwardedHeader(req).Get(names.Default().Workspace), ShouldBeEmpty)
 	})
@@ -83,7 +83,7 @@
 	waiting := func(r *Router) *request {
 		r.now = func() time.Time { return atSecond(1) }
 		r.applyWorkspaces(1, atSecond(1), millWorkspace)
-		req, rejection := r.resolve(r.current.Load(), callerRequest("/x", keyHeader("k1")), "id")
+		req, rejection := r.resolve(r.current.Load(), callerRequest("/x", keyHeader("k1")), "id", nil)
 		So(rejection, ShouldBeNil)
 		return req
 	}
@@ -118,7 +118,7 @@
 		r.applyWorkspaces(1, atSecond(1), millWorkspace)
 		statusAt := func(s float64, header http.Header) int {
 			r.now = func() time.Time { return atSecond(s) }
-			_, rejection := r.resolve(r.current.Load(), callerRequest("/x", header), "id")
+			_, rejection := r.resolve(r.current.Load(), callerRequest("/x", header), "id", nil)
 			return rejection.Status
 		}
 		So(statusAt(2, keyHeader("new")), ShouldEqual, http.StatusUnauthorized)
--- a/io/process/setup/setup.go
+++ b/io/process/setup/setup.go
@@ -39,6 +39,9 @@
 	// restarts on its host.
 	Name       string
 	DataCentre string
+	// Region is the group of data centres that requests must not leave on their way; empty if there
+	// is only one.
+	Region string
 	// CPUCapacity is the processing capacity of the host, in cores of usual speed; 0 if unknown.
 	CPUCapacity float64
 	// CallerAddress, ReadyAddress, MeshAddress and MetricsAddress are the addresses to listen
