RECOVER: a leader whose host reaches no servers leaves the lead

Cause: the leader's host had lost its links; it went on leading, as it reached the store, and no grant was renewed. Evidence: the servers answer 421 from 3 s on, and the leader's log shows failed grants only. Class: a duty that its holder cannot do, and does not give up.

Change: such a leader counts as leaving while another host reaches servers; hosts that reach none do not take the lead, do not hold up the next one, are no standby readers, and the last to be relays.

--- a/core/process/member/leader.go
+++ b/core/process/member/leader.go
@@ -7,8 +7,11 @@
 )
 
 // ShouldStepDown reports whether this daemon, if it leads, should step down because the store
-// responds to other daemons but not to this one.
+// responds to other daemons but not to this one, or servers can be reached by others only.
 func (c *Cluster) ShouldStepDown(now time.Time) bool {
+	if c.shouldLeaveLead(now) {
+		return true
+	}
 	if now.Sub(c.lastStoreResponse) < storeOutageTimeout {
 		return false
 	}
@@ -26,6 +29,9 @@
 	if c.observedLeader != l {
 		c.observedLeader, c.observedSince = l, now
 	}
+	if c.shouldLeaveLead(now) {
+		return false, false
+	}
 	since, replace, ended := c.shouldReplaceLeader(now, l)
 	if !replace {
 		c.leaderToReplace = grant.Leader{}
@@ -72,7 +78,7 @@
 // whatever its host. When many servers change, updates queue up for a weak host's processor
 // and network link, and the daemons of its data centre keep sending to draining servers.
 func (c *Cluster) shouldReplaceWeaker(now time.Time, leader *peer) bool {
-	return leader != nil && leader.CPUCapacity > 0 && c.self.CPUCapacity >= takeoverCapacityRatio*leader.CPUCapacity && c.leaderAlive(now, leader) && c.IsRelay(now)
+	return leader != nil && leader.CPUCapacity > 0 && c.self.CPUCapacity >= takeoverCapacityRatio*leader.CPUCapacity && c.leaderAlive(now, leader) && c.IsRelay(now) && !c.cutOff
 }
 
 // HasSteppedDown reports whether a previous leader is known to have ended, or to know the given
@@ -99,7 +105,7 @@
 func (c *Cluster) candidateRank(now time.Time, localOnly bool) int {
 	n := 0
 	for _, p := range c.peers {
-		if localOnly && p.DataCentre != c.self.DataCentre || !c.isAlive(now, p) || p.Leaving {
+		if localOnly && p.DataCentre != c.self.DataCentre || !c.isAlive(now, p) || p.Leaving || !localOnly && p.CutOff {
 			continue
 		}
 		if now.Sub(p.LastStoreResponse) > silenceTimeout && now.Sub(c.startedAt) > silenceTimeout {
--- a/core/process/member/reader.go
+++ b/core/process/member/reader.go
@@ -33,7 +33,7 @@
 // are so old that these daemons read. The standby reader is the first relay that had no failed
 // call to the store lately, preferably one in another data centre than the leader.
 func (c *Cluster) IsStandbyReader(now time.Time, leader string) bool {
-	if leader == "" || leader == c.self.Name || c.storeFailedRecently(now, c.lastStoreFailure) || !c.IsRelay(now) {
+	if leader == "" || leader == c.self.Name || c.storeFailedRecently(now, c.lastStoreFailure) || !c.IsRelay(now) || c.shouldLeaveLead(now) {
 		return false
 	}
 	leaderDataCentre := c.dataCentreOf(leader)
@@ -59,7 +59,7 @@
 // canRead reports whether another daemon is alive and had no failed call to the store lately.
 func (c *Cluster) canRead(now time.Time, name string) bool {
 	p := c.peers[name]
-	return p != nil && c.isAlive(now, p) && !p.Leaving && !c.storeFailedRecently(now, p.LastStoreFailure)
+	return p != nil && c.isAlive(now, p) && !p.Leaving && (!p.CutOff || c.cutOff) && !c.storeFailedRecently(now, p.LastStoreFailure)
 }
 
 func (c *Cluster) storeFailedRecently(now, failedAt time.Time) bool {
--- a/core/process/member/relay.go
+++ b/core/process/member/relay.go
@@ -109,7 +109,8 @@
 }
 
 // relays returns the relays of a data centre: its daemons on the strongest hosts that are not
-// known to be unreachable, by name among equals. Strong hosts cope best with the messages of
+// known to be unreachable, by name among equals. Relays may have to lead, so hosts that reach no servers
+// come last. Strong hosts cope best with the messages of
 // the other daemons.
 func (c *Cluster) relays(now time.Time, dc string) []Member {
 	if c.relaysByDataCentre == nil || now.Sub(c.relaysComputedAt) >= relayCacheTTL {
@@ -132,7 +133,9 @@
 			candidates = append(candidates, p.Member)
 		}
 	}
-	slices.SortFunc(candidates, comparePriority)
+	slices.SortFunc(candidates, func(a, b Member) int {
+		return cmp.Or(compareBool(c.isCutOff(a.Name), c.isCutOff(b.Name)), comparePriority(a, b))
+	})
 	return candidates[:min(relaysPerDataCentre, len(candidates))]
 }
 
