RECOVER: broken connections of one host are no crashed servers

Cause: the connections of one host are reset while requests for that path run at three servers or more; each counts as a server that the request has crashed, and the other hosts hear of it at once. Where no request for the path is running there at that moment, no response ever clears it. Class: a fault of the observer that is blamed on the observed.

A loss is gossiped a second later, and only if this host has reached a server since; it probes some to find out. Broken connections to two servers lead to probes, too. If the host is cut off, its losses are withdrawn, and count again if their servers turn out to have ended: a request may crash all of them. Of others' losses, those of servers that have responded to this host since do not count. On its own host a request that crashes three servers is refused at once as before.

--- a/core/process/reach/messages.go
+++ b/core/process/reach/messages.go
@@ -21,6 +21,9 @@
 	OK      bool
 }
 
+// LostMsg reports that an open connection to a server broke.
+type LostMsg struct{ Address string }
+
 // ProbedMsg reports the end of all attempts of a ProbeCmd.
 type ProbedMsg struct {
 	Failed []string
@@ -34,6 +37,7 @@
 
 func (ServersMsg) msg() {}
 func (DialMsg) msg()    {}
+func (LostMsg) msg()    {}
 func (ProbedMsg) msg()  {}
 func (TickMsg) msg()    {}
 
--- a/core/process/reach/monitor.go
+++ b/core/process/reach/monitor.go
@@ -1,13 +1,14 @@
 package reach
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 )
 
 const (
-	// suspiciousFailures is to how many servers attempts to connect must have failed for probes to
-	// begin.
+	// suspiciousFailures is to how many servers attempts to connect must have failed, or open
+	// connections broken, for probes to begin.
 	suspiciousFailures = 2
 	// cutOffFailures is to how many servers they must have failed, all probes among them, for the host
 	// to be cut off; to all, if there are fewer.
@@ -31,6 +32,8 @@
 	servers []Server
 	// failedAt holds when an attempt to connect to a server failed, since the last that succeeded.
 	failedAt map[string]time.Time
+	// lostAt holds when an open connection to a server last broke.
+	lostAt map[string]time.Time
 	// firstFailure is when the first of them failed, and lastOK when a connection was last opened.
 	firstFailure time.Time
 	lastOK       time.Time
@@ -42,9 +45,12 @@
 
 // New returns a Monitor that knows no servers.
 func New(seed uint64) *Monitor {
-	return &Monitor{random: rand.New(rand.NewPCG(seed, 43)), failedAt: map[string]time.Time{}}
+	return &Monitor{random: rand.New(rand.NewPCG(seed, 43)), failedAt: map[string]time.Time{}, lostAt: map[string]time.Time{}}
 }
 
+// LastOK returns when a connection to a server was last opened.
+func (m *Monitor) LastOK() time.Time { return m.lastOK }
+
 // CutOff reports whether no server can be reached.
 func (m *Monitor) CutOff() bool { return m.cutOff }
 
@@ -56,6 +62,9 @@
 		m.servers = msg.Servers
 	case DialMsg:
 		m.handleDial(now, msg)
+	case LostMsg:
+		m.lostAt[msg.Address] = now
+		m.probeIfSuspicious(now)
 	case ProbedMsg:
 		m.handleProbes(now, msg)
 	case TickMsg:
@@ -73,6 +82,10 @@
 		return
 	}
 	m.recordFailures(now, msg.Address)
+	m.probeIfSuspicious(now)
+}
+
+func (m *Monitor) probeIfSuspicious(now time.Time) {
 	if !m.cutOff && m.isSuspicious() {
 		m.probe(now)
 	}
@@ -111,6 +124,7 @@
 func (m *Monitor) recordOK(now time.Time) {
 	m.lastOK = now
 	clear(m.failedAt)
+	clear(m.lostAt)
 	if m.cutOff {
 		m.cutOff = false
 		m.cmds = append(m.cmds, ChangedCmd{})
@@ -118,14 +132,18 @@
 }
 
 func (m *Monitor) isSuspicious() bool {
-	return len(m.failedAt) >= min(suspiciousFailures, max(1, len(m.servers)))
+	distinct := len(m.failedAt)
+	for address := range m.lostAt {
+		if _, counted := m.failedAt[address]; !counted {
+			distinct++
+		}
+	}
+	return distinct >= min(suspiciousFailures, max(1, len(m.servers)))
 }
 
 func (m *Monitor) dropExpired(now time.Time) {
-	for address, at := range m.failedAt {
-		if now.Sub(at) > failureTTL {
-			delete(m.failedAt, address)
-		}
+	for _, times := range []map[string]time.Time{m.failedAt, m.lostAt} {
+		maps.DeleteFunc(times, func(_ string, at time.Time) bool { return now.Sub(at) > failureTTL })
 	}
 }
 
--- a/core/process/reach/monitor_test.go
+++ b/core/process/reach/monitor_test.go
@@ -86,6 +86,16 @@
 			So(len(s.changes), ShouldEqual, 2)
 		})
 	}
+	Convey("A host whose open connections break, and which needs no new ones, finds out by itself", t, func() {
+		s := newSite(6, 18)
+		s.reaches = func(string) bool { return false }
+		s.update(LostMsg{Address: "l0"})
+		s.update(LostMsg{Address: "l0"})
+		So(s.probes, ShouldEqual, 0)
+		s.update(LostMsg{Address: "r3"})
+		s.advance(700*time.Millisecond, false)
+		So(s.monitor.CutOff(), ShouldBeTrue)
+	})
 	Convey("A host whose connections all hang finds out without a failed attempt", t, func() {
 		s := newSite(6, 18)
 		s.reaches = func(string) bool { return false }
--- a/core/request/crash/crash.go
+++ b/core/request/crash/crash.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -15,6 +16,8 @@
 type suspect struct {
 	servers    []string
 	lastLossAt time.Time
+	// ownLosses holds when this daemon itself lost a server, by server.
+	ownLosses map[string]time.Time
 }
 
 // New returns Suspects without any requests. A request should be refused once at least threshold
@@ -49,6 +52,39 @@
 	return changed
 }
 
+// RecordOwnLoss records a server that this daemon lost while a request may have been running there. It
+// reports whether the server was not yet recorded for the request.
+func (s *Suspects) RecordOwnLoss(now time.Time, fingerprint uint64, server string) (changed bool) {
+	changed = s.RecordLoss(now, fingerprint, server)
+	entry := s.requests[fingerprint]
+	if changed {
+		entry.ownLosses = maps.Clone(entry.ownLosses)
+		if entry.ownLosses == nil {
+			entry.ownLosses = map[string]time.Time{}
+		}
+		entry.ownLosses[server] = now
+		s.requests[fingerprint] = entry
+	}
+	return changed
+}
+
+// WithdrawOwn removes the losses that this daemon recorded since a time. They say nothing of the
+// requests: the daemon's host lost its links to all servers then.
+func (s *Suspects) WithdrawOwn(since time.Time) {
+	for fingerprint, entry := range s.requests {
+		kept := slices.DeleteFunc(slices.Clone(entry.servers), func(server string) bool {
+			at, own := entry.ownLosses[server]
+			return own && !at.Before(since)
+		})
+		if len(kept) == 0 {
+			delete(s.requests, fingerprint)
+			continue
+		}
+		entry.servers = kept
+		s.requests[fingerprint] = entry
+	}
+}
+
 // RecordResponse clears a request to which a server responded, and reports whether it had been
 // suspected. A request that crashes servers does so each time. A frequent request is often in
 // flight when servers are lost for other reasons, but gets responses in between.
--- a/core/request/spread/reach.go
+++ b/core/request/spread/reach.go
@@ -30,6 +30,15 @@
 	return waiting >= silentRequests
 }
 
+// AnyAnsweredSince reports whether any server has responded to this daemon since a time.
+func (b *Balancer) AnyAnsweredSince(at time.Time) bool { return b.answeredAt.After(at) }
+
+// AnsweredSince reports whether a server has responded to this daemon since a time.
+func (b *Balancer) AnsweredSince(server string, at time.Time) bool {
+	st := b.servers[server]
+	return st != nil && st.answeredAt.After(at)
+}
+
 // ForgetFailures forgets that servers failed or refused connections. It is meant for the end of a time
 // in which this daemon's host reached none of them: the cause was not the servers.
 func (b *Balancer) ForgetFailures() {
--- a/core/request/spread/reach_test.go
+++ b/core/request/spread/reach_test.go
@@ -41,5 +41,8 @@
 		So(b.Silent(t0.Add(2*silentTime)), ShouldBeTrue)
 		b.End(t0.Add(2*silentTime), all[0], requirements(t0), t0, Answered, nil)
 		So(b.Silent(t0.Add(2*silentTime)), ShouldBeFalse)
+		So(b.AnsweredSince("s0", t0.Add(silentTime)), ShouldBeTrue)
+		So(b.AnsweredSince("s1", t0), ShouldBeFalse)
+		So(b.AnsweredSince("gone", t0), ShouldBeFalse)
 	})
 }
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -19,7 +19,8 @@
 	slowdownFromReports slowdownEstimate
 	failureRate         float64
 	pausedUntil         time.Time
-	connectFailed       bool // a connection attempt failed, and no response came since
+	answeredAt          time.Time // when it last responded to a request of this daemon
+	connectFailed       bool      // a connection attempt failed, and no response came since
 	// coldBucket limits the requests from this daemon to a cold server. It starts empty, since a
 	// daemon may have used its share just before it restarted.
 	coldBucket  token.Bucket
@@ -101,7 +102,7 @@
 	}
 	if outcome == Answered || outcome == Declined {
 		st.connectFailed = false
-		b.answeredAt = now
+		st.answeredAt, b.answeredAt = now, now
 	}
 	if report != nil {
 		st.reportedLoad = max(0, float64(report.Running+report.Waiting-st.inFlight-1))
--- a/io/process/router/carry_test.go
+++ b/io/process/router/carry_test.go
@@ -110,7 +110,7 @@
 	return r, m, s
 }
 
-func bookingOf(path string) caller.Request { return requestOf(http.MethodPost, path) }
+func booking() caller.Request { return requestOf(http.MethodPost, "/book/x") }
 
 func lookupOf(path string) caller.Request { return requestOf(http.MethodGet, path) }
 
@@ -152,7 +152,7 @@
 		first.cutOff.Store(true)
 		first.mesh = m
 		for range 4 {
-			So(r.handle(context.Background(), bookingOf("/book/x")).Status, ShouldEqual, http.StatusOK)
+			So(r.handle(context.Background(), booking()).Status, ShouldEqual, http.StatusOK)
 		}
 		So(s.runs, ShouldHaveLength, 4)
 	})
@@ -161,7 +161,7 @@
 		for _, d := range m.daemons {
 			d.cutOff.Store(true)
 		}
-		reply := r.handle(context.Background(), bookingOf("/book/x"))
+		reply := r.handle(context.Background(), booking())
 		So(reply.Status, ShouldEqual, http.StatusServiceUnavailable)
 		So(reply.Refusal.RetryAfter, ShouldBeGreaterThan, 0)
 		So(s.runs, ShouldBeEmpty)
@@ -172,7 +172,7 @@
 			r, m, s := newCutOffRouter()
 			m.failWith["b:1"] = &mesh.Error{Op: "call", Kind: kind, Err: errors.New("no")}
 			for range 3 {
-				So(r.handle(context.Background(), bookingOf("/book/x")).Status, ShouldEqual, http.StatusOK)
+				So(r.handle(context.Background(), booking()).Status, ShouldEqual, http.StatusOK)
 			}
 			So(s.runs, ShouldHaveLength, 3)
 		}
@@ -185,7 +185,7 @@
 		r, m, s := newCutOffRouter()
 		m.lostReply = true
 		m.failWith["b:1"], m.failWith["c:1"] = errLost, errLost
-		reply := r.handle(context.Background(), bookingOf("/book/x"))
+		reply := r.handle(context.Background(), booking())
 		So(reply.Status, ShouldEqual, http.StatusBadGateway)
 		So(s.runs, ShouldHaveLength, 1)
 		So(m.calls, ShouldHaveLength, 1)
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -190,6 +190,7 @@
 	c.updateLeaderContact(now)
 	c.checkReach(now)
 	c.offerCarry(now)
+	c.confirmLosses(now)
 	c.r.ready.Store(!c.stopping && c.isReady(now))
 }
 
--- a/io/process/router/reach.go
+++ b/io/process/router/reach.go
@@ -91,6 +91,7 @@
 		c.r.log.Warn("servers: none can be reached from this host", "failed", change.Failed, "since", now.Sub(change.Since).String(), "leading", c.keeper != nil)
 		c.r.metrics.increment("servers.cutOff")
 		c.r.clientPool.closeIdle()
+		c.r.withdrawLosses(time.Now().Add(change.Since.Sub(now)))
 		c.offerCarry(now)
 	} else {
 		c.r.log.Info("servers: reached again from this host")
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -17,7 +17,6 @@
 	"github.com/cespare/xxhash/v2"
 	"gopkg.in/tomb.v2"
 
-	"catkinstep/core/connection/wire"
 	"catkinstep/core/process/boot"
 	"catkinstep/core/process/burn"
 	"catkinstep/core/process/keeper"
@@ -76,7 +75,11 @@
 	budgets  map[string]*retry.Budget
 	// suspects records the requests that may have been running at servers when these were lost.
 	suspects      *crash.Suspects
-	suspectBuffer piggybackBuffer[*wire.Suspect]
+	suspectBuffer piggybackBuffer[suspectRecord]
+	// unconfirmedLosses are lost servers that are not gossiped yet.
+	unconfirmedLosses []suspectRecord
+	// withdrawnLosses are those that coincided with the loss of this host's links.
+	withdrawnLosses []suspectRecord
 	// carriers are the daemons that serve requests for this one while its host reaches no servers.
 	carriers *carry.Peers
 	// sentHistory holds the IDs of requests that must not run twice. unansweredBuffer holds
