--- a/io/process/router/carry_test.go
+++ b/io/process/router/carry_test.go
@@ -181,7 +181,7 @@
 
 // Guards against bookings that run twice since the reply of another daemon was lost.
 func TestLostReplyOfCarrier(t *testing.T) {
-	Convey("A booking that may have run is not sent again, and the caller is not told that it has not", t, func() {
+	Convey("A booking that may have run is not sent again, and the caller does not hear that it has not", t, func() {
 		r, m, s := newCutOffRouter()
 		m.lostReply = true
 		m.failWith["b:1"], m.failWith["c:1"] = errLost, errLost
