reach: no waits in the request path, no probes over and over; status names cut-off hosts

Cause: each opened connection sent a message to the control loop, and a request waited where its queue was full; while some servers are lost, two failed attempts led to probes up to four times a second. Change: the time of the last connection is stored and read by the loop, failures are dropped if its queue is full; after a server was reached the next probes are a second away; late news of a connection no longer hides failures since. Requests look for limits of holders only while any server names one. Bytes of carried requests have counters of their own. `catkinstep status` names hosts that reach no servers.

--- a/cmd/catkinstep/operator.go
+++ b/cmd/catkinstep/operator.go
@@ -127,6 +127,9 @@
 		if d.BehindReason != "" {
 			inForce += ": " + d.BehindReason
 		}
+		if d.CutOff {
+			inForce += "; reaches no servers, others serve its requests"
+		}
 		leader := ""
 		if d.Leader {
 			leader = "yes"
--- a/core/process/reach/doc.go
+++ b/core/process/reach/doc.go
@@ -9,6 +9,6 @@
 // # Usage
 //
 //	m := reach.New(seed)
-//	for _, cmd := range m.Update(now, reach.DialMsg{Address: "10.0.0.1:80", OK: false}) { ... }
+//	for _, cmd := range m.Update(now, reach.DialFailedMsg{Address: "10.0.0.1:80"}) { ... }
 //	m.CutOff()
 package reach
--- a/core/process/reach/messages.go
+++ b/core/process/reach/messages.go
@@ -15,11 +15,11 @@
 // ServersMsg reports the servers that are in use.
 type ServersMsg struct{ Servers []Server }
 
-// DialMsg reports the end of an attempt to open a connection to a server.
-type DialMsg struct {
-	Address string
-	OK      bool
-}
+// ConnectedMsg reports that a connection to a server was opened at a time.
+type ConnectedMsg struct{ At time.Time }
+
+// DialFailedMsg reports that no connection to a server could be opened.
+type DialFailedMsg struct{ Address string }
 
 // LostMsg reports that an open connection to a server broke.
 type LostMsg struct{ Address string }
@@ -35,11 +35,12 @@
 // waiting for a while, and none has got a response.
 type TickMsg struct{ Silent bool }
 
-func (ServersMsg) msg() {}
-func (DialMsg) msg()    {}
-func (LostMsg) msg()    {}
-func (ProbedMsg) msg()  {}
-func (TickMsg) msg()    {}
+func (ServersMsg) msg()    {}
+func (ConnectedMsg) msg()  {}
+func (DialFailedMsg) msg() {}
+func (LostMsg) msg()       {}
+func (ProbedMsg) msg()     {}
+func (TickMsg) msg()       {}
 
 // Cmd is an action for the caller of Update to carry out.
 type Cmd interface{ cmd() }
--- a/core/process/reach/monitor.go
+++ b/core/process/reach/monitor.go
@@ -19,6 +19,9 @@
 	// probeInterval is the time between two rounds of probes. An attempt to connect to a host that does
 	// not answer takes a little longer.
 	probeInterval = 250 * time.Millisecond
+	// recheckInterval is the time until the next probes after a server was reached. While some servers are
+	// lost, suspicion comes again and again.
+	recheckInterval = time.Second
 	// failureTTL is how long a failed attempt counts. The server may have ended alone.
 	failureTTL = 2 * time.Second
 	// detectionTime is how long before the first failed attempt the host may have been cut off: open
@@ -37,10 +40,11 @@
 	// firstFailure is when the first of them failed, and lastOK when a connection was last opened.
 	firstFailure time.Time
 	lastOK       time.Time
-	probedAt     time.Time
-	probing      bool
-	cutOff       bool
-	cmds         []Cmd
+	// nextProbeAt is the earliest time of the next probes.
+	nextProbeAt time.Time
+	probing     bool
+	cutOff      bool
+	cmds        []Cmd
 }
 
 // New returns a Monitor that knows no servers.
@@ -60,8 +64,13 @@
 	switch msg := msg.(type) {
 	case ServersMsg:
 		m.servers = msg.Servers
-	case DialMsg:
-		m.handleDial(now, msg)
+	case ConnectedMsg:
+		if msg.At.After(m.lastOK) {
+			m.recordOK(msg.At)
+		}
+	case DialFailedMsg:
+		m.recordFailures(now, msg.Address)
+		m.probeIfSuspicious(now)
 	case LostMsg:
 		m.lostAt[msg.Address] = now
 		m.probeIfSuspicious(now)
@@ -76,15 +85,6 @@
 	return m.cmds
 }
 
-func (m *Monitor) handleDial(now time.Time, msg DialMsg) {
-	if msg.OK {
-		m.recordOK(now)
-		return
-	}
-	m.recordFailures(now, msg.Address)
-	m.probeIfSuspicious(now)
-}
-
 func (m *Monitor) probeIfSuspicious(now time.Time) {
 	if !m.cutOff && m.isSuspicious() {
 		m.probe(now)
@@ -94,6 +94,7 @@
 func (m *Monitor) handleProbes(now time.Time, msg ProbedMsg) {
 	m.probing = false
 	if msg.AnyOK {
+		m.nextProbeAt = now.Add(recheckInterval)
 		m.recordOK(now)
 		return
 	}
@@ -121,11 +122,13 @@
 	return m.lastOK
 }
 
-func (m *Monitor) recordOK(now time.Time) {
-	m.lastOK = now
-	clear(m.failedAt)
-	clear(m.lostAt)
-	if m.cutOff {
+// recordOK records that a connection was opened at a time. Failures since then still count.
+func (m *Monitor) recordOK(at time.Time) {
+	m.lastOK = at
+	for _, times := range []map[string]time.Time{m.failedAt, m.lostAt} {
+		maps.DeleteFunc(times, func(_ string, failedAt time.Time) bool { return !failedAt.After(at) })
+	}
+	if m.cutOff && len(m.failedAt) == 0 {
 		m.cutOff = false
 		m.cmds = append(m.cmds, ChangedCmd{})
 	}
@@ -149,14 +152,14 @@
 
 // probe probes servers to which no attempt failed just now, or any while the host is cut off.
 func (m *Monitor) probe(now time.Time) {
-	if m.probing || now.Sub(m.probedAt) < probeInterval {
+	if m.probing || now.Before(m.nextProbeAt) {
 		return
 	}
 	chosen := m.chooseProbes()
 	if len(chosen) == 0 {
 		return
 	}
-	m.probing, m.probedAt = true, now
+	m.probing, m.nextProbeAt = true, now.Add(probeInterval)
 	m.cmds = append(m.cmds, ProbeCmd{Addresses: chosen})
 }
 
--- a/core/process/reach/monitor_test.go
+++ b/core/process/reach/monitor_test.go
@@ -63,7 +63,11 @@
 
 func (s *site) dial(addresses ...string) {
 	for _, a := range addresses {
-		s.update(DialMsg{Address: a, OK: s.reaches(a)})
+		if s.reaches(a) {
+			s.update(ConnectedMsg{At: s.now})
+			continue
+		}
+		s.update(DialFailedMsg{Address: a})
 	}
 }
 
@@ -131,6 +135,26 @@
 			So(off, ShouldBeLessThan, time.Second)
 		}
 	})
+	Convey("Late news of a connection does not hide failures since, nor end a cut", t, func() {
+		s := newSite(6, 18)
+		s.reaches = func(string) bool { return false }
+		s.now = s.now.Add(time.Second)
+		s.dial("l0", "r0")
+		s.update(ConnectedMsg{At: t0})
+		s.advance(time.Second, false)
+		So(s.monitor.CutOff(), ShouldBeTrue)
+		s.update(ConnectedMsg{At: t0.Add(500 * time.Millisecond)})
+		So(s.monitor.CutOff(), ShouldBeTrue)
+	})
+	Convey("While some servers are lost, a host probes others about once a second", t, func() {
+		s := newSite(6, 18)
+		s.reaches = func(a string) bool { return a != "l1" && a != "r1" }
+		for range 100 {
+			s.dial("l1", "r1")
+			s.advance(100*time.Millisecond, false)
+		}
+		So(s.probes, ShouldBeLessThanOrEqualTo, 10*probesAtOnce)
+	})
 	Convey("A host with no reason for suspicion probes nobody", t, func() {
 		s := newSite(6, 18)
 		s.reaches = func(a string) bool { return a != "l1" }
--- a/io/process/admin/admin.go
+++ b/io/process/admin/admin.go
@@ -39,6 +39,8 @@
 	ConfigVersion uint64 `json:"site"`
 	// BehindReason says why the daemon does not use the accepted version; empty if it does.
 	BehindReason string `json:"behind,omitempty"`
+	// CutOff is set if the daemon's host reaches no servers, so that other daemons serve its requests.
+	CutOff bool `json:"cutOff,omitempty"`
 }
 
 // BurnReport shows how fast each service uses up its error budgets.
@@ -137,7 +139,7 @@
 	s := Status{AcceptedVersion: version, Preset: stored.ActivePreset().Name, ChangeDescription: stored.ChangeDescription, Exclusions: stored.Exclusions, InForceEverywhere: true}
 	cluster := h.daemon.ClusterStatus(r.Context())
 	for _, d := range cluster.Daemons {
-		row := DaemonStatus{Name: d.Name, DataCentre: d.DataCentre, Leader: d.Leader == d.Name, ConfigVersion: d.Config}
+		row := DaemonStatus{Name: d.Name, DataCentre: d.DataCentre, Leader: d.Leader == d.Name, ConfigVersion: d.Config, CutOff: d.CutOff}
 		switch {
 		case row.ConfigVersion >= s.AcceptedVersion:
 		case !d.StoreReachable:
--- a/io/process/router/carry_test.go
+++ b/io/process/router/carry_test.go
@@ -234,7 +234,7 @@
 	Convey("A host that reaches no servers asks others, and serves again once it reaches one", t, func() {
 		r, m, _ := newCutOffRouter()
 		r.cutOff.Store(false)
-		r.control.updateReach(t0, reach.DialMsg{Address: "a"})
+		r.control.updateReach(t0, reach.DialFailedMsg{Address: "a"})
 		r.control.updateReach(t0, reach.ProbedMsg{Failed: []string{"a"}})
 		So(r.cutOff.Load(), ShouldBeTrue)
 		So(r.control.newGossip(t0).CutOff, ShouldBeTrue)
--- a/io/process/router/inbox.go
+++ b/io/process/router/inbox.go
@@ -18,6 +18,14 @@
 	}
 }
 
+// tryPost sends a message to the control loop unless its queue is full. It suits news that comes again.
+func (r *Router) tryPost(m any) {
+	select {
+	case r.inbox <- m:
+	default:
+	}
+}
+
 // ask sends a message to the control loop and waits for the reply, or until the loop closes
 // reply. It returns false if the context ends first or the router stops: a message may be queued
 // after the loop has read its last one, and nobody answers it then.
--- a/io/process/router/mesh.go
+++ b/io/process/router/mesh.go
@@ -34,21 +34,32 @@
 }
 
 func (r *Router) countedCall(ctx context.Context, address string, call *wire.Call, send func(context.Context, string, *wire.Call) (*wire.Reply, error)) (*wire.Reply, error) {
-	r.metrics.addBytes(bytesOut, call)
+	out, in := byteCounters(call)
+	r.metrics.addBytes(out, call)
 	reply, err := send(ctx, address, call)
 	if err == nil {
-		r.metrics.addBytes(bytesIn, reply)
+		r.metrics.addBytes(in, reply)
 	}
 	r.countRemoteCall(address, call, reply)
 	return reply, err
 }
 
+// byteCounters returns the names of the counters for the bytes of a call and its reply. Callers' requests
+// are not counted with the messages between control loops.
+func byteCounters(call *wire.Call) (out, in string) {
+	if call.GetCarry() != nil {
+		return carriedBytesOut, carriedBytesIn
+	}
+	return bytesOut, bytesIn
+}
+
 // handleMeshCall answers another daemon's call and counts the bytes received and sent.
 func (r *Router) handleMeshCall(ctx context.Context, call *wire.Call) *wire.Reply {
-	r.metrics.addBytes(bytesIn, call)
+	out, in := byteCounters(call)
+	r.metrics.addBytes(in, call)
 	reply := r.handleCall(ctx, call)
 	if reply != nil {
-		r.metrics.addBytes(bytesOut, reply)
+		r.metrics.addBytes(out, reply)
 	}
 	return reply
 }
--- a/io/process/router/metrics.go
+++ b/io/process/router/metrics.go
@@ -61,6 +61,9 @@
 const (
 	bytesOut = "control.bytesOut"
 	bytesIn  = "control.bytesIn"
+
+	carriedBytesOut = "carry.bytesOut"
+	carriedBytesIn  = "carry.bytesIn"
 )
 
 // setGauge sets a metric to a value.
--- a/io/process/router/ratelimit.go
+++ b/io/process/router/ratelimit.go
@@ -38,7 +38,9 @@
 func (r *Router) mergeRateLimit(now time.Time, l limit.Limit, source string) {
 	changed := r.rateLimits.Merge(now, l)
 	if changed {
-		r.metrics.setGauge("limits.servers", uint64(r.rateLimits.Standing()))
+		standing := r.rateLimits.Standing()
+		r.limitedServers.Store(int64(standing))
+		r.metrics.setGauge("limits.servers", uint64(standing))
 		r.log.Info("limits: server names another limit", "server", l.Server, "born", l.StartMillis, "perSecond", l.PerSecond, "source", source, "age", now.Sub(l.ObservedAt).String())
 	}
 	if server, ok := r.current.Load().fleet.Find(l.Server); ok && (changed || l.Stands()) {
@@ -57,6 +59,7 @@
 // servers that are gone. r.mu must be held.
 func (r *Router) applyRateLimits(f *fleet.Fleet) {
 	r.rateLimits.Prune(time.Now(), func(server string) bool { _, ok := f.Find(server); return ok })
+	r.limitedServers.Store(int64(r.rateLimits.Standing()))
 	for id := range r.rateLimits.PerSecond() {
 		if server, ok := f.Find(id); ok {
 			r.applyRateLimit(server)
--- a/io/process/router/reach.go
+++ b/io/process/router/reach.go
@@ -32,8 +32,11 @@
 func (d observedDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	startedAt := time.Now()
 	conn, err := d.inner.DialContext(ctx, network, address)
-	if err == nil || isServerUnreachable(ctx, err, time.Since(startedAt)) {
-		d.r.post(reachMsg{reach.DialMsg{Address: address, OK: err == nil}})
+	switch {
+	case err == nil:
+		d.r.connectedAt.Store(d.r.now().UnixNano())
+	case isServerUnreachable(ctx, err, time.Since(startedAt)):
+		d.r.tryPost(reachMsg{reach.DialFailedMsg{Address: address}})
 	}
 	return conn, err
 }
@@ -70,6 +73,7 @@
 	c.r.mu.Lock()
 	silent := c.r.balancer.Silent(time.Now())
 	c.r.mu.Unlock()
+	c.updateReach(now, reach.ConnectedMsg{At: time.Unix(0, c.r.connectedAt.Load())})
 	c.updateReach(now, reach.TickMsg{Silent: silent})
 }
 
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -59,6 +59,10 @@
 	ready         atomic.Bool
 	// stopping is set when a shutdown begins, and cutOff while this host reaches no servers.
 	stopping, cutOff atomic.Bool
+	// connectedAt is when a connection to a server was last opened, in Unix nanoseconds.
+	connectedAt atomic.Int64
+	// limitedServers is the number of servers whose limits are known.
+	limitedServers atomic.Int64
 	// carriedRunning is the number of requests that are served for other daemons.
 	carriedRunning atomic.Int64
 	// leaderContact says whom to ask for tokens.
--- a/io/process/router/status.go
+++ b/io/process/router/status.go
@@ -30,7 +30,9 @@
 	// seconds, directly or by way of other daemons.
 	StoreReachable bool
 	Stopping       bool
-	Counts         burn.Counts
+	// CutOff reports whether the daemon's host reaches no servers, so that other daemons serve its requests.
+	CutOff bool
+	Counts burn.Counts
 }
 
 // ownStatus is the status of this daemon, with the addresses of the other daemons.
@@ -82,7 +84,7 @@
 const storeReachableWindow = 10 * time.Second
 
 func (r *Router) decodeStatus(s *wire.StatusReply) DaemonStatus {
-	out := DaemonStatus{Name: s.Daemon, DataCentre: s.DataCentre, Leader: s.Leader, Config: s.Config, Stopping: s.Stopping,
+	out := DaemonStatus{Name: s.Daemon, DataCentre: s.DataCentre, Leader: s.Leader, Config: s.Config, Stopping: s.Stopping, CutOff: s.CutOff,
 		StoreReachable: s.StoredAgeMillis >= 0 && time.Duration(s.StoredAgeMillis)*time.Millisecond < storeReachableWindow}
 	if err := json.Unmarshal(s.Counters, &out.Counts); err != nil {
 		r.log.Warn("status: could not decode counters", "daemon", s.Daemon, "err", err)
@@ -107,7 +109,7 @@
 		}
 	}
 	own := &wire.StatusReply{Daemon: c.r.self.Name, DataCentre: c.r.self.DataCentre, Leader: s.table.Leader.Daemon,
-		StoredAgeMillis: ageMillis(now, newest), Config: s.config.Version, Stopping: c.stopping, Counters: counters}
+		StoredAgeMillis: ageMillis(now, newest), Config: s.config.Version, Stopping: c.stopping, CutOff: c.reach.CutOff(), Counters: counters}
 	return ownStatus{status: own, peers: c.members.AllPeers(now)}
 }
 
--- a/io/process/router/suspect.go
+++ b/io/process/router/suspect.go
@@ -59,7 +59,7 @@
 	}
 	instance, ok := r.current.Load().fleet.Find(server)
 	if ok {
-		r.post(reachMsg{reach.LostMsg{Address: instance.Address}})
+		r.tryPost(reachMsg{reach.LostMsg{Address: instance.Address}})
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/io/process/router/suspect_test.go
+++ b/io/process/router/suspect_test.go
@@ -26,7 +26,7 @@
 		return r, req
 	}
 	cutOff := func(r *Router) {
-		r.control.updateReach(t0, reach.DialMsg{Address: "a"})
+		r.control.updateReach(t0, reach.DialFailedMsg{Address: "a"})
 		r.control.updateReach(t0, reach.ProbedMsg{Failed: []string{"a", "b", "c"}})
 	}
 	Convey("The losses are withdrawn, and no other daemon hears of them", t, func() {
--- a/io/process/router/token.go
+++ b/io/process/router/token.go
@@ -30,7 +30,7 @@
 // ensureToken takes a token if the request has a key and the holder has named a limit. It returns the
 // choice, as a refusal if there is no token; the attempt has ended then.
 func (r *Router) ensureToken(ctx context.Context, req *request, server fleet.Server, choice spread.Choice) spread.Choice {
-	if choice.Refused() || req.key < 0 {
+	if choice.Refused() || req.key < 0 || r.limitedServers.Load() == 0 {
 		return choice
 	}
 	l, limited := r.rateLimitOf(server)
