--- a/io/standin/ports/ports.go
+++ b/io/standin/ports/ports.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"testing"
 )
 
@@ -15,11 +16,19 @@
 	endPort   = 32_000
 )
 
-// Free returns a loopback address on which nothing listens.
+// handedOut counts the ports that this process has tried. It takes them one after the other from a random
+// one on, so that none is handed out twice: a daemon that a test stops for a while needs its own again.
+var handedOut atomic.Uint32
+
+var startPort = rand.IntN(endPort - firstPort)
+
+// Free returns a loopback address on which nothing listens, and which this process has not got before
+// unless it has used up the range.
 func Free(t testing.TB) string {
 	t.Helper()
 	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(endPort-firstPort))
+		offset := (startPort + int(handedOut.Add(1))) % (endPort - firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
