QUOTA: logs and counters that tell the hypotheses apart

Cause: no line said what a host had sent for a workspace when it found or lost its leader, what was sent late or again, or what was left at the leader.

Change: a line at each change of contact with the leader, four counters, and what is left in the leader's line. No decision changes.

--- a/core/process/quota/controller.go
+++ b/core/process/quota/controller.go
@@ -133,5 +133,6 @@
 	if demand <= target {
 		return Limit{}, false
 	}
-	return Limit{Workspace: w.Name, Fraction: target / demand, Wait: time.Duration(max(0, -s.remaining) / rate * float64(time.Second))}, true
+	wait := time.Duration(max(0, -s.remaining) / rate * float64(time.Second))
+	return Limit{Workspace: w.Name, Fraction: target / demand, Wait: wait, Remaining: s.remaining}, true
 }
--- a/core/process/quota/limiter.go
+++ b/core/process/quota/limiter.go
@@ -65,6 +65,8 @@
 	Fraction float64
 	// Wait is the time until the allowance covers what was admitted so far.
 	Wait time.Duration
+	// Remaining is what is left of the allowance; negative if more was admitted.
+	Remaining float64
 }
 
 // Limiter admits the requests that one daemon receives. It is not safe for concurrent use.
--- a/io/process/router/allowance.go
+++ b/io/process/router/allowance.go
@@ -47,10 +47,12 @@
 // admitToAllowance decides whether a request is within the allowance of its workspace. If not,
 // it returns the reply, and nothing else is spent on the request.
 func (r *Router) admitToAllowance(req *request) *caller.Reply {
+	now := time.Now()
 	r.mu.Lock()
-	retryAfter, ok := r.workspaceLimiter.Admit(time.Now(), req.identity.workspace)
+	retryAfter, ok := r.workspaceLimiter.Admit(now, req.identity.workspace)
 	r.mu.Unlock()
 	if ok {
+		req.admittedAt = now
 		return nil
 	}
 	reply := r.refuse(caller.Refusal{ID: req.id, Status: http.StatusTooManyRequests, Reason: reasonOverAllowance, RetryAfter: retryAfter, MaybeRan: r.wasSentBefore(req)},
@@ -83,10 +85,42 @@
 	return map[string]any{"top": top, "rest": rest}
 }
 
+// lateSendDelay is how long after its admission a request counts as sent late: it may run in another
+// window than the one in which it was counted.
+const lateSendDelay = 250 * time.Millisecond
+
+// observeSend counts the attempts that the allowance of a workspace does not bound when they are made.
+func (r *Router) observeSend(now time.Time, req *request) {
+	if !req.identity.workspace.Allowance.Limited() {
+		return
+	}
+	r.metrics.increment("allowance.sent")
+	switch {
+	case req.carried:
+		r.metrics.increment("allowance.sentForOthers")
+	case req.attempts.ran > 0:
+		r.metrics.increment("allowance.furtherAttempts")
+	case now.Sub(req.admittedAt) > lateSendDelay:
+		r.metrics.increment("allowance.sentLate")
+	}
+}
+
+// logLeaderContact logs that this daemon found or lost the leader, with what it has sent for limited
+// workspaces by then.
+func (c *control) logLeaderContact(reachable bool, leader string) {
+	if c.r.leaderContact.Load().reachable == reachable {
+		return
+	}
+	m := c.r.metrics
+	c.r.log.Info("allowances: contact with the leader", "reachable", reachable, "leader", leader, "daemons", c.members.Count(), "sent", m.value("allowance.sent"),
+		"furtherAttempts", m.value("allowance.furtherAttempts"), "sentLate", m.value("allowance.sentLate"), "sentForOthers", m.value("allowance.sentForOthers"))
+}
+
 // updateLeaderContact records whether this daemon has contact with the leader.
 func (c *control) updateLeaderContact(now time.Time) {
 	leader := c.r.current.Load().table.Leader.Daemon
 	reachable := c.keeper != nil || leader != "" && now.Sub(c.members.LastHeard(leader)) < leaderContactTimeout+c.members.GossipInterval()
+	c.logLeaderContact(reachable, leader)
 	contact := leaderContact{reachable: reachable, leading: c.keeper != nil, address: c.members.AddressOf(leader)}
 	if contact.leading {
 		contact.reachableShare = c.reachableShare(now)
@@ -150,7 +184,7 @@
 func (c *control) limitWorkspaces(now time.Time) ([]quota.Limit, bool) {
 	limits, send := c.allowances.controller.Close(now, c.reachableShare(now), c.r.current.Load().config.WorkspaceNamed)
 	for _, l := range limits {
-		c.r.log.Debug("limits: workspace over its allowance", "workspace", l.Workspace, "fraction", l.Fraction, "wait", l.Wait.String())
+		c.r.log.Debug("limits: workspace over its allowance", "workspace", l.Workspace, "fraction", l.Fraction, "wait", l.Wait.String(), "remaining", l.Remaining)
 	}
 	return limits, send
 }
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -128,6 +128,7 @@
 	if !req.route.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
+	r.observeSend(time.Now(), req)
 	timeLeft := time.Until(req.deadline) - responseTransitTime
 	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(responseMargin))
 	defer cancel()
--- a/io/process/router/metrics.go
+++ b/io/process/router/metrics.go
@@ -48,13 +48,15 @@
 
 // controlBytes returns the bytes of all messages between daemons so far, in both directions.
 func (m *metrics) controlBytes() int64 {
-	sum := int64(0)
-	for _, name := range []string{bytesOut, bytesIn} {
-		if v, ok := m.vars.Get(name).(*expvar.Int); ok {
-			sum += v.Value()
-		}
+	return m.value(bytesOut) + m.value(bytesIn)
+}
+
+// value returns the value of a counter, 0 if it was never incremented.
+func (m *metrics) value(name string) int64 {
+	if v, ok := m.vars.Get(name).(*expvar.Int); ok {
+		return v.Value()
 	}
-	return sum
+	return 0
 }
 
 // Counters of the bytes sent and received between daemons, in calls and replies.
