--- a/core/process/quota/loads_test.go
+++ b/core/process/quota/loads_test.go
@@ -45,6 +45,17 @@
 	restarted func(daemon int, at time.Duration) bool // at this step
 	lowered   time.Duration                           // the allowance is halved then; 0 means never
 	lost      time.Duration                           // the leader is, and replaced after leaderChange; 0 means never
+	// leaderless is set if nobody leads; when that ends, a new leader begins. nil means lost only.
+	leaderless func(at time.Duration) bool
+	// held is how long requests that are admitted at a time wait before they are sent, as for a range
+	// that moves; nil means not at all.
+	held func(at time.Duration) time.Duration
+	seed uint64
+}
+
+// noLeader reports whether nobody leads.
+func (l load) noLeader(at time.Duration) bool {
+	return l.lost > 0 && at >= l.lost && at < l.lost+leaderChange || l.leaderless != nil && l.leaderless(at)
 }
 
 const maxDaemons = 90
@@ -52,7 +63,7 @@
 // withinAllowance reports whether the workspace always asks for less than its allowance, and all
 // daemons reach the leader.
 func (l load) withinAllowance() bool {
-	if l.lost > 0 || l.cut(0, 11*time.Second) {
+	if l.lost > 0 || l.leaderless != nil || l.cut(0, 11*time.Second) {
 		return false
 	}
 	for at := time.Duration(0); at < duration; at += step {
@@ -89,24 +100,24 @@
 		return func(d int, now time.Duration) bool { return now == at && float64(d%20) < 20*share }
 	}
 	return []load{
-		{"usual load, few daemons", 90, 5, small, usual, never, never, 0, 0},
-		{"usual load, all daemons", 90, 90, large, usual, never, never, 0, 0},
-		{"hot, few daemons", 90, 5, small, hot(8*second, 15*second, 7.5), never, never, 0, 0},
-		{"hot, all daemons", 90, 90, large, hot(8*second, 15*second, 7.5), never, never, 0, 0},
-		{"hot while a data centre is cut", 90, 90, large, hot(8*second, 15*second, 7.5), cutBetween(5*second, 13*second, 0.25), never, 0, 0},
-		{"a third cut while hot", 90, 90, large, hot(8*second, 22*second, 4.2), cutBetween(11*second, 20*second, 0.35), never, 0, 0},
-		{"a third cut, usual load", 90, 90, large, usual, cutBetween(8*second, 20*second, 0.35), never, 0, 0},
-		{"all restart while hot", 90, 90, large, hot(8*second, 22*second, 4.2), never, allAt(14*second, 1), 0, 0},
-		{"all restart in usual load, few daemons", 90, 5, small, usual, never, allAt(14*second, 1), 0, 0},
-		{"half restart", 90, 90, large, usual, never, allAt(14*second, 0.55), 0, 0},
-		{"hot, small site", 19, 19, medium, hot(6*second, 14*second, 3.3), never, never, 0, 0},
-		{"hot from the start, small site", 19, 19, medium, hot(second, 9*second, 4.2), never, never, 0, 0},
-		{"usual load, small site", 19, 19, medium, usual, never, never, 0, 0},
-		{"leader lost while hot", 90, 90, large, hot(6*second, 14*second, 4.2), never, never, 0, 8 * second},
-		{"leader lost after the onset", 90, 90, large, hot(6*second, 14*second, 3.3), never, never, 0, 8 * second},
-		{"leader lost at the onset", 19, 19, medium, hot(6*second, 14*second, 4.2), never, never, 0, 6 * second},
-		{"leader lost, usual load", 90, 5, small, usual, never, never, 0, 8 * second},
-		{"allowance halved", 90, 90, large, usual, never, never, 10 * second, 0},
+		{"usual load, few daemons", 90, 5, small, usual, never, never, 0, 0, nil, nil, 0},
+		{"usual load, all daemons", 90, 90, large, usual, never, never, 0, 0, nil, nil, 0},
+		{"hot, few daemons", 90, 5, small, hot(8*second, 15*second, 7.5), never, never, 0, 0, nil, nil, 0},
+		{"hot, all daemons", 90, 90, large, hot(8*second, 15*second, 7.5), never, never, 0, 0, nil, nil, 0},
+		{"hot while a data centre is cut", 90, 90, large, hot(8*second, 15*second, 7.5), cutBetween(5*second, 13*second, 0.25), never, 0, 0, nil, nil, 0},
+		{"a third cut while hot", 90, 90, large, hot(8*second, 22*second, 4.2), cutBetween(11*second, 20*second, 0.35), never, 0, 0, nil, nil, 0},
+		{"a third cut, usual load", 90, 90, large, usual, cutBetween(8*second, 20*second, 0.35), never, 0, 0, nil, nil, 0},
+		{"all restart while hot", 90, 90, large, hot(8*second, 22*second, 4.2), never, allAt(14*second, 1), 0, 0, nil, nil, 0},
+		{"all restart in usual load, few daemons", 90, 5, small, usual, never, allAt(14*second, 1), 0, 0, nil, nil, 0},
+		{"half restart", 90, 90, large, usual, never, allAt(14*second, 0.55), 0, 0, nil, nil, 0},
+		{"hot, small site", 19, 19, medium, hot(6*second, 14*second, 3.3), never, never, 0, 0, nil, nil, 0},
+		{"hot from the start, small site", 19, 19, medium, hot(second, 9*second, 4.2), never, never, 0, 0, nil, nil, 0},
+		{"usual load, small site", 19, 19, medium, usual, never, never, 0, 0, nil, nil, 0},
+		{"leader lost while hot", 90, 90, large, hot(6*second, 14*second, 4.2), never, never, 0, 8 * second, nil, nil, 0},
+		{"leader lost after the onset", 90, 90, large, hot(6*second, 14*second, 3.3), never, never, 0, 8 * second, nil, nil, 0},
+		{"leader lost at the onset", 19, 19, medium, hot(6*second, 14*second, 4.2), never, never, 0, 6 * second, nil, nil, 0},
+		{"leader lost, usual load", 90, 5, small, usual, never, never, 0, 8 * second, nil, nil, 0},
+		{"allowance halved", 90, 90, large, usual, never, never, 10 * second, 0, nil, nil, 0},
 	}
 }
 
@@ -128,7 +139,9 @@
 	workspace      space.Workspace
 	lastContact    [maxDaemons]time.Time
 	limitsArriveAt time.Time
-	recent         []time.Time // admitted in the last quotaWindow
+	wasLeaderless  bool
+	held           []heldRequest
+	recent         []time.Time // sent in the last quotaWindow
 	total          int         // admitted
 	// ideal is what a single bucket for all daemons has left, and idealTotal what it admitted.
 	ideal      float64
@@ -138,13 +151,14 @@
 
 // play plays a load. Daemons that are cut off from the leader know it after contactTimeout.
 func play(l load, x way) outcome {
-	w := &world{load: l, way: x, random: rand.New(rand.NewPCG(7, uint64(l.daemons))), workspace: space.Workspace{Name: "mill", Allowance: l.allowance}, ideal: l.allowance.Burst}
+	w := &world{load: l, way: x, random: rand.New(rand.NewPCG(7+l.seed, uint64(l.daemons))), workspace: space.Workspace{Name: "mill", Allowance: l.allowance}, ideal: l.allowance.Burst}
 	for at := time.Duration(0); at < duration; at += step {
 		if l.lowered > 0 && at == l.lowered {
 			w.workspace.Allowance = space.Allowance{Rate: l.allowance.Rate / 2, Burst: l.allowance.Burst / 2}
 		}
 		w.exchange(at)
 		w.request(at)
+		w.sendHeld(at)
 		w.check(at)
 	}
 	return outcome{overrun: w.overrun, refusedWrongly: max(0, 1-float64(w.total)/float64(w.idealTotal))}
@@ -153,10 +167,11 @@
 // exchange plays the messages between daemons and leader in one step.
 func (w *world) exchange(at time.Duration) {
 	now, cut := t0.Add(at), 0
-	leaderless := w.lost > 0 && at >= w.lost && at < w.lost+leaderChange
-	if w.lost > 0 && at == w.lost+leaderChange {
+	leaderless := w.noLeader(at)
+	if w.wasLeaderless && !leaderless {
 		w.way.newLeader(now)
 	}
+	w.wasLeaderless = leaderless
 	for d := range w.site {
 		if w.restarted(d, at) {
 			w.way.restart(d)
@@ -204,10 +219,37 @@
 		w.ideal--
 		w.idealTotal++
 	}
-	if w.way.admit(w.random.IntN(w.daemons)*(w.site/w.daemons), now, w.workspace) {
-		w.recent = append(w.recent, now)
-		w.total++
+	daemon := w.random.IntN(w.daemons) * (w.site / w.daemons)
+	if !w.way.admit(daemon, now, w.workspace) {
+		return
+	}
+	wait := time.Duration(0)
+	if w.load.held != nil {
+		wait = w.load.held(now.Sub(t0))
+	}
+	w.held = append(w.held, heldRequest{daemon: daemon, sendAt: now.Add(wait)})
+}
+
+// heldRequest is an admitted request that is to be sent at a time.
+type heldRequest struct {
+	daemon int
+	sendAt time.Time
+}
+
+// sendHeld sends the requests that have been held for long enough, if they may still be sent.
+func (w *world) sendHeld(at time.Duration) {
+	now := t0.Add(at)
+	var waiting []heldRequest
+	for _, r := range w.held {
+		switch {
+		case r.sendAt.After(now):
+			waiting = append(waiting, r)
+		case w.load.held == nil || w.way.sendLate(r.daemon, now, w.workspace):
+			w.recent = append(w.recent, now)
+			w.total++
+		}
 	}
+	w.held = waiting
 }
 
 // check compares the last window with the bound. A lower limit binds one window after all
--- a/core/process/quota/ways_test.go
+++ b/core/process/quota/ways_test.go
@@ -10,6 +10,8 @@
 // way is one way to keep an allowance over many daemons.
 type way interface {
 	admit(daemon int, now time.Time, w space.Workspace) bool
+	// sendLate reports whether a request that was admitted long ago may be sent now.
+	sendLate(daemon int, now time.Time, w space.Workspace) bool
 	restart(daemon int)
 	// report is called for each daemon twice a second. What a daemon sends while it is cut off
 	// is lost.
@@ -35,13 +37,14 @@
 	share := w.Allowance.Rate / float64(e.site)
 	return e.buckets[d].TryTake(now, token.Rate{PerSecond: share, Burst: max(1, share)})
 }
-func (e *evenShares) restart(d int)                           { e.buckets[d] = token.Bucket{} }
-func (*evenShares) report(int, time.Time, bool)               {}
-func (*evenShares) relay(int, bool)                           {}
-func (*evenShares) round(time.Time, float64, space.Workspace) {}
-func (*evenShares) setReachable(int, time.Time, bool)         {}
-func (*evenShares) newLeader(time.Time)                       {}
-func (*evenShares) receive(int, time.Time)                    {}
+func (e *evenShares) restart(d int)                               { e.buckets[d] = token.Bucket{} }
+func (*evenShares) sendLate(int, time.Time, space.Workspace) bool { return true }
+func (*evenShares) report(int, time.Time, bool)                   {}
+func (*evenShares) relay(int, bool)                               {}
+func (*evenShares) round(time.Time, float64, space.Workspace)     {}
+func (*evenShares) setReachable(int, time.Time, bool)             {}
+func (*evenShares) newLeader(time.Time)                           {}
+func (*evenShares) receive(int, time.Time)                        {}
 
 // leases gives each daemon a share by its demand. A share is given anew only once the daemon
 // has confirmed a smaller one, or its time is up.
@@ -77,6 +80,7 @@
 	}
 	return x.bucket.TryTake(now, token.Rate{PerSecond: rate, Burst: max(1, rate)})
 }
+func (*leases) sendLate(int, time.Time, space.Workspace) bool { return true }
 func (l *leases) restart(d int) {
 	x := &l.daemons[d]
 	x.bucket, x.asked, x.share, x.until = token.Bucket{}, 0, 0, time.Time{}
@@ -146,6 +150,7 @@
 	_, ok := f.limiters[d].Admit(now, w)
 	return ok
 }
+func (*fractions) sendLate(int, time.Time, space.Workspace) bool { return true }
 func (f *fractions) restart(d int) {
 	f.started++
 	f.limiters[d] = NewLimiter(uint64(f.started))
