--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -38,6 +38,9 @@
 	// forgetAfter is how long after the last contact a daemon that also failed to answer a
 	// call is removed from the list.
 	forgetAfter = 30 * time.Second
+	// shareRetention is how long after the last contact a daemon counts among those that share
+	// what all may use together: longer than regions usually lose each other.
+	shareRetention = 10 * time.Minute
 )
 
 // Member identifies one incarnation of a daemon: a single run of its process.
@@ -89,6 +92,8 @@
 	// cutOff is set while this daemon's host reaches no backend servers.
 	cutOff bool
 	peers  map[string]*peer // by name
+	// forgotten holds when daemons that were removed from the list were last heard of, by name.
+	forgotten map[string]time.Time
 	// observedLeader is the leader that was passed to the last call of ShouldTakeLead, and
 	// observedSince is when it was first passed. A leader that has sent no gossip yet counts as
 	// lost silenceTimeout after that.
@@ -109,7 +114,7 @@
 
 // New returns a Cluster that knows no other daemon.
 func New(self Member, now time.Time) *Cluster {
-	return &Cluster{self: self, startedAt: now, peers: map[string]*peer{}}
+	return &Cluster{self: self, startedAt: now, peers: map[string]*peer{}, forgotten: map[string]time.Time{}}
 }
 
 // Self returns the daemon whose view of the others this Cluster is.
--- a/core/process/member/relay.go
+++ b/core/process/member/relay.go
@@ -73,6 +73,26 @@
 	return slices.DeleteFunc(c.RemoteRelays(now), func(address string) bool { return !afterSelf[address] })
 }
 
+// LocalRelay returns the address of the first relay of this daemon's data centre, which may be this
+// daemon's.
+func (c *Cluster) LocalRelay(now time.Time) string {
+	return c.relays(now, c.self.DataCentre)[0].Address
+}
+
+// Successor returns the address of the daemon that leads next if a leader is lost, as far as this daemon
+// knows: the first relay of all data centres.
+func (c *Cluster) Successor(now time.Time, leader string) string {
+	var relays []Member
+	for _, dc := range append(c.dataCentres(), c.self.DataCentre) {
+		relays = append(relays, c.relays(now, dc)...)
+	}
+	relays = slices.DeleteFunc(relays, func(m Member) bool { return m.Name == leader })
+	if len(relays) == 0 {
+		return ""
+	}
+	return slices.MinFunc(relays, comparePriority).Address
+}
+
 // LocalPeers returns the addresses of all other daemons in this daemon's data centre. Lost
 // ones are included, so that contact resumes after a network partition.
 func (c *Cluster) LocalPeers(now time.Time) []string {
@@ -168,11 +188,26 @@
 	for name, p := range c.peers {
 		if (p.refused || !p.unansweredAt.IsZero()) && !p.lastHeard.IsZero() && now.Sub(p.lastHeard) > forgetAfter {
 			delete(c.peers, name)
+			c.forgotten[name] = p.lastHeard
 			c.invalidate()
 		}
 	}
 }
 
+// ShareCount is the number of daemons that share what all of them may use together. Daemons that have not
+// been heard of for minutes still count: they may be cut off, and use their shares.
+func (c *Cluster) ShareCount(now time.Time) int {
+	n := c.Count()
+	for name, lastHeard := range c.forgotten {
+		if now.Sub(lastHeard) >= shareRetention || c.peers[name] != nil {
+			delete(c.forgotten, name)
+			continue
+		}
+		n++
+	}
+	return n
+}
+
 func (c *Cluster) dataCentres() []string {
 	var out []string
 	for _, p := range c.peers {
--- a/core/process/member/relay_test.go
+++ b/core/process/member/relay_test.go
@@ -110,3 +110,40 @@
 		}
 	})
 }
+
+// Guards against daemons that choose different pools for the allowances once the leader is lost.
+func TestSuccessor(t *testing.T) {
+	Convey("It is the first relay of all data centres but the leader, on the strongest host that answers", t, func() {
+		c := New(Member{Name: "d", Address: "d", DataCentre: "x", CPUCapacity: 1}, t0)
+		for _, m := range []Member{{Name: "a", Address: "a", DataCentre: "y", CPUCapacity: 2}, {Name: "b", Address: "b", DataCentre: "z", CPUCapacity: 2}, {Name: "e", Address: "e", DataCentre: "x", CPUCapacity: 1}} {
+			c.RecordGossip(t0, m, Status{})
+		}
+		So(c.Successor(t0, ""), ShouldEqual, "a")
+		So(c.Successor(t0, "a"), ShouldEqual, "b")
+		c.RecordRefused("b")
+		So(c.Successor(t0, "a"), ShouldEqual, "d")
+		So(c.LocalRelay(t0), ShouldEqual, "d")
+	})
+	Convey("A daemon alone has no other", t, func() {
+		So(New(Member{Name: "d", Address: "d"}, t0).Successor(t0, "d"), ShouldEqual, "")
+	})
+}
+
+// Guards against shares that add up to more than everything, since each part of a partition forgets the others.
+func TestShareCount(t *testing.T) {
+	Convey("A daemon that was forgotten counts for minutes, or once it is back", t, func() {
+		c := New(Member{Name: "d", Address: "d", DataCentre: "x"}, t0)
+		e := Member{Name: "e", Address: "e", DataCentre: "x"}
+		c.RecordGossip(t0, e, Status{})
+		c.RecordUnanswered(t0, "e")
+		later := t0.Add(forgetAfter + time.Second)
+		c.AllPeers(later)
+		So(c.Count(), ShouldEqual, 1)
+		So(c.ShareCount(later), ShouldEqual, 2)
+		c.RecordGossip(later, e, Status{})
+		So(c.ShareCount(later), ShouldEqual, 2)
+		c.RecordUnanswered(later, "e")
+		c.AllPeers(later.Add(forgetAfter + time.Second))
+		So(c.ShareCount(later.Add(shareRetention)), ShouldEqual, 1)
+	})
+}
--- a/core/process/quota/bound_test.go
+++ b/core/process/quota/bound_test.go
@@ -33,10 +33,10 @@
 	return []load{
 		with("hot, nothing else", func(*load) {}),
 		with("starts hot without a leader", func(l *load) {
-			l.rate, l.leaderless = hot(0, 7*second, hotter), between(0, 1500*time.Millisecond)
+			l.rate, l.restarted, l.leaderless = hot(0, 7*second, hotter), at(0, 1), between(-second, 1500*time.Millisecond)
 		}),
 		with("second leader at once", func(l *load) {
-			l.rate = hot(0, 7*second, hotter)
+			l.rate, l.restarted = hot(0, 7*second, hotter), at(0, 1)
 			l.leaderless = func(now time.Duration) bool {
 				return now < 1500*time.Millisecond || now == 1800*time.Millisecond
 			}
@@ -73,7 +73,7 @@
 				most, over, name := 0.0, 0, ""
 				for seed := range uint64(boundSeeds) {
 					l := boundLoads(90, rate, seed)[i]
-					o := play(l, newFractions(l.site))
+					o := play(l, newPooled(l.site))
 					name, most = l.name, max(most, o.overrun)
 					if o.overrun > 1 {
 						over++
--- a/core/process/quota/doc.go
+++ b/core/process/quota/doc.go
@@ -1,17 +1,27 @@
 // Package quota keeps the requests of each workspace within its allowance, over all daemons
-// together. Each daemon has a Limiter, which counts requests and admits them. The leader has a
-// Controller, which adds up the counts of all daemons and sends them the fraction of the requests
-// to admit. Nothing is sent about a workspace that stays within its allowance.
+// together, whatever starts, stops, leads or is lost.
 //
-// The leader corrects by what was really admitted: what goes beyond the allowance before a limit
-// takes effect is held back after it. A daemon that cannot reach the leader admits no more than
-// before, or its even share of the allowance if that is more, and the leader leaves the even
-// shares of such daemons to them.
+// Each daemon owns an even share of every allowance. It lends that share to one pool at a time,
+// until an end that both know, and a pool hands out only what has been lent to it: as leases, which
+// let a daemon send requests at a rate until they end, and as tokens for single requests, which must
+// be used at once. So all daemons together never have more in hand than the allowance, no matter how
+// many pools there are or what each of them knows. A daemon that starts has nothing, and lends its share
+// only once a loan of the incarnation before it has ended.
+//
+// Each daemon has a Limiter, which holds its leases and decides on requests, a Lender, which decides
+// to which pool it lends its share, and a Pool, which is empty until daemons lend to it.
 //
 // # Usage
 //
-//	retryAfter, ok := limiter.Admit(now, workspace)
-//	controller.Add(limiter.TakeCounts())
-//	limits, send := controller.Close(now, reachableShare, findWorkspace)
-//	limiter.SetLimits(now, limits)
+//	lender.SetPools([]string{leader, relay, self})
+//	for _, address := range lender.Due(now) {
+//		renewal := lender.Begin(now, address).WithDemands(limiter.Demands(now))
+//		grant, ok := pool.Renew(now, renewal, findWorkspace) // at that address
+//		lender.Answered(now, address, grant)
+//		limiter.SetLeases(now, sentAt, grant)
+//	}
+//	token, verdict, retryAfter := limiter.Take(now, workspace)
+//	if verdict == quota.AskPool {
+//		retryAfter, ok := pool.Take(now, workspace) // at one of lender.Pools(now)
+//	}
 package quota
--- a/core/process/quota/limiter.go
+++ b/core/process/quota/limiter.go
@@ -4,218 +4,200 @@
 	"math/rand/v2"
 	"time"
 
-	"catkinstep/core/request/token"
 	"catkinstep/core/version/space"
 )
 
 const (
-	// limitTTL is how long limits apply after the leader sent them. It sends new ones twice a
-	// second, and an empty list once none is needed. A new leader needs a few seconds to know
-	// what is asked for.
-	limitTTL = 5 * time.Second
-	// steadyWindow is the time over which a daemon averages the rate from which it grows, and that
-	// it keeps to without contact to the leader: so long that a load which the leader has not
-	// heard of hardly counts.
-	steadyWindow = 6 * time.Second
-	// rateWindow is the time over which it averages low rates; see fastGrowthRate.
-	rateWindow = 2 * time.Second
-	// startTime is how long a daemon that has just started may take to find the leader. It has no
-	// earlier rates to keep to, and counts as in contact until then.
-	startTime = 2 * time.Second
-	// rejoinDelay is how long after the contact with the leader is back a daemon still keeps to its
-	// steady rates: a new leader needs so long to hear of a load and to limit it.
-	rejoinDelay = 1500 * time.Millisecond
-	// isolatedRateFactor is how much more than before a daemon without contact to the leader may
-	// admit: about as much as the rate varies by chance.
-	isolatedRateFactor = 1.1
-	// isolatedBurstTime is the time whose requests such a daemon may admit at once, and
-	// minIsolatedBurst their number in any case: requests come unevenly.
-	isolatedBurstTime = time.Second
-	minIsolatedBurst  = 3.0
-	// growthFactor is how much more than its mean a daemon may admit, beyond its even share of the
-	// allowance. It holds back a sudden load until the leader has heard of it and set a limit.
-	growthFactor = 1.5
-	// fastGrowthRate is the rate up to which a daemon grows by its rate of rateWindow instead of
-	// steadyWindow: a caller or two that come anew, of a workspace that comes by few daemons.
-	fastGrowthRate = 3.0
-	// burstTime is the time whose requests a daemon may admit at once, and minBurst their
-	// number in any case, since requests come unevenly. Where even shares are below one request
-	// a second, it is lowShareBurst: callers come and go one by one.
-	burstTime     = 750 * time.Millisecond
-	minBurst      = 4.5
-	lowShareBurst = 6.0
+	// demandWindow is the time over which a daemon averages what its callers ask for.
+	demandWindow = 2 * time.Second
+	// minDemand is the rate from which a demand is reported, in requests per second. With less a lease
+	// costs more messages than tokens.
+	minDemand = 4.0
 	// minRetryAfter and retrySpread bound the time after which a refused caller should retry.
 	// The spread keeps the callers of a workspace from returning within one second.
 	minRetryAfter = 200 * time.Millisecond
 	retrySpread   = time.Second
+	// unknownSpread is the same for callers that were refused since no pool answered. Another one usually
+	// does after a second at most.
+	unknownSpread = 300 * time.Millisecond
+	// maxReturned is how many returned tokens of a workspace are kept.
+	maxReturned = 64
 )
 
-// Count is the number of requests of a workspace at some daemons.
-type Count struct {
-	Workspace string
-	// Asked is the number of requests received, and Admitted the number of those that were
-	// sent to servers.
-	Asked, Admitted int
-}
+// Verdict is what a Limiter decides about a request.
+type Verdict int
+
+// Verdicts of a Limiter.
+const (
+	Refused Verdict = iota
+	Admitted
+	// AskPool means that only a pool knows, and Unknown that none answered a moment ago.
+	AskPool
+	Unknown
+)
 
-// Limit says how to limit a workspace that asks for more than its allowance.
-type Limit struct {
-	Workspace string
-	// Fraction is the fraction of the requests to admit.
-	Fraction float64
-	// Wait is the time until the allowance covers what was admitted so far.
-	Wait time.Duration
-	// Remaining is what is left of the allowance; negative if more was admitted.
-	Remaining float64
+// Token allows one attempt of a request.
+type Token struct {
+	// Until is when it ends; zero if the workspace has no allowance.
+	Until time.Time
 }
 
-// Limiter admits the requests that one daemon receives. It is not safe for concurrent use.
+// Valid reports whether the token may be used.
+func (t Token) Valid(now time.Time) bool { return t.Until.IsZero() || now.Before(t.Until) }
+
+// Limiter holds the leases of one daemon, and decides on the requests that it sends to servers. It is
+// not safe for concurrent use.
 type Limiter struct {
-	random  *rand.Rand
-	daemons int
-	// isolated is set while the daemon has no contact with the leader, and for rejoinDelay after. It
-	// keeps to its steady rates then.
-	isolated bool
-	// startedAt is when the daemon first asked for contact with the leader.
-	startedAt time.Time
-	// reachableSince is when contact with the leader began; zero without contact. wasReachable is set
-	// from the first contact on.
-	reachableSince time.Time
-	wasReachable   bool
-	usages         map[string]*usage
-	limits         map[string]Limit
-	// limitsUntil is when the limits expire.
-	limitsUntil time.Time
-}
-
-// usage is what a daemon knows about the requests of a workspace.
-type usage struct {
-	asked, admitted int // since they were last taken
-	total           Total
-	// rate and steadyRate are means of what was admitted, over rateWindow and steadyWindow.
-	rate, steadyRate meanRate
-	// isolatedRate is the steady rate when the contact with the leader was lost.
-	isolatedRate float64
-	bucket       token.Bucket
-}
-
-// NewLimiter returns a Limiter of a daemon that knows no other and has no contact with the leader yet.
+	random     *rand.Rand
+	workspaces map[string]*holding
+}
+
+// holding is what a daemon has of the allowance of a workspace.
+type holding struct {
+	total  Total
+	demand meanRate
+	// leases are by the incarnation of the pool. tokens is what is saved up from them since refilledAt.
+	leases     map[uint64]heldLease
+	tokens     float64
+	refilledAt time.Time
+	// returned are the ends of tokens that were not used.
+	returned []time.Time
+	// deniedUntil is the time until which pools need not be asked, and unanswered is set if none
+	// answered.
+	deniedUntil time.Time
+	unanswered  bool
+}
+
+type heldLease struct {
+	leaseTerms
+	since time.Time
+}
+
+// NewLimiter returns a Limiter that holds nothing.
 func NewLimiter(seed uint64) *Limiter {
-	return &Limiter{random: rand.New(rand.NewPCG(seed, 41)), daemons: 1, isolated: true, usages: map[string]*usage{}}
+	return &Limiter{random: rand.New(rand.NewPCG(seed, 41)), workspaces: map[string]*holding{}}
+}
+
+// Ask counts a request of a caller, whatever becomes of it.
+func (l *Limiter) Ask(now time.Time, w space.Workspace) {
+	if w.Allowance.Limited() {
+		l.holding(w.Name).total.Asked++
+		l.AskFor(now, w)
+	}
 }
 
-// SetDaemons sets the number of daemons that share the allowances.
-func (l *Limiter) SetDaemons(n int) { l.daemons = max(1, n) }
+// AskFor counts a request for which another daemon asks.
+func (l *Limiter) AskFor(now time.Time, w space.Workspace) { l.holding(w.Name).demand.add(now, 1) }
 
-// SetLeaderReachable records whether the daemon has contact with the leader. It must be called often.
-func (l *Limiter) SetLeaderReachable(now time.Time, reachable bool) {
-	if l.startedAt.IsZero() {
-		l.startedAt = now
+// Take takes a token for an attempt of a request. If it refuses, it returns the time after which a
+// retry is probably admitted.
+func (l *Limiter) Take(now time.Time, w space.Workspace) (t Token, v Verdict, retryAfter time.Duration) {
+	if !w.Allowance.Limited() {
+		return Token{}, Admitted, 0
 	}
-	if !reachable {
-		if !l.isolated {
-			l.isolate(now)
-		}
-		l.reachableSince = time.Time{}
-		return
+	t, v, wait := l.TakeFor(now, w)
+	switch v {
+	case Refused:
+		retryAfter = l.refuse(l.holding(w.Name), wait)
+	case Unknown:
+		retryAfter = l.refuseUnknown(l.holding(w.Name), wait)
+	case Admitted, AskPool:
 	}
-	if l.reachableSince.IsZero() {
-		l.reachableSince = now
+	return t, v, retryAfter
+}
+
+// TakeFor is like Take for another daemon, which asks again after the time that it returns.
+func (l *Limiter) TakeFor(now time.Time, w space.Workspace) (t Token, v Verdict, wait time.Duration) {
+	h := l.holding(w.Name)
+	if t, ok := h.takeReturned(now); ok {
+		return t, Admitted, 0
 	}
-	if l.isolated && (!l.wasReachable || now.Sub(l.reachableSince) >= rejoinDelay) {
-		l.rejoin()
+	if h.refill(now); h.tokens >= 1 {
+		h.tokens--
+		return Token{Until: now.Add(tokenTTL)}, Admitted, 0
 	}
+	wait = h.deniedUntil.Sub(now)
+	switch {
+	case wait > 0 && h.unanswered:
+		return Token{}, Unknown, wait
+	case wait > 0:
+		return Token{}, Refused, wait
+	}
+	return Token{}, AskPool, 0
 }
 
-// rejoin ends the time of keeping to earlier rates. Buckets start full, since a workspace that
-// comes by few daemons would grow again only slowly.
-func (l *Limiter) rejoin() {
-	l.isolated, l.wasReachable = false, true
-	for _, u := range l.usages {
-		u.bucket.Set(lowShareBurst)
-	}
+// NewToken returns the token that a pool handed out to an attempt that asked at a time.
+func NewToken(askedAt time.Time) Token { return Token{Until: askedAt.Add(tokenTTL)} }
+
+// Denied records that no pool had a token, and none will have one for a time. It returns the time
+// after which callers should retry.
+func (l *Limiter) Denied(now time.Time, w space.Workspace, wait time.Duration) time.Duration {
+	l.DeniedFor(now, w, wait)
+	return l.refuse(l.holding(w.Name), wait)
 }
 
-func (l *Limiter) isolate(now time.Time) {
-	l.isolated = true
-	for _, u := range l.usages {
-		u.isolatedRate = u.steadyRate.at(now)
-	}
+// DeniedFor is like Denied for another daemon.
+func (l *Limiter) DeniedFor(now time.Time, w space.Workspace, wait time.Duration) {
+	h := l.holding(w.Name)
+	h.deniedUntil, h.unanswered = now.Add(wait), false
 }
 
-// SetLimits replaces all limits. The leader sent the new ones at sentAt.
-func (l *Limiter) SetLimits(sentAt time.Time, limits []Limit) {
-	l.limits, l.limitsUntil = make(map[string]Limit, len(limits)), sentAt.Add(limitTTL)
-	for _, limit := range limits {
-		l.limits[limit.Workspace] = limit
-	}
+// Unanswered records that no pool answered, and none need be asked for a time. It returns the time after which
+// callers should retry; the daemon's own share is of use after another time.
+func (l *Limiter) Unanswered(now time.Time, w space.Workspace, wait, ownShareIn time.Duration) time.Duration {
+	h := l.holding(w.Name)
+	h.deniedUntil, h.unanswered = now.Add(wait), true
+	return l.refuseUnknown(h, max(wait, ownShareIn))
 }
 
-// Admit decides whether a request of a workspace is within its allowance. If not, it returns
-// the time after which a retry probably is.
-func (l *Limiter) Admit(now time.Time, w space.Workspace) (retryAfter time.Duration, ok bool) {
-	if !w.Allowance.Limited() {
-		return 0, true
-	}
-	u := l.usage(w.Name)
-	u.asked++
-	u.total.Asked++
-	limit, limited := l.limits[w.Name]
-	limited = limited && now.Before(l.limitsUntil)
-	if limited && l.random.Float64() >= limit.Fraction {
-		u.total.Refused++
-		return l.retryAfter(limit.Wait), false
-	}
-	if rate := l.ownLimit(now, u, w.Allowance, limited); !u.bucket.TryTake(now, rate) {
-		u.total.Refused++
-		return l.retryAfter(u.bucket.Wait(now, rate)), false
-	}
-	u.add(now, 1)
-	return 0, true
-}
-
-// ownLimit is the rate, and the number of requests at once, that this daemon does not exceed
-// whatever the leader says. limited is set if the leader's last word was that the workspace asks for
-// too much: its earlier rate is no measure then.
-func (l *Limiter) ownLimit(now time.Time, u *usage, a space.Allowance, limited bool) token.Rate {
-	evenShare := a.Rate / float64(l.daemons)
-	if l.isolated && (l.wasReachable || now.Sub(l.startedAt) > startTime) {
-		rate := evenShare
-		if !limited {
-			rate = max(rate, isolatedRateFactor*u.isolatedRate)
-		}
-		return token.Rate{PerSecond: rate, Burst: max(minIsolatedBurst, isolatedBurstTime.Seconds()*rate)}
-	}
-	own := max(u.steadyRate.at(now), min(u.rate.at(now), fastGrowthRate))
-	rate := max(evenShare, growthFactor*own)
-	return token.Rate{PerSecond: rate, Burst: max(burstTime.Seconds()*rate, minBurst, lowShareBurst-evenShare)}
+func (l *Limiter) refuseUnknown(h *holding, wait time.Duration) time.Duration {
+	h.total.Refused++
+	return max(minRetryAfter, wait) + time.Duration(l.random.Float64()*float64(unknownSpread))
 }
 
-// Count adds a further attempt of an admitted request, since each one that runs counts.
-func (l *Limiter) Count(now time.Time, w space.Workspace) {
-	if w.Allowance.Limited() {
-		l.usage(w.Name).add(now, 1)
-	}
+func (l *Limiter) refuse(h *holding, wait time.Duration) time.Duration {
+	h.total.Refused++
+	return max(minRetryAfter, wait) + time.Duration(l.random.Float64()*float64(retrySpread))
 }
 
-// Return gives back the allowance of an attempt that certainly did not run.
-func (l *Limiter) Return(now time.Time, w space.Workspace) {
-	if !w.Allowance.Limited() {
+// Return gives back a token that was not used, or whose attempt certainly did not run.
+func (l *Limiter) Return(now time.Time, w space.Workspace, t Token) {
+	if !w.Allowance.Limited() || t.Until.IsZero() || !t.Valid(now) {
 		return
 	}
-	u := l.usage(w.Name)
-	u.add(now, -1)
-	u.bucket.Return()
+	if h := l.holding(w.Name); len(h.returned) < maxReturned {
+		h.returned = append(h.returned, t.Until)
+	}
+}
+
+// SetLeases replaces the leases of a pool by those that it granted to a renewal that was sent at a time.
+func (l *Limiter) SetLeases(now, sentAt time.Time, g Grant) {
+	until := sentAt.Add(g.TTL)
+	granted := map[string]Lease{}
+	for _, lease := range g.Leases {
+		granted[lease.Workspace] = lease
+		l.holding(lease.Workspace)
+	}
+	for name, h := range l.workspaces {
+		lease, ok := granted[name]
+		if _, held := h.leases[g.Pool]; !held && !ok {
+			continue
+		}
+		h.refill(now)
+		delete(h.leases, g.Pool)
+		if ok {
+			h.leases[g.Pool] = heldLease{since: now, leaseTerms: leaseTerms{perSecond: lease.PerSecond, burst: lease.Burst, until: until}}
+		}
+		h.tokens = min(h.tokens, h.burst(now))
+	}
 }
 
-// TakeCounts returns the counts since the last call and resets them. A count may be negative
-// where more was given back than admitted.
-func (l *Limiter) TakeCounts() []Count {
-	var out []Count
-	for name, u := range l.usages {
-		if u.asked != 0 || u.admitted != 0 {
-			out = append(out, Count{Workspace: name, Asked: u.asked, Admitted: u.admitted})
-			u.asked, u.admitted = 0, 0
+// Demands returns what the daemon's callers ask for, and the workspaces of its leases.
+func (l *Limiter) Demands(now time.Time) []Demand {
+	var out []Demand
+	for name, h := range l.workspaces {
+		if rate := h.demand.at(now); rate >= minDemand {
+			out = append(out, Demand{Workspace: name, PerSecond: rate})
 		}
 	}
 	return out
@@ -223,28 +205,62 @@
 
 // Prune forgets workspaces that the configuration no longer has.
 func (l *Limiter) Prune(exists func(workspace string) bool) {
-	for name := range l.usages {
+	for name := range l.workspaces {
 		if !exists(name) {
-			delete(l.usages, name)
+			delete(l.workspaces, name)
 		}
 	}
 }
 
-func (l *Limiter) usage(workspace string) *usage {
-	u := l.usages[workspace]
-	if u == nil {
-		u = &usage{rate: meanRate{window: rateWindow}, steadyRate: meanRate{window: steadyWindow}, bucket: token.New(lowShareBurst)}
-		l.usages[workspace] = u
+func (l *Limiter) holding(workspace string) *holding {
+	h := l.workspaces[workspace]
+	if h == nil {
+		h = &holding{demand: meanRate{window: demandWindow}, leases: map[uint64]heldLease{}}
+		l.workspaces[workspace] = h
 	}
-	return u
+	return h
 }
 
-func (l *Limiter) retryAfter(wait time.Duration) time.Duration {
-	return max(minRetryAfter, wait) + time.Duration(l.random.Float64()*float64(retrySpread))
+// takeReturned takes a token that was returned in time.
+func (h *holding) takeReturned(now time.Time) (Token, bool) {
+	for len(h.returned) > 0 {
+		t := Token{Until: h.returned[0]}
+		h.returned = h.returned[1:]
+		if t.Valid(now) {
+			return t, true
+		}
+	}
+	return Token{}, false
+}
+
+// refill adds what the leases gave until now, or until they ended.
+func (h *holding) refill(now time.Time) {
+	for pool, lease := range h.leases {
+		from, to := later(h.refilledAt, lease.since), now
+		if lease.until.Before(now) {
+			to = lease.until
+			delete(h.leases, pool)
+		}
+		h.tokens += lease.perSecond * max(0, to.Sub(from).Seconds())
+	}
+	h.refilledAt = now
+	h.tokens = min(h.tokens, h.burst(now))
+}
+
+// burst is how much may be saved up at present.
+func (h *holding) burst(now time.Time) float64 {
+	sum := 0.0
+	for _, lease := range h.leases {
+		if now.Before(lease.until) {
+			sum += lease.burst
+		}
+	}
+	return sum
 }
 
-func (u *usage) add(now time.Time, n int) {
-	u.admitted += n
-	u.rate.add(now, n)
-	u.steadyRate.add(now, n)
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
--- a/core/process/quota/loads_test.go
+++ b/core/process/quota/loads_test.go
@@ -27,7 +27,9 @@
 	// leaderChange is how long nobody leads after the loss of the leader.
 	leaderChange = 2500 * time.Millisecond
 	duration     = 30 * time.Second
-	quotaWindow  = 5 * time.Second
+	// warmUp is for how long the daemons have run when the load begins.
+	warmUp      = 6 * time.Second
+	quotaWindow = 5 * time.Second
 	// allowedOverrun is how much more than the allowance may run in a window, as a share of it, and
 	// allowedExtra is a number of requests that may run besides.
 	allowedOverrun, allowedExtra = 0.1, 20
@@ -152,6 +154,9 @@
 // play plays a load. Daemons that are cut off from the leader know it after contactTimeout.
 func play(l load, x way) outcome {
 	w := &world{load: l, way: x, random: rand.New(rand.NewPCG(7+l.seed, uint64(l.daemons))), workspace: space.Workspace{Name: "mill", Allowance: l.allowance}, ideal: l.allowance.Burst}
+	for at := -warmUp; at < 0; at += step {
+		w.exchange(at)
+	}
 	for at := time.Duration(0); at < duration; at += step {
 		if l.lowered > 0 && at == l.lowered {
 			w.workspace.Allowance = space.Allowance{Rate: l.allowance.Rate / 2, Burst: l.allowance.Burst / 2}
@@ -173,8 +178,8 @@
 	}
 	w.wasLeaderless = leaderless
 	for d := range w.site {
-		if w.restarted(d, at) {
-			w.way.restart(d)
+		if at >= 0 && w.restarted(d, at) {
+			w.way.restart(d, now)
 			w.lastContact[d] = time.Time{}
 		}
 		isCut := w.cut(d, at)
@@ -187,6 +192,7 @@
 				w.lastContact[d] = now
 			}
 		}
+		w.way.link(d, !isCut && !leaderless, !isCut)
 		w.way.setReachable(d, now, now.Sub(w.lastContact[d]) < contactTimeout)
 	}
 	for dc := range dataCentres {
@@ -198,6 +204,7 @@
 		w.way.round(now, 1-float64(cut)/float64(w.site), w.workspace)
 		w.limitsArriveAt = now.Add(limitDelay)
 	}
+	w.way.exchange(now, w.workspace)
 	for d := range w.site {
 		if now.Equal(w.limitsArriveAt) && !w.cut(d, at) {
 			w.way.receive(d, now)
@@ -273,7 +280,7 @@
 func TestAllowanceOverManyDaemons(t *testing.T) {
 	Convey("The product keeps the allowance in every load, and refuses next to nothing of what is within it", t, func() {
 		for _, l := range loads() {
-			o := play(l, newFractions(l.site))
+			o := play(l, newPooled(l.site))
 			t.Logf("%-32s overrun %.2f, refused wrongly %.3f", l.name, o.overrun, o.refusedWrongly)
 			So(o.overrun, ShouldBeLessThanOrEqualTo, 1)
 			if l.withinAllowance() {
@@ -288,7 +295,7 @@
 			if !l.withinAllowance() {
 				continue
 			}
-			kept := play(l, newFractions(l.site))
+			kept := play(l, newPooled(l.site))
 			So(kept.refusedWrongly, ShouldBeLessThan, even.refusedWrongly)
 			So(kept.refusedWrongly, ShouldBeLessThan, leased.refusedWrongly)
 			if l.daemons < l.site/10 {
--- a/core/process/quota/rate.go
+++ b/core/process/quota/rate.go
@@ -24,11 +24,3 @@
 	}
 	return max(0, r.perSecond*math.Exp(-max(0, now.Sub(r.updatedAt).Seconds())/r.window.Seconds()))
 }
-
-// recentRate is the rate of the last two windows of the controller. That of a single one is uneven,
-// since daemons report out of step.
-type recentRate struct{ newest, before float64 }
-
-func (r *recentRate) add(rate float64) { r.newest, r.before = rate, r.newest }
-
-func (r *recentRate) mean() float64 { return (r.newest + r.before) / 2 }
--- /dev/null
+++ b/core/process/quota/timing.go
@@ -0,0 +1,48 @@
+package quota
+
+import (
+	"time"
+
+	"catkinstep/core/version/space"
+)
+
+const (
+	// minRenewInterval is the shortest time between two renewals of a daemon, and renewTimePerDaemon
+	// bounds the renewals that a pool gets: 670 a second at most.
+	minRenewInterval   = 100 * time.Millisecond
+	renewTimePerDaemon = 1500 * time.Microsecond
+	// tokenTTL is how long after it was taken or asked for a token may be used.
+	tokenTTL = 120 * time.Millisecond
+	// renewMargin is for messages that take their time.
+	renewMargin = 50 * time.Millisecond
+)
+
+// RenewInterval is the time between two renewals of a daemon to its pool.
+func RenewInterval(daemons int) time.Duration {
+	return max(minRenewInterval, time.Duration(daemons)*renewTimePerDaemon)
+}
+
+// leaseTime is how long a lease lasts: until the next renewal.
+func leaseTime(daemons int) time.Duration { return RenewInterval(daemons) + renewMargin }
+
+// loanTime is how long a loan lasts from the stamp that it names. The stamp is up to two intervals old
+// when the next renewal arrives, and what is left then must cover a lease and its last token.
+func loanTime(daemons int) time.Duration {
+	return 2*RenewInterval(daemons) + leaseTime(daemons) + tokenTTL + shareTTL + renewMargin
+}
+
+// What may run beyond the allowance itself, in any window of 5 s, is 0.5 s of its rate, 0.1 of its
+// burst, and 20 requests. Of these, tokens that are used late take tokenTTL of the rate; the leases
+// may save up leaseBurstTime of the rate, leaseBurstShare of the burst and leaseBurstExtra; pools may
+// save up poolExtra. The rest is for requests that are under way to servers.
+const (
+	leaseBurstTime  = 150 * time.Millisecond
+	leaseBurstShare = 0.05
+	leaseBurstExtra = 8.0
+	poolExtra       = 8.0
+)
+
+// leaseBursts is how many requests all leases of a workspace together may save up.
+func leaseBursts(a space.Allowance) float64 {
+	return leaseBurstTime.Seconds()*a.Rate + leaseBurstShare*a.Burst + leaseBurstExtra
+}
--- a/core/process/quota/total.go
+++ b/core/process/quota/total.go
@@ -16,8 +16,8 @@
 // Totals returns the totals of the n workspaces that asked for most, and the sum of all others
 // without a name.
 func (l *Limiter) Totals(n int) (top []Total, rest Total) {
-	for name, u := range l.usages {
-		t := u.total
+	for name, h := range l.workspaces {
+		t := h.total
 		t.Workspace = name
 		top = append(top, t)
 	}
--- a/core/process/quota/ways_test.go
+++ b/core/process/quota/ways_test.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"slices"
+	"strconv"
 	"time"
 
 	"catkinstep/core/request/token"
@@ -12,7 +14,11 @@
 	admit(daemon int, now time.Time, w space.Workspace) bool
 	// sendLate reports whether a request that was admitted long ago may be sent now.
 	sendLate(daemon int, now time.Time, w space.Workspace) bool
-	restart(daemon int)
+	restart(daemon int, now time.Time)
+	// link says whether messages pass between a daemon and the leader, and other daemons.
+	link(daemon int, leader, daemons bool)
+	// exchange is called in each step.
+	exchange(now time.Time, w space.Workspace)
 	// report is called for each daemon twice a second. What a daemon sends while it is cut off
 	// is lost.
 	report(daemon int, now time.Time, lost bool)
@@ -37,8 +43,10 @@
 	share := w.Allowance.Rate / float64(e.site)
 	return e.buckets[d].TryTake(now, token.Rate{PerSecond: share, Burst: max(1, share)})
 }
-func (e *evenShares) restart(d int)                               { e.buckets[d] = token.Bucket{} }
+func (e *evenShares) restart(d int, _ time.Time)                  { e.buckets[d] = token.Bucket{} }
 func (*evenShares) sendLate(int, time.Time, space.Workspace) bool { return true }
+func (*evenShares) link(int, bool, bool)                          {}
+func (*evenShares) exchange(time.Time, space.Workspace)           {}
 func (*evenShares) report(int, time.Time, bool)                   {}
 func (*evenShares) relay(int, bool)                               {}
 func (*evenShares) round(time.Time, float64, space.Workspace)     {}
@@ -81,7 +89,7 @@
 	return x.bucket.TryTake(now, token.Rate{PerSecond: rate, Burst: max(1, rate)})
 }
 func (*leases) sendLate(int, time.Time, space.Workspace) bool { return true }
-func (l *leases) restart(d int) {
+func (l *leases) restart(d int, _ time.Time) {
 	x := &l.daemons[d]
 	x.bucket, x.asked, x.share, x.until = token.Bucket{}, 0, 0, time.Time{}
 }
@@ -122,57 +130,150 @@
 		l.daemons[i].demand = 0
 	}
 }
-func (*leases) setReachable(int, time.Time, bool) {}
+func (*leases) link(int, bool, bool)                {}
+func (*leases) exchange(time.Time, space.Workspace) {}
+func (*leases) setReachable(int, time.Time, bool)   {}
 func (l *leases) receive(d int, _ time.Time) {
 	x := &l.daemons[d]
 	x.share, x.until, x.freeAt = x.granted, x.grantAt.Add(leaseTTL), x.grantAt.Add(leaseTTL)
 }
 
-// fractions is the way that the product takes: counts go to the leader, which limits by fractions.
-type fractions struct {
-	site       int
-	limiters   [maxDaemons]*Limiter
-	controller *Controller
-	limits     []Limit
-	started    int
-	// atRelays are the counts that the relays pass on with their next reports.
-	atRelays [dataCentres][]Count
+// pooled is the way that the product takes: daemons lend their shares to a pool, which hands them out.
+// The leader has it; without one its successor, a daemon of each data centre, or else each for itself.
+type pooled struct {
+	site    int
+	daemons [maxDaemons]pooledDaemon
+	// leader is the daemon that leads, or did last.
+	leader  int
+	links   [maxDaemons]linkState
+	started uint64
+	opts    []PoolOption
+	asks    int // for tokens
+}
+
+type pooledDaemon struct {
+	limiter *Limiter
+	lender  *Lender
+	pool    *Pool
+}
+
+// linkState says whether messages of a daemon pass.
+type linkState struct{ leader, daemons bool }
+
+func newPooled(site int, opts ...PoolOption) *pooled {
+	p := &pooled{site: site, opts: opts, leader: relays[0]}
+	for d := range p.site {
+		p.restart(d, t0.Add(-warmUp))
+		p.links[d] = linkState{leader: true, daemons: true}
+	}
+	return p
+}
+
+func (p *pooled) restart(d int, now time.Time) {
+	p.started++
+	name := strconv.Itoa(d)
+	x := pooledDaemon{limiter: NewLimiter(p.started), lender: NewLender(now, name, p.started), pool: NewPool(now, p.started, p.opts...)}
+	if d == p.leader && now.After(t0) { // only newLeader ends what leads
+		x.pool = p.daemons[d].pool
+	}
+	x.pool.SetDaemons(now, p.site, true)
+	x.lender.SetDaemons(p.site, true)
+	p.daemons[d] = x
+	p.setPools(d)
+}
+
+// relays are the daemons that lead by turns, one in each data centre. Loads that cut or restart some
+// daemons leave them out.
+var relays = [dataCentres]int{16, 17, 18, 15}
+
+func (p *pooled) successor() int {
+	return relays[(slices.Index(relays[:], p.leader)+1)%dataCentres]
 }
 
-func newFractions(site int) *fractions {
-	f := &fractions{site: site, controller: NewController(t0)}
-	for d := range f.limiters {
-		f.restart(d)
+func (p *pooled) setPools(d int) {
+	out := []string{strconv.Itoa(p.leader)}
+	for _, next := range []int{p.successor(), relays[d%dataCentres], d} {
+		if name := strconv.Itoa(next); !slices.Contains(out, name) {
+			out = append(out, name)
+		}
 	}
-	return f
+	p.daemons[d].lender.SetPools(out)
 }
-func (f *fractions) admit(d int, now time.Time, w space.Workspace) bool {
-	_, ok := f.limiters[d].Admit(now, w)
-	return ok
+
+// newLeader replaces the leader, whose process has ended and begins anew.
+func (p *pooled) newLeader(now time.Time) {
+	previous := p.leader
+	p.leader = p.successor()
+	p.restart(previous, now)
+	for d := range p.site {
+		p.setPools(d)
+	}
 }
-func (*fractions) sendLate(int, time.Time, space.Workspace) bool { return true }
-func (f *fractions) restart(d int) {
-	f.started++
-	f.limiters[d] = NewLimiter(uint64(f.started))
-	f.limiters[d].SetDaemons(f.site)
+
+func (p *pooled) link(d int, leader, daemons bool) {
+	p.links[d] = linkState{leader: leader, daemons: daemons}
 }
-func (f *fractions) report(d int, _ time.Time, lost bool) {
-	if counts := f.limiters[d].TakeCounts(); !lost {
-		f.atRelays[d%dataCentres] = append(f.atRelays[d%dataCentres], counts...)
+
+// reach returns the pool at an address, if messages between it and a daemon pass.
+func (p *pooled) reach(d int, address string) (*Pool, bool) {
+	other, err := strconv.Atoi(address)
+	switch {
+	case err != nil:
+		return nil, false
+	case other == p.leader && !p.links[d].leader:
+		return nil, false
 	}
+	return p.daemons[other].pool, other == d || p.links[d].daemons && p.links[other].daemons
 }
 
-func (f *fractions) relay(dataCentre int, lost bool) {
-	if !lost {
-		f.controller.Add(f.atRelays[dataCentre])
+func (p *pooled) exchange(now time.Time, w space.Workspace) {
+	find := func(string) (space.Workspace, bool) { return w, true }
+	for d := range p.site {
+		x := &p.daemons[d]
+		for _, address := range x.lender.Due(now) {
+			renewal := x.lender.Begin(now, address).WithDemands(x.limiter.Demands(now))
+			pool, ok := p.reach(d, address)
+			var grant Grant
+			if ok {
+				grant, ok = pool.Renew(now, renewal, find)
+			}
+			if !ok || !x.lender.Answered(now, address, grant) {
+				x.lender.Failed(address)
+				continue
+			}
+			x.limiter.SetLeases(now, now, grant)
+		}
 	}
-	f.atRelays[dataCentre] = nil
 }
-func (f *fractions) round(now time.Time, reachable float64, w space.Workspace) {
-	f.limits, _ = f.controller.Close(now, reachable, func(string) (space.Workspace, bool) { return w, true })
+
+func (p *pooled) admit(d int, now time.Time, w space.Workspace) bool {
+	p.daemons[d].limiter.Ask(now, w)
+	return p.sendLate(d, now, w)
 }
-func (f *fractions) setReachable(d int, now time.Time, reachable bool) {
-	f.limiters[d].SetLeaderReachable(now, reachable)
+
+func (p *pooled) sendLate(d int, now time.Time, w space.Workspace) bool {
+	x := &p.daemons[d]
+	_, verdict, _ := x.limiter.Take(now, w)
+	if verdict != AskPool {
+		return verdict == Admitted
+	}
+	wait := tokenTTL
+	for _, address := range x.lender.Pools(now) {
+		pool, ok := p.reach(d, address)
+		if !ok {
+			continue
+		}
+		p.asks++
+		if wait, ok = pool.Take(now, w); ok {
+			return true
+		}
+	}
+	x.limiter.Denied(now, w, wait)
+	return false
 }
-func (f *fractions) newLeader(now time.Time)      { f.controller = NewController(now) }
-func (f *fractions) receive(d int, now time.Time) { f.limiters[d].SetLimits(now, f.limits) }
+
+func (*pooled) report(int, time.Time, bool)               {}
+func (*pooled) relay(int, bool)                           {}
+func (*pooled) round(time.Time, float64, space.Workspace) {}
+func (*pooled) setReachable(int, time.Time, bool)         {}
+func (*pooled) receive(int, time.Time)                    {}
--- /dev/null
+++ b/core/process/quota/world_test.go
@@ -0,0 +1,332 @@
+package quota
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"catkinstep/core/version/space"
+)
+
+const (
+	worldStep = 25 * time.Millisecond
+	// callTimeout bounds a renewal, and takeTimeout a question for a token.
+	callTimeout = 200 * time.Millisecond
+	takeTimeout = 110 * time.Millisecond
+	worldZones  = 4
+)
+
+// hosts is a site whose daemons exchange messages that take their time, are lost, or arrive late. What
+// happens is drawn from a seed.
+type hosts struct {
+	random    *rand.Rand
+	now       time.Time
+	daemons   []*host
+	workspace space.Workspace
+	leader    int
+	events    eventQueue
+	started   uint64
+	// loss and delay say how often a message is lost, and how long it takes at most.
+	loss  float64
+	delay time.Duration
+	// group is the part of a partition in which each daemon is; messages pass within a part only.
+	group []int
+	// useDelay is how long after it was taken a token is used at most.
+	useDelay time.Duration
+	sent     []time.Time
+	asked    int
+	// ideal is what a single bucket for all daemons has left.
+	ideal float64
+	// keeps is set if the callers ask for nothing that such a bucket would refuse.
+	keeps bool
+}
+
+// host is one daemon. Its life is the number of its starts.
+type host struct {
+	pooledDaemon
+	life   int
+	leader int // as it knows
+	pools  []string
+	frozen time.Time // until when
+}
+
+type event struct {
+	at  time.Time
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+func newHosts(seed uint64, n int, allowance space.Allowance) *hosts {
+	h := &hosts{random: rand.New(rand.NewPCG(seed, uint64(n))), now: t0, workspace: space.Workspace{Name: "mill", Allowance: allowance}, group: make([]int, n), delay: 3 * time.Millisecond}
+	for range n {
+		h.daemons = append(h.daemons, &host{})
+	}
+	for d := range n {
+		h.start(d)
+	}
+	return h
+}
+
+// start starts a daemon anew. What it had is lost.
+func (h *hosts) start(d int) {
+	h.started++
+	x := h.daemons[d]
+	x.life++
+	x.frozen = time.Time{}
+	x.pooledDaemon = pooledDaemon{limiter: NewLimiter(h.started), lender: NewLender(h.now, strconv.Itoa(d), h.started), pool: NewPool(h.now, h.started)}
+	x.pool.SetDaemons(h.now, len(h.daemons), true)
+	x.lender.SetDaemons(len(h.daemons), true)
+	h.learnLeader(d, h.leader)
+}
+
+func (h *hosts) learnLeader(d, leader int) {
+	x := h.daemons[d]
+	x.leader, x.pools = leader, nil
+	for _, next := range []int{leader, (leader + 1) % len(h.daemons), d % worldZones, d} {
+		if name := strconv.Itoa(next); !slices.Contains(x.pools, name) {
+			x.pools = append(x.pools, name)
+		}
+	}
+	x.lender.SetPools(x.pools)
+}
+
+// after runs something later.
+func (h *hosts) after(d time.Duration, run func()) {
+	heap.Push(&h.events, event{at: h.now.Add(d), run: run})
+}
+
+// transit is how long a message takes, and false if it is lost.
+func (h *hosts) transit(from, to int) (time.Duration, bool) {
+	if from == to {
+		return 0, true
+	}
+	if h.group[from] != h.group[to] || h.random.Float64() < h.loss {
+		return 0, false
+	}
+	return time.Duration(h.random.Float64() * float64(h.delay)), true
+}
+
+func (h *hosts) isFrozen(d int) bool { return h.now.Before(h.daemons[d].frozen) }
+
+// run lets the site run for a time, while callers ask for perSecond requests a second of some daemons.
+func (h *hosts) run(d time.Duration, perSecond float64, callers []int, each func()) {
+	for end := h.now.Add(d); h.now.Before(end); h.now = h.now.Add(worldStep) {
+		for len(h.events) > 0 && !h.events[0].at.After(h.now) {
+			heap.Pop(&h.events).(event).run()
+		}
+		if each != nil {
+			each()
+		}
+		for i, x := range h.daemons {
+			if !h.isFrozen(i) {
+				h.renew(i)
+				x.pool.Share(h.now)
+			}
+		}
+		a := h.workspace.Allowance
+		h.ideal = min(a.Burst, h.ideal+a.Rate*worldStep.Seconds())
+		left := perSecond * worldStep.Seconds()
+		for left -= h.random.ExpFloat64(); left > 0; left -= h.random.ExpFloat64() {
+			if i := callers[h.random.IntN(len(callers))]; !h.isFrozen(i) {
+				h.request(i)
+			}
+		}
+	}
+}
+
+// renew sends the renewals that are due.
+func (h *hosts) renew(d int) {
+	x, life, sentAt := h.daemons[d], h.daemons[d].life, h.now
+	for _, address := range x.lender.Due(h.now) {
+		renewal, ended := x.lender.Begin(h.now, address).WithDemands(x.limiter.Demands(h.now)), false
+		to, _ := strconv.Atoi(address)
+		h.after(callTimeout, func() {
+			if x.life == life && !ended {
+				ended = true
+				x.lender.Failed(address)
+			}
+		})
+		transit, ok := h.transit(d, to)
+		if !ok {
+			continue
+		}
+		h.deliver(to, transit, func() {
+			grant, ok := h.daemons[to].pool.Renew(h.now, renewal, func(string) (space.Workspace, bool) { return h.workspace, true })
+			back, passes := h.transit(to, d)
+			if !ok || !passes {
+				return
+			}
+			h.deliver(d, back, func() {
+				if x.life != life || ended {
+					return
+				}
+				ended = true
+				if !x.lender.Answered(h.now, address, grant) {
+					x.lender.Failed(address)
+					return
+				}
+				x.limiter.SetLeases(h.now, sentAt, grant)
+			})
+		})
+	}
+}
+
+// deliver runs something at a daemon once a message has arrived, and the daemon is not frozen.
+func (h *hosts) deliver(d int, transit time.Duration, run func()) {
+	if transit == 0 && !h.isFrozen(d) {
+		run()
+		return
+	}
+	h.after(transit, func() {
+		if frozen := h.daemons[d].frozen.Sub(h.now); frozen > 0 {
+			h.deliver(d, frozen, run)
+			return
+		}
+		run()
+	})
+}
+
+// request is a request of a caller at a daemon.
+func (h *hosts) request(d int) {
+	x := h.daemons[d]
+	if h.keeps && h.ideal < 1 {
+		return
+	}
+	h.ideal--
+	h.asked++
+	x.limiter.Ask(h.now, h.workspace)
+	token, verdict, _ := x.limiter.Take(h.now, h.workspace)
+	switch verdict {
+	case Admitted:
+		h.use(d, token)
+	case AskPool:
+		h.take(d, x.lender.Pools(h.now), maxTokenWait)
+	case Refused, Unknown:
+	}
+}
+
+// take asks pools for a token, one after the other.
+func (h *hosts) take(d int, pools []string, wait time.Duration) {
+	x, life, askedAt := h.daemons[d], h.daemons[d].life, h.now
+	if len(pools) == 0 {
+		x.limiter.Denied(h.now, h.workspace, wait)
+		return
+	}
+	to, _ := strconv.Atoi(pools[0])
+	ended := false
+	h.after(takeTimeout, func() {
+		if x.life == life && !ended {
+			ended = true
+			h.take(d, pools[1:], wait)
+		}
+	})
+	transit, ok := h.transit(d, to)
+	if !ok {
+		return
+	}
+	h.deliver(to, transit, func() {
+		retryAfter, granted := h.daemons[to].pool.Take(h.now, h.workspace)
+		back, passes := h.transit(to, d)
+		if !passes {
+			return
+		}
+		h.deliver(d, back, func() {
+			if x.life != life || ended {
+				return
+			}
+			ended = true
+			if granted {
+				h.use(d, NewToken(askedAt))
+				return
+			}
+			h.take(d, pools[1:], retryAfter)
+		})
+	})
+}
+
+// use sends a request, possibly some time after it got its token.
+func (h *hosts) use(d int, token Token) {
+	x, life := h.daemons[d], h.daemons[d].life
+	h.after(time.Duration(h.random.Float64()*float64(h.useDelay)), func() {
+		if x.life == life && token.Valid(h.now) && !h.isFrozen(d) {
+			h.sent = append(h.sent, h.now)
+		}
+	})
+}
+
+// fullest is the largest number of requests in a window, as a share of what may run.
+func (h *hosts) fullest() float64 {
+	a, most, first := h.workspace.Allowance, 0, 0
+	for i := range h.sent {
+		for h.sent[i].Sub(h.sent[first]) >= quotaWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return float64(most) / ((a.Rate*quotaWindow.Seconds()+a.Burst)*(1+allowedOverrun) + allowedExtra)
+}
+
+// misfortune brings about something at random.
+func (h *hosts) misfortune() string {
+	n := len(h.daemons)
+	share := []float64{0.1, 0.5, 1}[h.random.IntN(3)]
+	some := func(do func(d int)) {
+		for d := range n {
+			if h.random.Float64() < share {
+				do(d)
+			}
+		}
+	}
+	switch h.random.IntN(8) {
+	case 0:
+		some(h.start)
+		return fmt.Sprintf("%v of the daemons restart", share)
+	case 1:
+		some(h.start)
+		h.start(h.leader)
+		return fmt.Sprintf("%v of the daemons restart with the leader", share)
+	case 2:
+		h.leader = h.random.IntN(n)
+		for d := range n {
+			leader := h.leader
+			h.after(time.Duration(h.random.Float64()*float64(3*time.Second)), func() { h.learnLeader(d, leader) })
+		}
+		return "another leader"
+	case 3:
+		for d := range n {
+			h.group[d] = h.random.IntN(1 + h.random.IntN(4))
+		}
+		return "a partition into some parts"
+	case 4:
+		some(func(d int) { h.group[d] = d + worldZones })
+		return fmt.Sprintf("%v of the daemons are cut off", share)
+	case 5:
+		clear(h.group)
+		return "no partition"
+	case 6:
+		some(func(d int) {
+			h.daemons[d].frozen = h.now.Add(time.Duration(h.random.Float64() * float64(4*time.Second)))
+		})
+		return fmt.Sprintf("%v of the daemons freeze", share)
+	}
+	h.loss, h.delay = 0.3*h.random.Float64(), time.Duration(h.random.Float64()*float64(3*time.Second))
+	if h.random.IntN(2) == 0 {
+		h.loss, h.delay = 0, 3*time.Millisecond
+	}
+	return fmt.Sprintf("messages: loss %.2f, delay up to %v", h.loss, h.delay)
+}
--- a/io/process/router/allowance.go
+++ b/io/process/router/allowance.go
@@ -1,208 +1,252 @@
 package router
 
 import (
+	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
-	"catkinstep/core/connection/wire"
 	"catkinstep/core/process/quota"
+	"catkinstep/core/request/spread"
+	"catkinstep/core/version/fleet"
+	"catkinstep/core/version/space"
 	"catkinstep/io/connection/caller"
 )
 
 const (
 	// reasonOverAllowance means that the workspace sends more requests than its allowance.
 	reasonOverAllowance = "overAllowance"
-	// leaderContactTimeout is how long after the last contact with the leader, not counting a
-	// round of gossip, a daemon keeps to its steady rates: relays hear the leader every half
-	// second, and one message may be lost. Without a leader nobody limits a sudden load.
-	leaderContactTimeout = time.Second
-	// liveCountTTL is how long a relay's count of live daemons is used.
-	liveCountTTL = 2 * time.Second
-	// reportedShare is the share of the even part of an allowance below which a relay does not
-	// report the requests of a workspace.
-	reportedShare = 0.25
+	// reasonAllowanceUnknown means that no pool says whether the request is within the allowance.
+	reasonAllowanceUnknown = "allowanceUnknown"
+	// poolTimeout is how long a request waits for a pool: as long as a token that it gets would last.
+	// poolRetryDelay is how long requests are refused at
+	// once if there is no pool to ask.
+	poolTimeout    = 110 * time.Millisecond
+	poolRetryDelay = 100 * time.Millisecond
+	// maxShareWait is the share of the time until its deadline that a request waits for this daemon's share
+	// of the allowances after a start, and lendTime is how long it then takes to lend it.
+	maxShareWait = 0.3
+	lendTime     = 2 * tickInterval
+	// relaySilence is how long a relay that did not answer is not asked for tokens.
+	relaySilence = time.Second
 )
 
-// liveCount is a relay's count of the live daemons of its data centre.
-type liveCount struct {
-	daemons int
-	at      time.Time
+// tokenRelay is the daemon of the data centre that asks the pools of others for tokens.
+type tokenRelay struct {
+	address     string
+	silentUntil atomic.Int64 // in nanoseconds; see relaySilence
 }
 
-// allowances is the control loop's part in keeping workspaces within their allowances.
-type allowances struct {
-	// controller is only used while this daemon leads.
-	controller *quota.Controller
-	// liveCounts are by data centre.
-	liveCounts map[string]liveCount
-	// relayed are the counts of other daemons of the data centre since the last report.
-	relayed []quota.Count
+// allowanceToken is the token of a request for its next attempt.
+type allowanceToken struct {
+	quota.Token
+	workspace space.Workspace
+	held      bool
 }
 
-func newAllowances(now time.Time) allowances {
-	return allowances{controller: quota.NewController(now), liveCounts: map[string]liveCount{}}
-}
-
-// admitToAllowance decides whether a request is within the allowance of its workspace. If not,
-// it returns the reply, and nothing else is spent on the request.
-func (r *Router) admitToAllowance(req *request) *caller.Reply {
-	now := time.Now()
-	r.mu.Lock()
-	retryAfter, ok := r.workspaceLimiter.Admit(now, req.identity.workspace)
-	r.mu.Unlock()
+// admitToAllowance decides whether a request is within the allowance of its workspace. If not, it
+// returns the reply, and nothing else is spent on the request. Another daemon that sends the request to
+// a server decides on it itself.
+func (r *Router) admitToAllowance(ctx context.Context, req *request) *caller.Reply {
+	if r.cutOff.Load() || !req.identity.workspace.Allowance.Limited() {
+		return nil
+	}
+	r.countDemand(req)
+	reason, retryAfter, ok := r.takeAllowance(ctx, req)
 	if ok {
-		req.admittedAt = now
 		return nil
 	}
-	reply := r.refuse(caller.Refusal{ID: req.id, Status: http.StatusTooManyRequests, Reason: reasonOverAllowance, RetryAfter: retryAfter, MaybeRan: r.wasSentBefore(req)},
-		req.route.Name, "workspace", req.identity.workspace.Name)
+	reply := r.refuseRequest(req, reason, retryAfter, "workspace", req.identity.workspace.Name)
 	return &reply
 }
 
-// settleAllowance corrects what was taken from the allowance by the number of attempts that may
-// have run: none if the request was refused, more if it was sent again.
-func (r *Router) settleAllowance(req *request) {
+// countDemand counts a request for the demand of its workspace at this daemon.
+func (r *Router) countDemand(req *request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
-	if req.attempts.ran == 0 {
-		r.workspaceLimiter.Return(now, req.identity.workspace)
+	r.workspaceLimiter.Ask(r.now(), req.identity.workspace)
+}
+
+// ensureAllowance makes sure that the request has a token for an attempt that is about to be sent: a token
+// must be used soon, and the request may have waited. It returns the choice, as a refusal if there is no
+// token; the attempt has ended then.
+func (r *Router) ensureAllowance(ctx context.Context, req *request, server fleet.Server, choice spread.Choice) spread.Choice {
+	w := req.identity.workspace
+	if choice.Refused() || !w.Allowance.Limited() {
+		return choice
+	}
+	if req.token.held && req.token.workspace.Name == w.Name && req.token.Valid(r.now()) {
+		return choice
 	}
-	for range req.attempts.ran - 1 {
-		r.workspaceLimiter.Count(now, req.identity.workspace)
+	if req.carried && req.attempts.count() == 0 {
+		r.countDemand(req)
 	}
+	reason, retryAfter, ok := r.takeAllowance(ctx, req)
+	if ok {
+		return choice
+	}
+	choice.Reason, choice.RetryAfter = spread.Reason(reason), retryAfter
+	r.endUnsentAttempt(req, server, spread.Cancelled)
+	r.releasePermit(req)
+	return choice
 }
 
-// namedWorkspaces is how many workspaces metrics name.
-const namedWorkspaces = 20
+// takeAllowance takes a token for the request. It returns why there is none, and the time after which
+// callers should retry. While this daemon has just started, requests wait for its share as they do for the
+// lists from the store, if that is soon.
+func (r *Router) takeAllowance(ctx context.Context, req *request) (reason string, retryAfter time.Duration, ok bool) {
+	reason, retryAfter, ok = r.tryTakeAllowance(ctx, req)
+	if ok || reason != reasonAllowanceUnknown || !r.awaitShare(ctx, req) {
+		return reason, retryAfter, ok
+	}
+	return r.tryTakeAllowance(ctx, req)
+}
 
-// workspaceTotals returns the requests of the busiest workspaces, and of all others, for metrics.
-func (r *Router) workspaceTotals() any {
+// awaitShare waits until this daemon may lend its share for the first time. It returns false if that takes too
+// long for the request.
+func (r *Router) awaitShare(ctx context.Context, req *request) bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	top, rest := r.workspaceLimiter.Totals(namedWorkspaces)
-	return map[string]any{"top": top, "rest": rest}
+	wait := r.lender.FreeIn(r.now())
+	r.mu.Unlock()
+	if wait == 0 || wait > time.Duration(maxShareWait*float64(time.Until(req.deadline))) {
+		return false
+	}
+	sleep(ctx, wait+lendTime)
+	return ctx.Err() == nil
 }
 
-// lateSendDelay is how long after its admission a request counts as sent late: it may run in another
-// window than the one in which it was counted.
-const lateSendDelay = 250 * time.Millisecond
+// tryTakeAllowance is takeAllowance without waiting.
+func (r *Router) tryTakeAllowance(ctx context.Context, req *request) (reason string, retryAfter time.Duration, ok bool) {
+	w, now := req.identity.workspace, r.now()
+	r.mu.Lock()
+	r.giveBackToken(now, req)
+	token, verdict, retryAfter := r.workspaceLimiter.Take(now, w)
+	pools := r.lender.Pools(now)
+	r.mu.Unlock()
+	switch verdict {
+	case quota.Admitted:
+		r.metrics.increment("allowance.held")
+		req.token = allowanceToken{Token: token, workspace: w, held: true}
+		return "", 0, true
+	case quota.Refused:
+		return reasonOverAllowance, retryAfter, false
+	case quota.Unknown:
+		return reasonAllowanceUnknown, retryAfter, false
+	case quota.AskPool:
+	}
+	return r.askPools(ctx, req, pools)
+}
 
-// observeSend counts the attempts that the allowance of a workspace does not bound when they are made.
-func (r *Router) observeSend(now time.Time, req *request) {
-	if !req.identity.workspace.Allowance.Limited() {
-		return
+// askPools asks for a token: the relay of the data centre, which asks for many daemons, or the pools
+// themselves if there is none that answers.
+func (r *Router) askPools(ctx context.Context, req *request, pools []string) (reason string, retryAfter time.Duration, ok bool) {
+	w, askedAt := req.identity.workspace, r.now()
+	result := r.askRelay(ctx, w, pools)
+	if !result.answered {
+		askedAt = r.now()
+		result = r.askEach(ctx, pools, false, w.Name, 1)
 	}
-	r.metrics.increment("allowance.sent")
-	switch {
-	case req.carried:
-		r.metrics.increment("allowance.sentForOthers")
-	case req.attempts.ran > 0:
-		r.metrics.increment("allowance.furtherAttempts")
-	case now.Sub(req.admittedAt) > lateSendDelay:
-		r.metrics.increment("allowance.sentLate")
+	token := quota.NewToken(askedAt)
+	if result.granted > 0 && token.Valid(r.now()) {
+		r.metrics.increment("allowance.taken")
+		req.token = allowanceToken{Token: token, workspace: w, held: true}
+		return "", 0, true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !result.answered || result.granted > 0 {
+		r.metrics.increment("allowance.unanswered")
+		return reasonAllowanceUnknown, r.workspaceLimiter.Unanswered(r.now(), w, retryDelayOf(pools), r.lender.FreeIn(r.now())), false
 	}
+	r.metrics.increment("allowance.denied")
+	return reasonOverAllowance, r.workspaceLimiter.Denied(r.now(), w, result.wait), false
 }
 
-// logLeaderContact logs that this daemon found or lost the leader, with what it has sent for limited
-// workspaces by then.
-func (c *control) logLeaderContact(reachable bool, leader string) {
-	if c.r.leaderContact.Load().reachable == reachable {
-		return
+// retryDelayOf is how long requests are refused at once after no pool answered: not at all if there is one,
+// which may answer the next.
+func retryDelayOf(pools []string) time.Duration {
+	if len(pools) > 0 {
+		return 0
 	}
-	m := c.r.metrics
-	c.r.log.Info("allowances: contact with the leader", "reachable", reachable, "leader", leader, "daemons", c.members.Count(), "sent", m.value("allowance.sent"),
-		"furtherAttempts", m.value("allowance.furtherAttempts"), "sentLate", m.value("allowance.sentLate"), "sentForOthers", m.value("allowance.sentForOthers"))
-}
-
-// updateLeaderContact records whether this daemon has contact with the leader.
-func (c *control) updateLeaderContact(now time.Time) {
-	leader := c.r.current.Load().table.Leader.Daemon
-	reachable := c.keeper != nil || leader != "" && now.Sub(c.members.LastHeard(leader)) < leaderContactTimeout+c.members.GossipInterval()
-	c.logLeaderContact(reachable, leader)
-	contact := leaderContact{reachable: reachable, leading: c.keeper != nil, address: c.members.AddressOf(leader)}
-	if contact.leading {
-		contact.reachableShare = c.reachableShare(now)
-	}
-	c.r.leaderContact.Store(&contact)
-	c.r.mu.Lock()
-	defer c.r.mu.Unlock()
-	c.r.workspaceLimiter.SetLeaderReachable(time.Now(), reachable)
-}
-
-// takeUsages returns the counts of requests by workspace since the last report, with those that
-// a relay got from others.
-func (c *control) takeUsages(isRelay bool) []*wire.Usage {
-	c.r.mu.Lock()
-	counts := slices.Concat(c.allowances.relayed, c.r.workspaceLimiter.TakeCounts())
-	c.r.mu.Unlock()
-	c.allowances.relayed = nil
-	cfg, share := c.r.current.Load().config, c.localShare()
-	var out []*wire.Usage
-	for _, n := range quota.Sum(counts) {
-		w, _ := cfg.WorkspaceNamed(n.Workspace)
-		if isRelay && float64(n.Asked) < reportedShare*share*w.Allowance.Rate*countReportInterval.Seconds() {
-			continue // far below the allowance
+	return poolRetryDelay
+}
+
+// askRelay asks the relay for a token, if there is one that answers.
+func (r *Router) askRelay(ctx context.Context, w space.Workspace, pools []string) takeResult {
+	relay := r.tokenRelay.Load()
+	if relay == nil || relay.address == "" || slices.Contains(pools, relay.address) || r.now().Before(time.Unix(0, relay.silentUntil.Load())) {
+		return takeResult{}
+	}
+	result := r.callTake(ctx, takeTarget{address: relay.address}, w.Name, 1)
+	if !result.answered {
+		relay.silentUntil.Store(r.now().Add(relaySilence).UnixNano())
+	}
+	return result
+}
+
+// askEach asks pools for tokens, one after the other until there are as many.
+func (r *Router) askEach(ctx context.Context, pools []string, relayed bool, workspace string, count int) takeResult {
+	var out takeResult
+	for _, address := range pools {
+		result := r.callTake(ctx, takeTarget{address: address, relayed: relayed}, workspace, count-out.granted)
+		if !result.answered {
+			continue
+		}
+		out = takeResult{granted: out.granted + result.granted, wait: result.wait, answered: true}
+		if out.granted == count {
+			break
 		}
-		out = append(out, &wire.Usage{Workspace: n.Workspace, Asked: uint32(n.Asked), Admitted: int32(n.Admitted)})
 	}
 	return out
 }
 
-// localShare is the share of the daemons that are in this daemon's data centre.
-func (c *control) localShare() float64 {
-	_, local := c.members.LocalIndex()
-	return float64(local) / float64(c.members.Count())
+// returnToken gives back a token that the request did not use.
+func (r *Router) returnToken(req *request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.giveBackToken(r.now(), req)
 }
 
-func countsFromWire(usages []*wire.Usage) []quota.Count {
-	out := make([]quota.Count, 0, len(usages))
-	for _, u := range usages {
-		out = append(out, quota.Count{Workspace: u.Workspace, Asked: int(u.Asked), Admitted: int(u.Admitted)})
+// giveBackToken is returnToken with r.mu held.
+func (r *Router) giveBackToken(now time.Time, req *request) {
+	if req.token.held {
+		r.workspaceLimiter.Return(now, req.token.workspace, req.token.Token)
+		req.token = allowanceToken{}
 	}
-	return out
 }
 
-// reachableShare is the share of all daemons that the leader has contact with, by its own count
-// and those of the relays. A new leader has not heard from them yet.
-func (c *control) reachableShare(now time.Time) float64 {
-	if now.Sub(c.leadership.since) < liveCountTTL {
-		return 1
+// observeSend counts the attempts that are sent for workspaces with an allowance.
+func (r *Router) observeSend(req *request) {
+	if !req.identity.workspace.Allowance.Limited() {
+		return
 	}
-	live := c.members.LiveLocalCount(now)
-	for dataCentre, n := range c.allowances.liveCounts {
-		if dataCentre != c.r.self.DataCentre && now.Sub(n.at) < liveCountTTL {
-			live += n.daemons
-		}
+	r.metrics.increment("allowance.sent")
+	switch {
+	case req.carried:
+		r.metrics.increment("allowance.sentForOthers")
+	case req.attempts.ran > 0:
+		r.metrics.increment("allowance.furtherAttempts")
 	}
-	return min(1, float64(live)/float64(c.members.Count()))
 }
 
-// limitWorkspaces ends a window of the controller. It returns the limits, and whether daemons must
-// get them.
-func (c *control) limitWorkspaces(now time.Time) ([]quota.Limit, bool) {
-	limits, send := c.allowances.controller.Close(now, c.reachableShare(now), c.r.current.Load().config.WorkspaceNamed)
-	for _, l := range limits {
-		c.r.log.Debug("limits: workspace over its allowance", "workspace", l.Workspace, "fraction", l.Fraction, "wait", l.Wait.String(), "remaining", l.Remaining)
+// refusalStatus is the status of a refusal for a reason: beyond its allowance, a workspace is owed nothing.
+func refusalStatus(reason string) int {
+	if reason == reasonOverAllowance {
+		return http.StatusTooManyRequests
 	}
-	return limits, send
+	return http.StatusServiceUnavailable
 }
 
-func workspaceLimitsToWire(limits []quota.Limit) []*wire.WorkspaceLimit {
-	var out []*wire.WorkspaceLimit
-	for _, l := range limits {
-		out = append(out, &wire.WorkspaceLimit{Workspace: l.Workspace, Part: float32(l.Fraction), WaitMillis: millisOf(l.Wait)})
-	}
-	return out
-}
+// namedWorkspaces is how many workspaces metrics name.
+const namedWorkspaces = 20
 
-func workspaceLimitsFromWire(limits []*wire.WorkspaceLimit) []quota.Limit {
-	var out []quota.Limit
-	for _, l := range limits {
-		out = append(out, quota.Limit{Workspace: l.Workspace, Fraction: float64(l.Part), Wait: millis(l.WaitMillis)})
-	}
-	return out
+// workspaceTotals returns the requests of the busiest workspaces, and of all others, for metrics.
+func (r *Router) workspaceTotals() any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	top, rest := r.workspaceLimiter.Totals(namedWorkspaces)
+	return map[string]any{"top": top, "rest": rest}
 }
 
 // pruneWorkspaces forgets the workspaces that a new configuration no longer has.
--- a/io/process/router/allowance_test.go
+++ b/io/process/router/allowance_test.go
@@ -9,89 +9,169 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"catkinstep/core/connection/wire"
-	"catkinstep/core/process/keeper"
 	"catkinstep/core/process/member"
 	"catkinstep/core/process/quota"
-	"catkinstep/core/version/grant"
 	"catkinstep/core/version/space"
 )
 
 var limitedWorkspace = space.Workspace{Name: "mill", KeyHashes: millWorkspace.KeyHashes, Allowance: space.Allowance{Rate: 10, Burst: 10}}
 
-// newLimitedRouter returns a router with one limited workspace, which the leader refuses wholly.
+// lendToSelf lets a router run for some seconds in which it lends its share to its own pool.
+func (r *Router) lendToSelf() {
+	r.updateDaemons()
+	r.self.Address = "self:1"
+	for s := 61.0; s <= 66; s += 0.05 {
+		r.now = func() time.Time { return atSecond(s) }
+		r.control.renewAllowances(atSecond(s))
+	}
+	r.now = func() time.Time { return atSecond(66) }
+}
+
+// newLimitedRouter returns a router with one limited workspace, whose allowance is lent to its own pool.
 func newLimitedRouter() *Router {
 	r := newTestRouter()
 	r.now = func() time.Time { return atSecond(1) }
 	r.applyWorkspaces(1, atSecond(1), limitedWorkspace)
 	r.tickUntilBooted()
-	r.workspaceLimiter.SetLeaderReachable(time.Now(), true)
-	r.control.applyLimits(atSecond(1), holderLimits{epoch: 1, seq: 1, issuedAt: atSecond(1), workspaces: []quota.Limit{{Workspace: "mill"}}}, false)
+	r.lendToSelf()
 	return r
 }
 
+// useUp takes all that the router's pool has of the allowance.
+func (r *Router) useUp() (taken int) {
+	for {
+		if _, ok := r.pool.Take(r.now(), limitedWorkspace); !ok {
+			return taken
+		}
+		taken++
+	}
+}
+
 // Guards against requests beyond an allowance that cost other workspaces anything.
 func TestOverAllowance(t *testing.T) {
 	Convey("They get 429 with a time to come back, and neither a retry nor the load of a key is counted", t, func() {
 		r := newLimitedRouter()
+		So(r.useUp(), ShouldEqual, 10)
 		reply := r.handle(context.Background(), callerRequest("/x", keyHeader("k1")))
 		So(reply.Status, ShouldEqual, http.StatusTooManyRequests)
+		So(reply.Refusal.RetryAfter, ShouldBeGreaterThan, 0)
 		So(r.budgets, ShouldBeEmpty)
-		So(r.workspaceLimiter.TakeCounts(), ShouldResemble, []quota.Count{{Workspace: "mill", Asked: 1}})
+		top, _ := r.workspaceLimiter.Totals(1)
+		So(top, ShouldResemble, []quota.Total{{Workspace: "mill", Asked: 1, Refused: 1}})
 	})
 	Convey("Requests of other workspaces and on anonymous routes go on", t, func() {
 		r := newLimitedRouter()
-		r.applyWorkspaces(2, atSecond(1), limitedWorkspace, space.Workspace{Name: "yard", KeyHashes: []space.KeyHash{space.HashKey("k2")}, Allowance: space.Allowance{Rate: 10}})
+		r.useUp()
+		r.applyWorkspaces(2, atSecond(66), limitedWorkspace, space.Workspace{Name: "yard", KeyHashes: []space.KeyHash{space.HashKey("k2")}, Allowance: space.Allowance{Rate: 10, Burst: 10}})
 		So(r.handle(context.Background(), callerRequest("/x", keyHeader("k2"))).Status, ShouldEqual, http.StatusServiceUnavailable) // there is no server
 		So(r.handle(context.Background(), callerRequest("/open/x", keyHeader("k1"))).Status, ShouldEqual, http.StatusServiceUnavailable)
 	})
 }
 
+// Guards against requests that a daemon lets through by itself while no pool answers.
+func TestNoPoolAnswers(t *testing.T) {
+	Convey("They get 503, since they may be within the allowance, with a time to come back", t, func() {
+		r := newTestRouter()
+		r.now = func() time.Time { return atSecond(1) }
+		r.applyWorkspaces(1, atSecond(1), limitedWorkspace)
+		r.tickUntilBooted()
+		for range 3 {
+			reply := r.handle(context.Background(), callerRequest("/x", keyHeader("k1")))
+			So(reply.Status, ShouldEqual, http.StatusServiceUnavailable)
+			So(reply.Refusal.Reason, ShouldEqual, reasonAllowanceUnknown)
+			So(reply.Refusal.RetryAfter, ShouldBeGreaterThan, 0)
+		}
+	})
+}
+
 // Guards against an allowance that is used up by requests that were refused.
 func TestRefusedRequestsGiveBackTheirAllowance(t *testing.T) {
-	Convey("A request that no server ran does not count, and one that ran twice counts twice", t, func() {
+	Convey("A request that no server ran does not count", t, func() {
 		r := newLimitedRouter()
-		r.control.applyLimits(atSecond(1), holderLimits{epoch: 1, seq: 2, issuedAt: atSecond(1)}, false)
-		So(r.handle(context.Background(), callerRequest("/x", keyHeader("k1"))).Status, ShouldEqual, http.StatusServiceUnavailable)
-		So(r.workspaceLimiter.TakeCounts(), ShouldResemble, []quota.Count{{Workspace: "mill", Asked: 1}})
-		req := &request{identity: identity{workspace: limitedWorkspace}, attempts: attempts{ran: 2}}
-		So(r.admitToAllowance(req), ShouldBeNil)
-		r.settleAllowance(req)
-		So(r.workspaceLimiter.TakeCounts(), ShouldResemble, []quota.Count{{Workspace: "mill", Asked: 1, Admitted: 2}})
+		for range 5 {
+			So(r.handle(context.Background(), callerRequest("/x", keyHeader("k1"))).Status, ShouldEqual, http.StatusServiceUnavailable)
+		}
+		So(r.useUp(), ShouldEqual, 9) // one was taken, given back, and taken again
+	})
+	Convey("One that ran twice counts twice", t, func() {
+		s := &pipeServer{status: http.StatusInternalServerError}
+		r := newSiteRouter("a", s)
+		r.updateServers(atSecond(66), 20, serverItem("b", 15)) // for the second attempt
+		So(r.handle(context.Background(), lookupOf("/x")).Status, ShouldEqual, http.StatusInternalServerError)
+		So(s.runs, ShouldHaveLength, 2)
+		So(r.useUp(), ShouldEqual, 8)
 	})
 }
 
-// Guards against counts of workspaces that get lost, or count twice, on their way to the leader.
-func TestUsagesReachTheLeader(t *testing.T) {
-	Convey("A relay adds the counts of others to its own, and leaves out workspaces far below their allowance", t, func() {
-		r := newLimitedRouter()
-		r.control.members.AddDiscovered(member.Member{Name: "e", Address: "e", DataCentre: "x"})
-		r.control.receiveCounts(atSecond(2), &wire.Gossip{DataCentre: "x", Usages: []*wire.Usage{{Workspace: "mill", Asked: 40, Admitted: 30}, {Workspace: "mill", Asked: 2, Admitted: -1}}})
-		r.workspaceLimiter.Count(time.Now(), limitedWorkspace)
-		usages := r.control.takeUsages(true)
-		So(usages, ShouldHaveLength, 1)
-		So(usages[0].Asked, ShouldEqual, 42)
-		So(usages[0].Admitted, ShouldEqual, 30)
-		r.workspaceLimiter.Count(time.Now(), limitedWorkspace)
-		So(r.control.takeUsages(true), ShouldBeEmpty)
+// Guards against further attempts that run beyond an allowance.
+func TestFurtherAttemptNeedsAllowance(t *testing.T) {
+	Convey("A request that failed once is not sent again if its workspace has nothing left", t, func() {
+		s := &pipeServer{status: http.StatusInternalServerError}
+		r := newSiteRouter("a", s)
+		r.updateServers(atSecond(66), 20, serverItem("b", 15)) // for the second attempt
+		for range 9 {
+			_, ok := r.pool.Take(r.now(), limitedWorkspace)
+			So(ok, ShouldBeTrue)
+		}
+		So(r.handle(context.Background(), lookupOf("/x")).Status, ShouldEqual, http.StatusInternalServerError)
+		So(s.runs, ShouldHaveLength, 1)
+	})
+}
+
+// Guards against requests that are sent in another window than the one in which they were admitted.
+func TestLateAttemptNeedsAllowance(t *testing.T) {
+	Convey("A request that has waited needs a token again before it is sent", t, func() {
+		s := &pipeServer{status: http.StatusOK}
+		r := newSiteRouter("a", s)
+		req, rejection := r.resolve(r.current.Load(), lookupOf("/x"), "id", nil)
+		So(rejection, ShouldBeNil)
+		So(r.admitToAllowance(context.Background(), req), ShouldBeNil)
+		r.useUp()
+		r.now = func() time.Time { return atSecond(66.2) }
+		r.useUp()
+		reply := r.sendWithRetries(context.Background(), req)
+		So(reply.Status, ShouldEqual, http.StatusTooManyRequests)
+		So(s.runs, ShouldBeEmpty)
 	})
-	Convey("The leader limits a workspace that asks for more, and sends the limit on", t, func() {
+}
+
+// Guards against daemons whose shares and demands do not reach the pool of another daemon.
+func TestRenewalReachesPool(t *testing.T) {
+	Convey("The pool of another daemon gets the share, and grants leases for what is asked there", t, func() {
+		m := &linkedMesh{daemons: map[string]*Router{"b:1": newLimitedRouter()}}
+		large := limitedWorkspace
+		large.Allowance = space.Allowance{Rate: 100, Burst: 100}
+		b := m.daemons["b:1"]
+		b.applyWorkspaces(2, atSecond(66), large)
 		r := newLimitedRouter()
-		r.control.keeper = keeper.New(atSecond(60), grant.Table{Epoch: 2}, 1)
-		r.control.leadership.since = atSecond(50)
-		r.control.allowances.controller = quota.NewController(atSecond(60))
-		for i := range 4 {
-			r.control.addCounts(&wire.Gossip{Usages: []*wire.Usage{{Workspace: "mill", Asked: 100, Admitted: 100}}})
-			r.control.runKeeper(atSecond(61 + float64(i)))
+		r.mesh, r.self.Name = m, "e"
+		r.lender = quota.NewLender(atSecond(60), "e", 7)
+		for s := 66.0; s <= 70; s += 0.05 {
+			now := atSecond(s)
+			r.now, b.now = func() time.Time { return now }, func() time.Time { return now }
+			for range 2 {
+				r.workspaceLimiter.Ask(now, large)
+			}
+			b.pool.SetDaemons(now, 2, true)
+			r.lender.SetDaemons(2, true)
+			r.lender.SetPools([]string{"b:1"})
+			for i, address := range r.lender.Due(now) {
+				r.renewAt(address, now, r.lender.Begin(now, address).WithDemands(r.workspaceLimiter.Demands(now)), i%2 == 0)
+			}
 		}
-		So(r.control.limits.epoch, ShouldEqual, 2)
-		So(r.control.limits.workspaces, ShouldHaveLength, 1)
-		sent := r.control.limits.toWire(atSecond(65))
-		So(sent.Workspaces[0].Workspace, ShouldEqual, "mill")
-		So(sent.Workspaces[0].Part, ShouldBeLessThan, 0.2)
+		So(b.pool.Share(b.now()), ShouldEqual, 0.5) // b itself no longer renews
+		_, verdict, _ := r.workspaceLimiter.Take(r.now().Add(100*time.Millisecond), large)
+		So(verdict, ShouldEqual, quota.Admitted)
+	})
+	Convey("An overtaken renewal is not answered", t, func() {
+		r := newLimitedRouter()
+		m := &wire.Renewal{Daemon: "e", Incarnation: 1, Seq: 2}
+		So(r.handleCall(context.Background(), &wire.Call{Kind: &wire.Call_Renewal{Renewal: m}}).Grant, ShouldNotBeNil)
+		So(r.handleCall(context.Background(), &wire.Call{Kind: &wire.Call_Renewal{Renewal: m}}).Grant, ShouldBeNil)
 	})
 }
 
-// Guards against more requests than the allowance while daemons are cut off: they use a part
+// Guards against more requests than the limit of a server while daemons are cut off: they use a part
 // that the leader must leave to them.
 func TestLeaderCountsReachableDaemons(t *testing.T) {
 	Convey("Data centres whose relays are silent do not count, except for a new leader", t, func() {
@@ -107,3 +187,54 @@
 		So(r.control.reachableShare(atSecond(13)), ShouldEqual, 0.25)
 	})
 }
+
+// Guards against requests of a data centre that each ask another one for a token, and against a relay that is
+// taken for a pool while nothing is lent to it.
+func TestRelayTakesForOthers(t *testing.T) {
+	Convey("A daemon gets tokens by way of the relay, from the pool that the relay uses", t, func() {
+		m := &linkedMesh{daemons: map[string]*Router{"leader:1": newLimitedRouter(), "relay:1": newLimitedRouter()}}
+		relay := m.daemons["relay:1"]
+		relay.mesh, relay.self.Address, relay.pool = m, "relay:1", quota.NewPool(relay.now(), 5)
+		relay.lender = quota.NewLender(relay.now(), "relay", 5)
+		relay.lender.SetPools([]string{"leader:1"})
+		r := newLimitedRouter()
+		r.mesh = m
+		r.lender.SetPools([]string{"leader:1"})
+		r.tokenRelay.Store(&tokenRelay{address: "relay:1"})
+		result := r.askRelay(context.Background(), limitedWorkspace, []string{"leader:1"})
+		So(result, ShouldResemble, takeResult{granted: 1, answered: true})
+		So(m.daemons["leader:1"].useUp(), ShouldEqual, 9)
+		result = r.askRelay(context.Background(), limitedWorkspace, []string{"leader:1"})
+		So(result.granted, ShouldEqual, 0)
+		So(result.answered, ShouldBeTrue)
+		So(result.wait, ShouldBeGreaterThan, 0)
+	})
+	Convey("A relay that reaches no pool is left out, and the pools are asked", t, func() {
+		m := &linkedMesh{daemons: map[string]*Router{"leader:1": newLimitedRouter(), "relay:1": newLimitedRouter()}}
+		relay := m.daemons["relay:1"]
+		relay.mesh, relay.self.Address, relay.pool = m, "relay:1", quota.NewPool(relay.now(), 5)
+		relay.lender = quota.NewLender(relay.now(), "relay", 5)
+		r := newLimitedRouter()
+		r.mesh = m
+		r.lender.SetPools([]string{"leader:1"})
+		r.tokenRelay.Store(&tokenRelay{address: "relay:1"})
+		req, rejection := r.resolve(r.current.Load(), callerRequest("/x", keyHeader("k1")), "id", nil)
+		So(rejection, ShouldBeNil)
+		_, _, ok := r.askPools(context.Background(), req, []string{"leader:1"})
+		So(ok, ShouldBeTrue)
+		So(r.now().Before(time.Unix(0, r.tokenRelay.Load().silentUntil.Load())), ShouldBeTrue)
+	})
+	Convey("Questions that come while one is under way are asked with the next one", t, func() {
+		m := &linkedMesh{daemons: map[string]*Router{"leader:1": newLimitedRouter()}}
+		r := newLimitedRouter()
+		r.mesh = m
+		first, target := &pendingTake{workspace: "mill", count: 1, done: make(chan struct{})}, takeTarget{address: "leader:1"}
+		So(r.takes.add(target, first), ShouldBeTrue)
+		second := &pendingTake{workspace: "mill", count: 2, done: make(chan struct{})}
+		So(r.takes.add(target, second), ShouldBeFalse)
+		r.sendTakes(target)
+		So(first.result.granted, ShouldEqual, 1)
+		So(second.result.granted, ShouldEqual, 2)
+		So(r.takes.queues, ShouldBeEmpty)
+	})
+}
--- a/io/process/router/apply.go
+++ b/io/process/router/apply.go
@@ -123,7 +123,6 @@
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
 	c.r.daemonCount = c.members.Count()
-	c.r.workspaceLimiter.SetDaemons(c.members.Count())
 	localIndex, localCount := c.members.LocalIndex()
 	members := spread.Members{Self: c.r.self.Name, Others: c.members.PeerNames(), Complete: !c.caches[object.Daemons].CurrentAt().IsZero()}
 	c.r.balancer.SetLimits(c.r.coldLimits().WithMembers(members).WithLocalDaemons(localCount, localIndex))
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -40,6 +40,7 @@
 			choice = r.ensurePermit(ctx, req, server, choice)
 		}
 		choice = r.ensureToken(ctx, req, server, choice)
+		choice = r.ensureAllowance(ctx, req, server, choice)
 		if choice.Reason == reasonServerContended && req.tryOtherServer(server) {
 			continue
 		}
@@ -128,7 +129,7 @@
 	if !req.route.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
-	r.observeSend(time.Now(), req)
+	r.observeSend(req)
 	timeLeft := time.Until(req.deadline) - responseTransitTime
 	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(responseMargin))
 	defer cancel()
@@ -179,6 +180,7 @@
 	notRun := err != nil && link.NotRun(err) || err == nil && resp.Declined
 	if !notRun {
 		req.attempts.ran++
+		req.token = allowanceToken{} // it may be used for one run
 	}
 	if link.KindOf(err) == link.ConnectionLost {
 		r.recordLoss(req, server.ID)
--- a/io/process/router/benchmark_test.go
+++ b/io/process/router/benchmark_test.go
@@ -11,7 +11,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"catkinstep/core/connection/names"
-	"catkinstep/core/connection/wire"
 	"catkinstep/core/process/quota"
 	"catkinstep/core/version/config"
 	"catkinstep/core/version/space"
@@ -25,7 +24,8 @@
 		{Name: "closed", Host: "h", Prefix: "/", Destinations: []config.Destination{{Service: "s", Weight: 1}}, Timeout: time.Second, LatencyTarget: time.Second}}}.WithIndex()))
 	limited := newTestRouter()
 	limited.applyWorkspaces(1, t0, limitedWorkspace)
-	limited.workspaceLimiter.SetLeaderReachable(time.Now(), true)
+	limited.tickUntilBooted()
+	limited.lendToSelf()
 	for name, r := range map[string]*Router{"without": open, "withKeyAndAllowance": limited} {
 		b.Run(name, func(b *testing.B) {
 			q := callerRequest("/x", nil)
@@ -35,9 +35,10 @@
 				if rejection != nil {
 					b.Fatal(rejection.Status)
 				}
-				if _, ok := r.workspaceLimiter.Admit(time.Now(), req.identity.workspace); ok {
-					r.workspaceLimiter.Return(time.Now(), req.identity.workspace)
+				if r.admitToAllowance(b.Context(), req) != nil {
+					b.Fatal("refused")
 				}
+				r.returnToken(req)
 				if r.updateWorkspace(r.current.Load(), req) != nil {
 					b.Fatal("key not found")
 				}
@@ -49,6 +50,7 @@
 // BenchmarkRefusal measures what a request beyond its allowance costs.
 func BenchmarkRefusal(b *testing.B) {
 	r := newLimitedRouter()
+	r.useUp()
 	for b.Loop() {
 		r.handle(b.Context(), callerRequest("/x", keyHeader("k1")))
 	}
@@ -56,7 +58,7 @@
 
 // BenchmarkManyWorkspaces measures what ten thousand workspaces cost a daemon and the leader.
 func BenchmarkManyWorkspaces(b *testing.B) {
-	const workspaces, limited = 10_000, 100
+	const workspaces = 10_000
 	heapMB := func() float64 {
 		runtime.GC()
 		var m runtime.MemStats
@@ -76,29 +78,22 @@
 		b.Fatal(err)
 	}
 	limiter, now := quota.NewLimiter(1), time.Unix(1000, 0)
-	limiter.SetLeaderReachable(now, true)
 	for _, w := range c.Workspaces {
-		limiter.Admit(now, w)
+		limiter.Ask(now, w)
 	}
-	withCounts := heapMB()
-	counts := limiter.TakeCounts()
-	report, limits := &wire.Gossip{}, &wire.Limits{}
-	for i, n := range counts {
-		report.Usages = append(report.Usages, &wire.Usage{Workspace: n.Workspace, Asked: 40, Admitted: 40})
-		if i < limited {
-			limits.Workspaces = append(limits.Workspaces, &wire.WorkspaceLimit{Workspace: n.Workspace, Part: 0.3, WaitMillis: 700})
-		}
-	}
-	controller := quota.NewController(now)
+	withDemands := heapMB()
+	pool, demands := quota.NewPool(now, 1), limiter.Demands(now)
+	renewal := quota.Renewal{Daemon: "e", Incarnation: 1, Pool: 1, Loan: time.Hour, Demands: demands}
+	var grant quota.Grant
 	for b.Loop() {
 		now = now.Add(500 * time.Millisecond)
-		controller.Add(counts)
-		controller.Close(now, 1, c.WorkspaceNamed)
+		renewal.Seq++
+		grant, _ = pool.Renew(now, renewal, c.WorkspaceNamed)
 	}
 	b.ReportMetric(withDirectory-empty, "directoryMB")
-	b.ReportMetric(withCounts-withDirectory, "countsMB")
+	b.ReportMetric(withDemands-withDirectory, "demandsMB")
 	b.ReportMetric(float64(len(encoded))/1e6, "configMB")
-	b.ReportMetric(float64(proto.Size(report))/workspaces, "reportBytes/workspace")
-	b.ReportMetric(float64(proto.Size(limits))/limited, "limitBytes/workspace")
+	b.ReportMetric(float64(proto.Size(renewalToWire(renewal)))/workspaces, "renewalBytes/workspace")
+	b.ReportMetric(float64(proto.Size(grantToWire(grant)))/float64(max(1, len(grant.Leases))), "leaseBytes")
 	runtime.KeepAlive(c)
 }
--- a/io/process/router/carried.go
+++ b/io/process/router/carried.go
@@ -34,8 +34,9 @@
 	return r.tomb.Alive() && !r.stopping.Load() && !r.cutOff.Load() && r.current.Load().configured && r.carriedRunning.Load() < maxCarried
 }
 
-// handleCarry serves a request for another daemon. It counts neither for the allowance of its workspace
-// nor for the demand nor the retry budget of its service: the other daemon has counted it.
+// handleCarry serves a request for another daemon. It counts neither for the demand nor the retry
+// budget of its service: the other daemon has counted it. Its tokens of an allowance are taken here, where
+// it is sent to a server.
 func (r *Router) handleCarry(ctx context.Context, m *wire.Carry) *wire.Reply {
 	r.carriedRunning.Add(1)
 	defer r.carriedRunning.Add(-1)
@@ -52,6 +53,7 @@
 	}
 	sentBefore := req.attempts.sent
 	reply := r.sendWithRetries(ctx, req)
+	r.returnToken(req)
 	req.attempts.sent -= sentBefore // the other daemon counts those itself
 	return carryReply(reply, req)
 }
--- a/io/process/router/carry.go
+++ b/io/process/router/carry.go
@@ -152,7 +152,7 @@
 
 // otherCarrierReasons are the reasons of refusals that another daemon may not have: they are due to the
 // daemon's own host, links or configuration.
-var otherCarrierReasons = []string{reasonNotCarrying, reasonNoConfig, reasonNoRoute, reasonUnknownAPIKey, reasonConfigOutdated, string(spread.ServerUnreachable), string(spread.ConnectionLimit)}
+var otherCarrierReasons = []string{reasonNotCarrying, reasonNoConfig, reasonNoRoute, reasonUnknownAPIKey, reasonConfigOutdated, reasonAllowanceUnknown, string(spread.ServerUnreachable), string(spread.ConnectionLimit)}
 
 // carryMessage returns the message that asks another daemon to serve a request.
 func (r *Router) carryMessage(req *request) *wire.Carry {
--- a/io/process/router/carry_test.go
+++ b/io/process/router/carry_test.go
@@ -17,7 +17,6 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"catkinstep/core/connection/wire"
-	"catkinstep/core/process/quota"
 	"catkinstep/core/process/reach"
 	"catkinstep/core/request/carry"
 	"catkinstep/core/version/config"
@@ -67,6 +66,14 @@
 	lostReply bool
 }
 
+func (m *linkedMesh) Call(ctx context.Context, address string, call *wire.Call) (*wire.Reply, error) {
+	return m.daemons[address].handleMeshCall(ctx, call), nil
+}
+
+func (m *linkedMesh) CallShared(ctx context.Context, address string, call *wire.Call) (*wire.Reply, error) {
+	return m.Call(ctx, address, call)
+}
+
 func (m *linkedMesh) CallBulk(ctx context.Context, address string, call *wire.Call) (*wire.Reply, error) {
 	m.calls = append(m.calls, address)
 	err := m.failWith[address]
@@ -91,7 +98,7 @@
 	v, _ := json.Marshal(config.Config{Version: 1, Routes: []config.Route{route, book}, Services: []config.Service{{Name: "s"}}, KeysRequired: true, Workspaces: []space.Workspace{limitedWorkspace}})
 	r.control.update(atSecond(1), deltaMsg{delta: object.Delta{Kind: object.Config, Through: 1, CurrentAt: atSecond(1), Items: []object.Item{{Name: "main", Revision: 1, Value: v}}}})
 	r.tickUntilBooted()
-	r.workspaceLimiter.SetLeaderReachable(time.Now(), true)
+	r.lendToSelf()
 	return r
 }
 
@@ -132,8 +139,8 @@
 		So(string(reply.Body), ShouldEqual, "hi")
 		So(s.runs, ShouldResemble, []string{"GET /x?y=1"})
 		So(m.calls, ShouldHaveLength, 1)
-		So(r.workspaceLimiter.TakeCounts(), ShouldResemble, []quota.Count{{Workspace: "mill", Asked: 1, Admitted: 1}})
-		So(m.daemons[m.calls[0]].workspaceLimiter.TakeCounts(), ShouldBeEmpty)
+		So(r.useUp(), ShouldEqual, 10)
+		So(m.daemons[m.calls[0]].useUp(), ShouldEqual, 9)
 	})
 	Convey("A server's failure is passed on after the retries of one daemon", t, func() {
 		r, m, s := newCutOffRouter()
@@ -144,6 +151,21 @@
 	})
 }
 
+// Guards against requests of a host without links that run beyond an allowance at the daemon that carries them.
+func TestCarriedRequestNeedsAllowance(t *testing.T) {
+	Convey("The caller gets 429, since the request did not run, and no other daemon is asked", t, func() {
+		r, m, s := newCutOffRouter()
+		for _, d := range m.daemons {
+			d.useUp()
+		}
+		reply := r.handle(context.Background(), booking())
+		So(reply.Status, ShouldEqual, http.StatusTooManyRequests)
+		So(reply.Refusal.RetryAfter, ShouldBeGreaterThan, 0)
+		So(s.runs, ShouldBeEmpty)
+		So(m.calls, ShouldHaveLength, 1)
+	})
+}
+
 // Guards against requests that go from host to host, and against refusals that are late or untrue.
 func TestCarriedRequestEndsAtOneHost(t *testing.T) {
 	Convey("A daemon that reaches no servers itself declines, and the next one serves", t, func() {
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -89,10 +89,13 @@
 	stored            storedTable
 	clusterCounts     *clusterCounts
 	limits            holderLimits
-	allowances        allowances
-	startedAt         time.Time
-	boot              boot.Boot
-	reach             *reach.Monitor
+	// liveCounts are the relays' counts of live daemons, by data centre.
+	liveCounts map[string]liveCount
+	// loggedShare is the share of the allowances that this daemon's pool had when that was last logged.
+	loggedShare float64
+	startedAt   time.Time
+	boot        boot.Boot
+	reach       *reach.Monitor
 	// pendingOffers holds the daemons that are being asked whether they carry requests.
 	pendingOffers map[string]bool
 }
@@ -110,7 +113,7 @@
 		tables:          tableHistory{encoded: map[uint64][]byte{}},
 		lastCountReport: countReport{sentAt: now},
 		clusterCounts:   newClusterCounts(),
-		allowances:      newAllowances(now),
+		liveCounts:      map[string]liveCount{},
 		startedAt:       now,
 		boot:            boot.New(now),
 		reach:           reach.New(seedOf(r.self)),
@@ -188,6 +191,7 @@
 	c.recordLoaded(now, "")
 	c.refreshIssuers(now)
 	c.updateLeaderContact(now)
+	c.renewAllowances(now)
 	c.checkReach(now)
 	c.offerCarry(now)
 	c.confirmLosses(now)
--- a/io/process/router/counts.go
+++ b/io/process/router/counts.go
@@ -17,7 +17,7 @@
 	leaderEpoch uint64
 }
 
-// sendCounts reports the requests for keys and of workspaces, and the slowdowns of servers, twice
+// sendCounts reports the requests for keys and the slowdowns of servers, twice
 // a second. The report goes to a relay of the data centre and from there to the leader, which
 // receives one message per relay instead of one per daemon.
 func (c *control) sendCounts(now time.Time, isRelay bool) {
@@ -28,7 +28,6 @@
 	previous := c.lastCountReport
 	c.lastCountReport = countReport{sentAt: now, leaderEpoch: c.r.current.Load().table.Epoch}
 	message.Heat, message.Paces = c.r.takeCounts(previous.relayedStats, c.lastCountReport.leaderEpoch != previous.leaderEpoch)
-	message.Usages = c.takeUsages(isRelay)
 	if c.keeper != nil {
 		c.addCounts(message)
 		return
@@ -45,14 +44,11 @@
 // hasCounts reports whether a gossip message contains counts of requests or statistics of
 // servers.
 func hasCounts(message *wire.Gossip) bool {
-	return len(message.Heat)+len(message.Paces)+len(message.Usages) > 0
+	return len(message.Heat)+len(message.Paces) > 0
 }
 
 // addCounts adds the counts of one or more daemons to the leader's sums.
-func (c *control) addCounts(message *wire.Gossip) {
-	c.clusterCounts.add(message)
-	c.allowances.controller.Add(countsFromWire(message.Usages))
-}
+func (c *control) addCounts(message *wire.Gossip) { c.clusterCounts.add(message) }
 
 // receiveCounts handles another daemon's counts. The leader adds them up; a relay forwards
 // them with its own.
@@ -63,7 +59,6 @@
 	case hasCounts(message) && message.DataCentre == c.r.self.DataCentre && c.members.IsRelay(now):
 		c.r.addBucketLoads(message.Heat)
 		c.lastCountReport.relayedStats = append(c.lastCountReport.relayedStats, message.Paces...)
-		c.allowances.relayed = append(c.allowances.relayed, countsFromWire(message.Usages)...)
 	}
 }
 
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -45,7 +45,7 @@
 }
 
 // lastRuns holds when each periodic task last ran.
-type lastRuns struct{ localGossip, leaderGossip, remoteGossip, seedGossip, issuerList, standbyCheck, storedTableFetch, reachCheck, carryOffer time.Time }
+type lastRuns struct{ localGossip, leaderGossip, remoteGossip, seedGossip, issuerList, standbyCheck, storedTableFetch, reachCheck, carryOffer, usageReport time.Time }
 
 // due reports whether a task that last ran at *last is due again. If so, it sets *last to now.
 func (c *control) due(now time.Time, last *time.Time, interval time.Duration) bool {
@@ -235,7 +235,7 @@
 		c.updateShares()
 	}
 	if g.Live > 0 {
-		c.allowances.liveCounts[g.DataCentre] = liveCount{daemons: int(g.Live), at: now}
+		c.liveCounts[g.DataCentre] = liveCount{daemons: int(g.Live), at: now}
 	}
 }
 
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"catkinstep/core/process/keeper"
-	"catkinstep/core/process/quota"
 	"catkinstep/core/version/grant"
 	"catkinstep/core/version/object"
 	"catkinstep/io/connection/link"
@@ -80,7 +79,7 @@
 	c.leadership = leaderState{previous: m.previous.Leader, hasLed: true, since: now}
 	c.members.RecordStoreResponse(now)
 	c.keeper = keeper.New(now, m.table, m.revision, keeper.WithGrantTTL(c.r.grantTTL))
-	c.clusterCounts, c.allowances.controller = newClusterCounts(), quota.NewController(now)
+	c.clusterCounts = newClusterCounts()
 	c.r.resetIssuer()
 	c.r.log.Info("keys: leading", "epoch", m.table.Epoch, "before", c.leadership.previous.Daemon, "revision", m.revision)
 	c.updateKeeperFleet(now)
@@ -102,9 +101,6 @@
 	for _, l := range c.clusterCounts.closeWindow(now, s.config, s.fleet, c.r.rateLimitsByServer()) {
 		c.updateKeeper(now, l)
 	}
-	if workspaces, send := c.limitWorkspaces(now); send {
-		c.issueLimits(now, func(l *holderLimits) { l.workspaces = workspaces })
-	}
 	c.updateKeeper(now, keeper.TickMsg{})
 }
 
--- a/io/process/router/limits.go
+++ b/io/process/router/limits.go
@@ -5,7 +5,6 @@
 
 	"catkinstep/core/connection/wire"
 	"catkinstep/core/process/keeper"
-	"catkinstep/core/process/quota"
 	"catkinstep/core/request/admit"
 	"catkinstep/core/request/spread"
 )
@@ -14,14 +13,12 @@
 // together than it can respond to in time.
 const reasonKeyOverloaded spread.Reason = "keyOverloaded"
 
-// holderLimits are the leader's limits for overloaded holders, its list of contended servers, and
-// its limits for workspaces that ask for more than their allowance.
+// holderLimits are the leader's limits for overloaded holders, and its list of contended servers.
 type holderLimits struct {
 	epoch, seq   uint64
 	issuedAt     time.Time
 	bucketLimits []admit.Limit
 	contended    []string
-	workspaces   []quota.Limit
 }
 
 func (l holderLimits) newerThan(other holderLimits) bool {
@@ -33,7 +30,7 @@
 
 // toWire returns the message for other daemons.
 func (l holderLimits) toWire(now time.Time) *wire.Limits {
-	out := &wire.Limits{Epoch: l.epoch, Seq: l.seq, AgeMillis: ageMillis(now, l.issuedAt), Contended: l.contended, Workspaces: workspaceLimitsToWire(l.workspaces)}
+	out := &wire.Limits{Epoch: l.epoch, Seq: l.seq, AgeMillis: ageMillis(now, l.issuedAt), Contended: l.contended}
 	for _, x := range l.bucketLimits {
 		out.Limits = append(out.Limits, &wire.Limit{Service: x.Service, Bucket: uint32(x.Bucket), Part: float32(x.Fraction)})
 	}
@@ -45,7 +42,7 @@
 	if m == nil {
 		return
 	}
-	l := holderLimits{epoch: m.Epoch, seq: m.Seq, issuedAt: timeFromAge(now, m.AgeMillis), contended: m.Contended, workspaces: workspaceLimitsFromWire(m.Workspaces)}
+	l := holderLimits{epoch: m.Epoch, seq: m.Seq, issuedAt: timeFromAge(now, m.AgeMillis), contended: m.Contended}
 	for _, x := range m.Limits {
 		l.bucketLimits = append(l.bucketLimits, admit.Limit{Service: x.Service, Bucket: int(x.Bucket), Fraction: float64(x.Part)})
 	}
@@ -59,8 +56,8 @@
 	if !l.newerThan(c.limits) {
 		return
 	}
-	if len(l.bucketLimits) == 0 != (len(c.limits.bucketLimits) == 0) || len(l.contended) == 0 != (len(c.limits.contended) == 0) || len(l.workspaces) == 0 != (len(c.limits.workspaces) == 0) {
-		c.r.log.Info("limits: changed", "buckets", len(l.bucketLimits), "contended", len(l.contended), "workspaces", len(l.workspaces), "epoch", l.epoch, "seq", l.seq, "age", now.Sub(l.issuedAt).String())
+	if len(l.bucketLimits) == 0 != (len(c.limits.bucketLimits) == 0) || len(l.contended) == 0 != (len(c.limits.contended) == 0) {
+		c.r.log.Info("limits: changed", "buckets", len(l.bucketLimits), "contended", len(l.contended), "epoch", l.epoch, "seq", l.seq, "age", now.Sub(l.issuedAt).String())
 	}
 	c.limits = l
 	// now comes from the control loop's clock, but requests use time.Now: convert the time.
@@ -68,7 +65,6 @@
 	c.r.mu.Lock()
 	c.r.admission.SetLimits(issuedAt, l.bucketLimits)
 	c.r.permits.setContended(issuedAt, l.contended)
-	c.r.workspaceLimiter.SetLimits(issuedAt, l.workspaces)
 	c.r.mu.Unlock()
 	var targets []string
 	if issuedHere || c.members.IsRelay(now) {
--- a/io/process/router/mesh.go
+++ b/io/process/router/mesh.go
@@ -80,6 +80,12 @@
 		return &wire.Reply{Permit: r.issuePermit(kind.Permit)}
 	case *wire.Call_Token:
 		return r.handleToken(kind.Token)
+	case *wire.Call_Renewal:
+		if grant := r.handleRenewal(kind.Renewal); grant != nil {
+			return &wire.Reply{Grant: grant}
+		}
+	case *wire.Call_Take:
+		return &wire.Reply{Take: r.handleTake(ctx, kind.Take)}
 	case *wire.Call_CarryOffer:
 		return &wire.Reply{CarryOffer: &wire.CarryOfferReply{Willing: r.carriesRequests()}}
 	case *wire.Call_Carry:
--- a/io/process/router/refuse.go
+++ b/io/process/router/refuse.go
@@ -8,7 +8,7 @@
 	"catkinstep/io/connection/caller"
 )
 
-// giveUp ends a request without another attempt. Status 503 means that the request did not
+// giveUp ends a request without another attempt. Status 503 or 429 means that the request did not
 // run, and comes with a time after which to retry. With 502 and 504 the request may have
 // run.
 func (r *Router) giveUp(req *request, choice spread.Choice, reason string, retryAfter time.Duration) caller.Reply {
@@ -39,7 +39,7 @@
 // caller would submit the request again under a new ID and it could run twice.
 func (r *Router) refuseRequest(req *request, reason string, retryAfter time.Duration, attrs ...any) caller.Reply {
 	r.recordBusyRefusal(reason)
-	refusal := caller.Refusal{ID: req.id, Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: retryAfter, MaybeRan: r.wasSentBefore(req)}
+	refusal := caller.Refusal{ID: req.id, Status: refusalStatus(reason), Reason: reason, RetryAfter: retryAfter, MaybeRan: r.wasSentBefore(req)}
 	if refusal.MaybeRan {
 		attrs = append(attrs, "earlierTry", "mayHaveRun")
 	}
--- a/io/process/router/request.go
+++ b/io/process/router/request.go
@@ -28,8 +28,8 @@
 	// carried is set if another daemon, whose host reaches no servers, has sent the request. It is not
 	// sent on to a third.
 	carried bool
-	// admittedAt is when the allowance of its workspace admitted it.
-	admittedAt time.Time
+	// token is what it has of the allowance of its workspace, for the next attempt.
+	token allowanceToken
 	// admitted is set once the limits for overloaded holders have admitted the request.
 	admitted bool
 	// rangeOpensBy is the time by which its range very probably opens, if the range is closed.
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -65,6 +65,9 @@
 	limitedServers atomic.Int64
 	// carriedRunning is the number of requests that are served for other daemons.
 	carriedRunning atomic.Int64
+	// tokenRelay is the daemon that asks for tokens of allowances on behalf of this one.
+	tokenRelay atomic.Pointer[tokenRelay]
+	takes      takeQueues
 	// leaderContact says whom to ask for tokens.
 	leaderContact atomic.Pointer[leaderContact]
 	listening     chan struct{} // closed once all addresses are listened on
@@ -92,10 +95,15 @@
 	unansweredBuffer piggybackBuffer[sentRecord]
 	burnMeter        *burn.Meter
 	// reopenEstimator estimates how long ranges stay closed.
-	reopenEstimator  *reopen.Estimator
-	admission        *admit.Limiter
-	workspaceLimiter *quota.Limiter // keeps workspaces within their allowances
-	fairness         *fair.Meter    // finds the workspaces that would push out others
+	reopenEstimator *reopen.Estimator
+	admission       *admit.Limiter
+	// workspaceLimiter holds the leases of this daemon on the allowances of workspaces. lender decides to
+	// which pool its share of them is lent, and pool is what other daemons lend to it.
+	workspaceLimiter *quota.Limiter
+	lender           *quota.Lender
+	pool             *quota.Pool
+	loggedLoan       uint64      // the pool whose loan was logged last
+	fairness         *fair.Meter // finds the workspaces that would push out others
 	permits          permits
 	// rateLimits are the limits that servers have named, and issuer issues tokens for them while
 	// this daemon leads.
@@ -153,6 +161,7 @@
 	r.reopenEstimator = reopen.New()
 	seed := seedOf(r.self)
 	r.admission, r.workspaceLimiter = admit.NewLimiter(seed), quota.NewLimiter(seed)
+	r.lender, r.pool = quota.NewLender(r.now(), s.Name, r.self.Incarnation), quota.NewPool(r.now(), seed)
 	r.fairness = fair.NewMeter()
 	r.carriers = carry.New(s.Name)
 	r.rateLimits, r.issuer = limit.NewTable(), limit.NewIssuer()
@@ -253,6 +262,7 @@
 	_ = l.Close()
 	r.callers.Shutdown(ctx)
 	r.awaitCarried(ctx)
+	r.awaitLoans(ctx)
 	r.log.Info("router: stopped", "running", r.callers.Running(), "took", time.Since(startedAt).String())
 	r.tomb.Kill(nil)
 	_ = r.mesh.Close()
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -81,12 +81,12 @@
 	if r.checkCrashSuspect(req) {
 		return r.refuseRequest(req, reasonCrashSuspect, crashRetention/4)
 	}
-	if refusal := r.admitToAllowance(req); refusal != nil {
+	if refusal := r.admitToAllowance(ctx, req); refusal != nil {
 		return *refusal
 	}
 	r.recordDemand(req)
 	r.recordArrival(req)
-	defer r.settleAllowance(req)
+	defer r.returnToken(req)
 	return r.sendWithRetries(ctx, req)
 }
 
--- a/io/process/router/token.go
+++ b/io/process/router/token.go
@@ -19,14 +19,6 @@
 	tokenRetryDelay = 100 * time.Millisecond
 )
 
-// leaderContact is what the control loop knows of the leader, for those that ask it for tokens.
-type leaderContact struct {
-	reachable, leading bool
-	address            string
-	// reachableShare is the share of all daemons that this daemon has contact with as the leader.
-	reachableShare float64
-}
-
 // ensureToken takes a token if the request has a key and the holder has named a limit. It returns the
 // choice, as a refusal if there is no token; the attempt has ended then.
 func (r *Router) ensureToken(ctx context.Context, req *request, server fleet.Server, choice spread.Choice) spread.Choice {
