QUOTA: a request is not sent long after its token, and a stop waits for the loans of others only

Cause: read in the diff. A token was checked before a connection was there; opening one may take long, and the request then ran in another window. And a daemon alone on its site waited 2 s at each stop for its own loan.

Change: link.Request.SendBefore, 0.1 s after the token's end; a request that is too late is not sent (kind tooLate, not run, no fault of the server) and takes another token. A stop waits until no other daemon lends to this one's pool.

Test: 'A request whose time has passed when there is a connection is not sent'.

--- a/core/process/quota/pool.go
+++ b/core/process/quota/pool.go
@@ -89,6 +89,16 @@
 	return p.share
 }
 
+// HasLoansOfOthers reports whether any other daemon lends its share to this pool.
+func (p *Pool) HasLoansOfOthers(now time.Time, self string) bool {
+	for name, m := range p.members {
+		if name != self && now.Before(m.lentUntil) {
+			return true
+		}
+	}
+	return false
+}
+
 // Renew records what a daemon lends, and grants it leases. It returns false for a renewal that was
 // overtaken by a later one.
 func (p *Pool) Renew(now time.Time, r Renewal, find FindWorkspace) (Grant, bool) {
--- a/core/process/quota/timing.go
+++ b/core/process/quota/timing.go
@@ -32,7 +32,8 @@
 }
 
 // What may run beyond the allowance itself, in any window of 5 s, is 0.5 s of its rate, 0.1 of its
-// burst, and 20 requests. Of these, tokens that are used late take tokenTTL of the rate; the leases
+// burst, and 20 requests. Of these, tokens that are used late take tokenTTL of the rate, and new
+// connections for them another 0.1 s; the leases
 // may save up leaseBurstTime of the rate, leaseBurstShare of the burst and leaseBurstExtra; pools may
 // save up poolExtra. The rest is for requests that are under way to servers.
 const (
--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -42,6 +42,9 @@
 	ID string
 	// TimeLeft is the time until the caller's deadline. It is sent to the server.
 	TimeLeft time.Duration
+	// SendBefore is the time until which the request may be sent, however long it takes to get a
+	// connection; zero if it may be sent at any time.
+	SendBefore time.Time
 	// ControlCall marks a call that the daemon makes on its own behalf, such as a grant. It
 	// has no caller's deadline to send.
 	ControlCall bool
@@ -111,6 +114,9 @@
 }
 
 func (cl *Client) roundTrip(c *conn, req Request) (*Response, time.Duration, error) {
+	if !req.SendBefore.IsZero() && time.Now().After(req.SendBefore) {
+		return nil, 0, &Error{Op: "write", Kind: TooLate, Err: errTooLate}
+	}
 	head := cl.head(req)
 	var writeDone chan error
 	if len(req.Body) < minConcurrentWrite {
@@ -141,6 +147,8 @@
 	return resp, idleTime, nil
 }
 
+var errTooLate = errors.New("the connection was not there in time")
+
 func writeError(n int, err error) error {
 	if n == 0 {
 		return &Error{Op: "write", Kind: NotSent, Err: err}
--- a/io/connection/link/error.go
+++ b/io/connection/link/error.go
@@ -13,6 +13,7 @@
 const (
 	ConnectionRefused Kind = "refused" // the address refused the connection
 	NotSent           Kind = "notSent" // no byte of the request was written
+	TooLate           Kind = "tooLate" // the same, since its time to be sent had passed
 	ConnectFailed     Kind = "noWay"   // no connection could be established, for another reason
 	ConnectionLost    Kind = "unsure"  // the connection broke before the response header was complete
 	InvalidResponse   Kind = "cut"     // the response is incomplete, malformed or too large, or belongs to another request
@@ -54,5 +55,5 @@
 // NotRun reports whether an error proves that the server did not run the request.
 func NotRun(err error) bool {
 	k := KindOf(err)
-	return k == ConnectionRefused || k == NotSent || k == ConnectFailed
+	return k == ConnectionRefused || k == NotSent || k == TooLate || k == ConnectFailed
 }
--- a/io/connection/link/link_test.go
+++ b/io/connection/link/link_test.go
@@ -218,6 +218,15 @@
 		So(KindOf(err), ShouldEqual, ConnectionRefused)
 		So(NotRun(err), ShouldBeTrue)
 	})
+	Convey("A request whose time has passed when there is a connection is not sent", t, func() {
+		s := startServer(t, respondWith(completeResponse))
+		_, err := s.newClient().Do(context.Background(), Request{Method: http.MethodGet, Target: "/", Host: "h", ID: "1", SendBefore: time.Now().Add(-time.Millisecond)})
+		So(KindOf(err), ShouldEqual, TooLate)
+		So(NotRun(err), ShouldBeTrue)
+		So(s.requests.Load(), ShouldEqual, 0)
+		_, err = s.newClient().Do(context.Background(), Request{Method: http.MethodGet, Target: "/", Host: "h", ID: "1", SendBefore: time.Now().Add(time.Minute)})
+		So(err, ShouldBeNil)
+	})
 	Convey("With ExistingConnOnly, nothing is sent without an idle connection", t, func() {
 		s := startServer(t, respondWith(completeResponse))
 		_, err := s.newClient().Do(context.Background(), Request{Method: http.MethodGet, Target: "/", Host: "h", ID: "1", ExistingConnOnly: true})
--- a/io/process/router/allowance.go
+++ b/io/process/router/allowance.go
@@ -20,8 +20,7 @@
 	// reasonAllowanceUnknown means that no pool says whether the request is within the allowance.
 	reasonAllowanceUnknown = "allowanceUnknown"
 	// poolTimeout is how long a request waits for a pool: as long as a token that it gets would last.
-	// poolRetryDelay is how long requests are refused at
-	// once if there is no pool to ask.
+	// poolRetryDelay is how long requests are refused at once if there is no pool to ask.
 	poolTimeout    = 110 * time.Millisecond
 	poolRetryDelay = 100 * time.Millisecond
 	// maxShareWait is the share of the time until its deadline that a request waits for this daemon's share
@@ -201,6 +200,18 @@
 	return out
 }
 
+// connectTime is how much longer than its token lasts it may take until a request is sent, on a connection
+// that has to be opened.
+const connectTime = 100 * time.Millisecond
+
+// sendBefore is the time until which the request may be sent with its token; zero if it needs none.
+func (r *Router) sendBefore(req *request) time.Time {
+	if !req.token.held || req.token.Until.IsZero() {
+		return time.Time{}
+	}
+	return time.Now().Add(req.token.Until.Sub(r.now()) + connectTime) // the token has the control loop's clock
+}
+
 // returnToken gives back a token that the request did not use.
 func (r *Router) returnToken(req *request) {
 	r.mu.Lock()
--- a/io/process/router/pool.go
+++ b/io/process/router/pool.go
@@ -261,9 +261,9 @@
 	defer cancel()
 	for ctx.Err() == nil {
 		r.mu.Lock()
-		share := r.pool.Share(r.now())
+		inUse := r.pool.HasLoansOfOthers(r.now(), r.self.Name)
 		r.mu.Unlock()
-		if share == 0 {
+		if !inUse {
 			return
 		}
 		sleep(ctx, loanPollInterval)
