--- a/core/process/quota/account.go
+++ b/core/process/quota/account.go
@@ -31,6 +31,7 @@
 
 // account is what a pool has of the allowance of a workspace.
 type account struct {
+	workspace string
 	allowance space.Allowance
 	// tokens is what has been lent and not been handed out, up to cap.
 	tokens, cap float64
@@ -38,7 +39,7 @@
 	lent       float64
 	refilledAt time.Time
 	share      float64
-	leases     map[*lease]string // to the name of the workspace
+	leases     map[*lease]bool
 	// leased and bursts are the sums over all leases, and demand that of what the daemons ask for.
 	leased, bursts, demand float64
 	// expiresAt is when the next lease changes without a renewal.
@@ -179,7 +180,6 @@
 // renew renews the lease of a daemon: a part of what is leased in all, by its part of the demand.
 func (a *account) renew(now time.Time, l *lease, r renewedLease) (Lease, bool) {
 	a.lastUsedAt = now
-	workspace := a.leases[l]
 	a.remove(l)
 	if r.acked >= l.seq {
 		l.before = l.newest
@@ -188,11 +188,11 @@
 	}
 	l.seq, l.demand = r.seq, r.demand
 	l.newest = a.terms(l, r)
-	a.insert(l, workspace)
+	a.insert(l)
 	if l.newest.perSecond == 0 {
 		return Lease{}, false
 	}
-	return Lease{Workspace: workspace, PerSecond: l.newest.perSecond, Burst: l.newest.burst}, true
+	return Lease{Workspace: a.workspace, PerSecond: l.newest.perSecond, Burst: l.newest.burst}, true
 }
 
 // terms returns the new terms of a lease that is not counted in the sums at present.
@@ -224,9 +224,9 @@
 	return 1 - scarcity*(1-used)
 }
 
-func (a *account) insert(l *lease, workspace string) {
+func (a *account) insert(l *lease) {
 	c := l.counted()
-	a.leases[l] = workspace
+	a.leases[l] = true
 	a.leased, a.bursts, a.demand = a.leased+c.perSecond, a.bursts+c.burst, a.demand+l.demand
 	for _, t := range []leaseTerms{l.newest, l.before} {
 		if !t.until.IsZero() && (a.expiresAt.IsZero() || t.until.Before(a.expiresAt)) {
@@ -236,7 +236,7 @@
 }
 
 func (a *account) remove(l *lease) {
-	if _, ok := a.leases[l]; !ok {
+	if !a.leases[l] {
 		return
 	}
 	c := l.counted()
@@ -244,9 +244,6 @@
 	a.leased, a.bursts, a.demand = max(0, a.leased-c.perSecond), max(0, a.bursts-c.burst), max(0, a.demand-l.demand)
 }
 
-// drop ends a lease at once, since its holder has ended.
-func (a *account) drop(l *lease) { a.remove(l) }
-
 // expire ends leases that were not renewed.
 func (a *account) expire(now time.Time) {
 	if a.expiresAt.IsZero() || now.Before(a.expiresAt) {
@@ -258,7 +255,7 @@
 			a.expiresAt = earliest
 		}
 	}()
-	for l, workspace := range a.leases {
+	for l := range a.leases {
 		if !now.Before(l.before.until) {
 			l.before = leaseTerms{}
 		}
@@ -269,7 +266,7 @@
 			delete(a.leases, l)
 			continue
 		}
-		a.insert(l, workspace)
+		a.insert(l)
 	}
 }
 
--- a/core/process/quota/pool.go
+++ b/core/process/quota/pool.go
@@ -217,7 +217,6 @@
 		l = &lease{}
 		m.leases[w.Name] = l
 	}
-	a.leases[l] = w.Name
 	return a.renew(now, l, renewedLease{seq: r.Seq, acked: r.Acked, demand: demand, until: now.Add(leaseTime(p.daemons)), share: p.leaseShare, leasedShare: p.leasedShare})
 }
 
@@ -226,7 +225,7 @@
 	for workspace, l := range m.leases {
 		if a := p.accounts[workspace]; a != nil {
 			a.refill(now, p)
-			a.drop(l)
+			a.remove(l)
 		}
 	}
 	m.leases = map[string]*lease{}
@@ -243,7 +242,7 @@
 func (p *Pool) account(now time.Time, w space.Workspace) *account {
 	a := p.accounts[w.Name]
 	if a == nil {
-		a = &account{leases: map[*lease]string{}, lent: p.lent, refilledAt: now, tokens: p.unused * w.Allowance.Rate}
+		a = &account{workspace: w.Name, leases: map[*lease]bool{}, lent: p.lent, refilledAt: now, tokens: p.unused * w.Allowance.Rate}
 		if a.setAllowance(w.Allowance, p.share); a.isTiny() {
 			a.tokens = -p.random.Float64()
 		}
--- a/core/process/quota/quota_test.go
+++ b/core/process/quota/quota_test.go
@@ -157,6 +157,22 @@
 	})
 }
 
+// Guards against leases that are not counted, since their workspace was removed and added again.
+func TestWorkspaceIsAddedAgain(t *testing.T) {
+	Convey("A lease of before takes nothing from the sum of those that are in use", t, func() {
+		large := space.Workspace{Name: "mill", Allowance: space.Allowance{Rate: 100, Burst: 100}}
+		findLarge := func(string) (space.Workspace, bool) { return large, true }
+		s := newSingle(1)
+		demands := []Demand{{Workspace: "mill", PerSecond: 40}}
+		_, _ = s.Renew(t0, Renewal{Daemon: "e", Incarnation: 1, Seq: 1, Demands: demands}, findLarge)
+		delete(s.accounts, "mill")
+		_, _ = s.Renew(t0, Renewal{Daemon: "f", Incarnation: 1, Seq: 1, Demands: demands}, findLarge)
+		leased := s.accounts["mill"].leased
+		_, _ = s.Renew(t0, Renewal{Daemon: "e", Incarnation: 1, Seq: 2, Acked: 1, Demands: demands}, findLarge)
+		So(s.accounts["mill"].leased, ShouldBeGreaterThan, leased)
+	})
+}
+
 // Guards against a pool that denies tokens for long, since it deducts leases that ended while nobody asked.
 func TestLeasesOfAnIdlePoolEnd(t *testing.T) {
 	Convey("A pool that is used again after a pause has its share and no more deducted than was leased", t, func() {
--- a/core/process/quota/timing.go
+++ b/core/process/quota/timing.go
@@ -33,9 +33,9 @@
 
 // What may run beyond the allowance itself, in any window of 5 s, is 0.5 s of its rate, 0.1 of its
 // burst, and 20 requests. Of these, tokens that are used late take tokenTTL of the rate, and new
-// connections for them another 0.1 s; the leases
-// may save up leaseBurstTime of the rate, leaseBurstShare of the burst and leaseBurstExtra; pools may
-// save up poolExtra. The rest is for requests that are under way to servers.
+// connections for them another 0.1 s; the leases may save up leaseBurstTime of the rate,
+// leaseBurstShare of the burst and leaseBurstExtra; pools may save up poolExtra. The rest is for
+// requests that are under way to servers.
 const (
 	leaseBurstTime  = 150 * time.Millisecond
 	leaseBurstShare = 0.05
--- a/io/process/router/benchmark_test.go
+++ b/io/process/router/benchmark_test.go
@@ -79,10 +79,13 @@
 	}
 	limiter, now := quota.NewLimiter(1), time.Unix(1000, 0)
 	for _, w := range c.Workspaces {
-		limiter.Ask(now, w)
+		for range 20 {
+			limiter.Ask(now, w)
+		}
 	}
 	withDemands := heapMB()
 	pool, demands := quota.NewPool(now, 1), limiter.Demands(now)
+	pool.SetDaemons(now, 1, true)
 	renewal := quota.Renewal{Daemon: "e", Incarnation: 1, Pool: 1, Loan: time.Hour, Demands: demands}
 	var grant quota.Grant
 	for b.Loop() {
