QUOTA: a recall is heeded after all daemons have started together

What callers see: after a restart of all hosts, for as long as the pool lives, shares move to another pool only when their loans end (0.4 s in the test, where 0.3 s are enough), and requests of limited workspaces are refused a little longer at each change of leader. Cause: a grant that says that all had just started, which is said on and on, kept the lender from reading when its share is back. Evidence: read in the diff; TestShareMovesAfterFullRestart fails without the change. Why it works: the end is read from each grant of the pool that has the share.

--- a/core/process/quota/lender.go
+++ b/core/process/quota/lender.go
@@ -166,13 +166,12 @@
 	c.isPending, c.failingSince = false, time.Time{}
 	c.pool, c.stamp, c.stampedAt, c.acked = g.Pool, g.Stamp, now, g.Seq
 	until := now.Add(g.LentFor)
-	switch {
-	case g.AllFresh:
-		l.isFree = true
-	case g.HadLoan && !l.isFree:
+	if g.HadLoan && !l.isFree {
 		// The loan of the incarnation before lasts on, and there is no other.
-		l.isFree, l.lentTo, l.lentUntil = true, c.pool, until
-	case l.isLentTo(c) && until.Before(l.lentUntil):
+		l.lentTo, l.lentUntil = c.pool, until
+	}
+	l.isFree = l.isFree || g.HadLoan || g.AllFresh
+	if l.isLentTo(c) && until.Before(l.lentUntil) {
 		l.lentUntil = until
 	}
 	return true
--- a/core/process/quota/lender_test.go
+++ b/core/process/quota/lender_test.go
@@ -100,3 +100,31 @@
 		So(moved, ShouldBeBetween, time.Second, time.Second+loanTime(1))
 	})
 }
+
+// Guards against a share that is not given back when it is recalled, after all daemons had started together.
+func TestShareMovesAfterFullRestart(t *testing.T) {
+	Convey("It is back once the tokens that were handed out have ended, long before the loan does", t, func() {
+		a, b := NewPool(t0, 1), NewPool(t0, 2)
+		l := NewLender(t0, "d", 1)
+		l.SetDaemons(1, true)
+		pools := map[string]*Pool{"a": a, "b": b}
+		for _, p := range pools {
+			p.SetDaemons(t0, 1, true)
+		}
+		moved := time.Duration(0)
+		for at := time.Duration(0); at < 3*time.Second && moved == 0; at += 10 * time.Millisecond {
+			now := t0.Add(at)
+			if l.SetPools([]string{"a", "b"}); at >= time.Second {
+				l.SetPools([]string{"b", "a"})
+			}
+			for _, address := range l.Due(now) {
+				g, _ := pools[address].Renew(now, l.Begin(now, address), find)
+				l.Answered(now, address, g)
+			}
+			if b.Share(now) == 1 {
+				moved = at
+			}
+		}
+		So(moved, ShouldBeBetween, time.Second, time.Second+RenewInterval(1)+shareTTL+tokenTTL+2*minRetryInterval)
+	})
+}
