QUOTA: logs say what was sent and handed out of an allowance, each second

Change: a line a second of a pool for each workspace that uses half of its part or is denied (tokens taken, rate leased, what is left, the allowance that it knows), and of a host for each that it refused or sent otherwise than at once (in all, further, waited, for others); 20 of each at most. The sum over pools bounds what ran in a window. Counter allowance.sentLate is back. Test: TestUsageOfAllowanceIsLogged; there was nothing to call before.

--- a/core/process/quota/limiter.go
+++ b/core/process/quota/limiter.go
@@ -56,6 +56,9 @@
 type holding struct {
 	total  Total
 	demand meanRate
+	// sends and reportedRefused are for the next report.
+	sends           Sends
+	reportedRefused int
 	// leases are by the incarnation of the pool. tokens is what is saved up from them since refilledAt.
 	leases     map[uint64]heldLease
 	tokens     float64
--- a/io/process/router/allowance.go
+++ b/io/process/router/allowance.go
@@ -81,6 +81,7 @@
 	if req.carried && req.attempts.count() == 0 {
 		r.countDemand(req)
 	}
+	req.waited = !req.carried && req.attempts.count() == 0
 	reason, retryAfter, ok := r.takeAllowance(ctx, req)
 	if ok {
 		return choice
@@ -232,13 +233,20 @@
 	if !req.identity.workspace.Allowance.Limited() {
 		return
 	}
+	a := quota.Attempt{Further: req.attempts.ran > 0, Waited: req.waited, ForOthers: req.carried}
+	r.mu.Lock()
+	r.workspaceLimiter.Sent(req.identity.workspace, a)
+	r.mu.Unlock()
 	r.metrics.increment("allowance.sent")
-	switch {
-	case req.carried:
+	if a.ForOthers {
 		r.metrics.increment("allowance.sentForOthers")
-	case req.attempts.ran > 0:
+	}
+	if a.Further {
 		r.metrics.increment("allowance.furtherAttempts")
 	}
+	if a.Waited {
+		r.metrics.increment("allowance.sentLate")
+	}
 }
 
 // refusalStatus is the status of a refusal for a reason: beyond its allowance, a workspace is owed nothing.
--- a/io/process/router/allowance_test.go
+++ b/io/process/router/allowance_test.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
 	"net/http"
 	"testing"
 	"time"
@@ -135,6 +137,27 @@
 	})
 }
 
+// Guards against an incident of which no log says what was sent of an allowance, by whom and why.
+func TestUsageOfAllowanceIsLogged(t *testing.T) {
+	Convey("Each second, a host says what it sent of a workspace at its limit, and its pool what it handed out", t, func() {
+		var logged bytes.Buffer
+		s := &pipeServer{status: http.StatusInternalServerError}
+		r := newSiteRouter("a", s)
+		r.updateServers(atSecond(66), 20, serverItem("b", 15)) // for the second attempt
+		r.control.logUsages(1)
+		r.log = slog.New(slog.NewJSONHandler(&logged, nil))
+		So(r.handle(context.Background(), lookupOf("/x")).Status, ShouldEqual, http.StatusInternalServerError)
+		r.useUp()
+		So(r.handle(context.Background(), lookupOf("/x")).Status, ShouldEqual, http.StatusTooManyRequests)
+		r.control.logUsages(1)
+		So(logged.String(), ShouldContainSubstring, `"msg":"allowances: sent","workspace":"mill","perSecond":10,"burst":10,"sent":2,"refused":1,"further":1,"waited":0,"forOthers":0`)
+		So(logged.String(), ShouldContainSubstring, `"msg":"allowances: handed out","workspace":"mill","perSecond":10,"burst":10,"taken":10,"denied":`)
+		logged.Reset()
+		r.control.logUsages(1)
+		So(logged.String(), ShouldBeEmpty)
+	})
+}
+
 // Guards against daemons whose shares and demands do not reach the pool of another daemon.
 func TestRenewalReachesPool(t *testing.T) {
 	Convey("The pool of another daemon gets the share, and grants leases for what is asked there", t, func() {
--- a/io/process/router/pool.go
+++ b/io/process/router/pool.go
@@ -68,26 +68,32 @@
 		go c.r.renewAt(address, now, renewals[i], silent[address])
 	}
 	c.logShare(share, daemons)
-	if c.due(now, &c.lastRuns.usageReport, usageReportInterval) {
-		c.logUsages()
+	if last := c.lastRuns.usageReport; c.due(now, &c.lastRuns.usageReport, usageReportInterval) {
+		c.logUsages(now.Sub(last).Seconds())
 	}
 }
 
 const (
-	// usageReportInterval is the time between two reports of what this daemon's pool denied, and
-	// maxReportedUsages is how many workspaces one names.
+	// usageReportInterval is the time between two reports on allowances, and maxReportedUsages is how many
+	// workspaces each part of one names.
 	usageReportInterval = time.Second
 	maxReportedUsages   = 20
 )
 
-// logUsages logs the workspaces of which this daemon's pool denied tokens.
-func (c *control) logUsages() {
+// logUsages logs what this daemon's pool handed out of allowances that are used or asked for beyond what there is, and
+// what this daemon sent of those of which it refused requests. The sums over all pools, and over all hosts, say what
+// became of an allowance in a window of time.
+func (c *control) logUsages(seconds float64) {
 	c.r.mu.Lock()
-	usages := c.r.pool.TakeReport(maxReportedUsages)
+	usages, sends := c.r.pool.TakeReport(maxReportedUsages, seconds), c.r.workspaceLimiter.TakeSends(maxReportedUsages)
 	c.r.mu.Unlock()
 	for _, u := range usages {
-		c.r.log.Info("allowances: workspace asks for more than this pool has", "workspace", u.Workspace, "taken", u.Taken, "denied", u.Denied, "share", u.Share,
-			"perSecond", u.PerSecond, "leased", u.Leased, "left", u.Left)
+		c.r.log.Info("allowances: handed out", "workspace", u.Workspace, "perSecond", u.Allowance.Rate, "burst", u.Allowance.Burst, "taken", u.Taken, "denied", u.Denied,
+			"leasedPerSecond", u.Leased, "share", u.Share, "left", u.Left)
+	}
+	for _, s := range sends {
+		c.r.log.Info("allowances: sent", "workspace", s.Workspace, "perSecond", s.Allowance.Rate, "burst", s.Allowance.Burst, "sent", s.Sent, "refused", s.Refused,
+			"further", s.Further, "waited", s.Waited, "forOthers", s.ForOthers)
 	}
 }
 
--- a/io/process/router/request.go
+++ b/io/process/router/request.go
@@ -30,6 +30,8 @@
 	carried bool
 	// token is what it has of the allowance of its workspace, for the next attempt.
 	token allowanceToken
+	// waited is set if its first token had ended before it could be sent.
+	waited bool
 	// admitted is set once the limits for overloaded holders have admitted the request.
 	admitted bool
 	// rangeOpensBy is the time by which its range very probably opens, if the range is closed.
