--- a/core/process/quota/invariant_test.go
+++ b/core/process/quota/invariant_test.go
@@ -17,6 +17,7 @@
 var (
 	invariantSeeds = flag.Int("quota.seeds", 24, "how many seeds TestAllowanceInvariant plays")
 	invariantFor   = flag.Duration("quota.for", 20*time.Second, "how long TestAllowanceInvariant plays each seed")
+	allChanges     = flag.Bool("quota.changes", false, "play all changes of TestAllowanceChanges, not only those that take little time")
 	invariantHosts = flag.Int("quota.hosts", 0, "number of daemons in TestAllowanceInvariant; 0: several")
 )
 
@@ -63,7 +64,7 @@
 				n = *invariantHosts
 			}
 			h, story := playMisfortunes(seed, n, *invariantFor)
-			fullest := h.fullest()
+			fullest := h.fullest(h.workspace.Allowance, t0, h.now)
 			most = max(most, fullest)
 			if fullest > 1 || testing.Verbose() {
 				t.Logf("seed %d: %d daemons, %+v: fullest %.2f, %d of %d sent", seed, n, h.workspace.Allowance, fullest, len(h.sent), h.asked)
@@ -77,6 +78,42 @@
 	})
 }
 
+// Guards against more requests than a new allowance, of which the hosts learn one by one, whether it is
+// lower or higher than the one before.
+func TestAllowanceChanges(t *testing.T) {
+	Convey("A lower one holds a window after all hosts know it, a higher one at any time, while hosts restart or not", t, func() {
+		for _, n := range []int{8, 90, 1500} {
+			for _, rate := range []float64{20, 320, 5000} {
+				for _, factor := range []float64{0.1, 0.5, 2, 10} {
+					if !*allChanges && (n == 1500 && (rate != 20 || factor == 2) || rate == 5000) {
+						continue
+					}
+					h := newHosts(uint64(n), n, space.Allowance{Rate: rate, Burst: rate})
+					next := space.Allowance{Rate: rate * factor, Burst: rate * factor}
+					callers, asked := lastOf(n, max(1, n/4)), 3*rate*max(1, factor)
+					h.run(2*loanTime(n)+time.Second, 0, callers, nil)
+					h.run(8*time.Second, asked, callers, nil)
+					changedAt := h.now
+					h.setAllowance(next)
+					h.run(learnTime+quotaWindow, asked, callers, nil)
+					if n < 1500 {
+						h.start(h.random.IntN(n))
+					}
+					h.run(12*time.Second, asked, callers, nil)
+					settled := changedAt.Add(learnTime + quotaWindow)
+					before, after := h.fullest(h.workspace.Allowance, changedAt, settled), h.fullest(next, settled, h.now)
+					if factor < 1 {
+						before = h.fullest(space.Allowance{Rate: rate, Burst: rate}, changedAt, settled)
+					}
+					t.Logf("%4d daemons, %4g/s to %4g/s: fullest %.2f, then %.2f", n, rate, next.Rate, before, after)
+					So(before, ShouldBeLessThanOrEqualTo, 1)
+					So(after, ShouldBeLessThanOrEqualTo, 1)
+				}
+			}
+		}
+	})
+}
+
 // Guards against refusals of workspaces that keep to their allowance, at any size of allowance and site.
 func TestAllowanceIsUsable(t *testing.T) {
 	Convey("A workspace that asks for four fifths of its allowance and keeps to it is refused next to nothing", t, func() {
--- a/core/process/quota/loads_test.go
+++ b/core/process/quota/loads_test.go
@@ -60,7 +60,7 @@
 	return l.lost > 0 && at >= l.lost && at < l.lost+leaderChange || l.leaderless != nil && l.leaderless(at)
 }
 
-const maxDaemons = 90
+const maxDaemons = 600
 
 // withinAllowance reports whether the workspace always asks for less than its allowance, and all
 // daemons reach the leader.
--- a/core/process/quota/world_test.go
+++ b/core/process/quota/world_test.go
@@ -22,9 +22,10 @@
 // hosts is a site whose daemons exchange messages that take their time, are lost, or arrive late. What
 // happens is drawn from a seed.
 type hosts struct {
-	random    *rand.Rand
-	now       time.Time
-	daemons   []*host
+	random  *rand.Rand
+	now     time.Time
+	daemons []*host
+	// workspace is the newest; each host has the one that it knows of.
 	workspace space.Workspace
 	leader    int
 	events    eventQueue
@@ -51,6 +52,8 @@
 	leader int // as it knows
 	pools  []string
 	frozen time.Time // until when
+	// workspace is as the host knows it.
+	workspace space.Workspace
 }
 
 type event struct {
@@ -74,7 +77,7 @@
 func newHosts(seed uint64, n int, allowance space.Allowance) *hosts {
 	h := &hosts{random: rand.New(rand.NewPCG(seed, uint64(n))), now: t0, workspace: space.Workspace{Name: "mill", Allowance: allowance}, group: make([]int, n), delay: 3 * time.Millisecond}
 	for range n {
-		h.daemons = append(h.daemons, &host{})
+		h.daemons = append(h.daemons, &host{workspace: h.workspace})
 	}
 	for d := range n {
 		h.start(d)
@@ -166,7 +169,7 @@
 			continue
 		}
 		h.deliver(to, transit, func() {
-			grant, ok := h.daemons[to].pool.Renew(h.now, renewal, func(string) (space.Workspace, bool) { return h.workspace, true })
+			grant, ok := h.daemons[to].pool.Renew(h.now, renewal, func(string) (space.Workspace, bool) { return h.daemons[to].workspace, true })
 			back, passes := h.transit(to, d)
 			if !ok || !passes {
 				return
@@ -209,8 +212,8 @@
 	}
 	h.ideal--
 	h.asked++
-	x.limiter.Ask(h.now, h.workspace)
-	token, verdict, _ := x.limiter.Take(h.now, h.workspace)
+	x.limiter.Ask(h.now, x.workspace)
+	token, verdict, _ := x.limiter.Take(h.now, x.workspace)
 	switch verdict {
 	case Admitted:
 		h.use(d, token)
@@ -224,7 +227,7 @@
 func (h *hosts) take(d int, pools []string, wait time.Duration) {
 	x, life, askedAt := h.daemons[d], h.daemons[d].life, h.now
 	if len(pools) == 0 {
-		x.limiter.Denied(h.now, h.workspace, wait)
+		x.limiter.Denied(h.now, x.workspace, wait)
 		return
 	}
 	to, _ := strconv.Atoi(pools[0])
@@ -240,7 +243,7 @@
 		return
 	}
 	h.deliver(to, transit, func() {
-		retryAfter, granted := h.daemons[to].pool.Take(h.now, h.workspace)
+		retryAfter, granted := h.daemons[to].pool.Take(h.now, h.daemons[to].workspace)
 		back, passes := h.transit(to, d)
 		if !passes {
 			return
@@ -269,16 +272,35 @@
 	})
 }
 
-// fullest is the largest number of requests in a window, as a share of what may run.
-func (h *hosts) fullest() float64 {
-	a, most, first := h.workspace.Allowance, 0, 0
+// setAllowance changes the allowance. Hosts learn of it one by one within learnTime.
+func (h *hosts) setAllowance(a space.Allowance) {
+	h.workspace.Allowance = a
+	for _, x := range h.daemons {
+		next := h.workspace
+		h.after(time.Duration(h.random.Float64()*float64(learnTime)), func() { x.workspace = next })
+	}
+}
+
+// learnTime is how long it takes at most until all hosts know of a change of the configuration.
+const learnTime = 2 * time.Second
+
+// mayRun is how many requests may run in a window.
+func mayRun(a space.Allowance) float64 {
+	return (a.Rate*quotaWindow.Seconds()+a.Burst)*(1+allowedOverrun) + allowedExtra
+}
+
+// fullest is the largest number of requests in a window that begins in a time, as a share of what may run.
+func (h *hosts) fullest(a space.Allowance, from, until time.Time) float64 {
+	most, first := 0, 0
 	for i := range h.sent {
 		for h.sent[i].Sub(h.sent[first]) >= quotaWindow {
 			first++
 		}
-		most = max(most, i-first+1)
+		if at := h.sent[first]; !at.Before(from) && at.Before(until) {
+			most = max(most, i-first+1)
+		}
 	}
-	return float64(most) / ((a.Rate*quotaWindow.Seconds()+a.Burst)*(1+allowedOverrun) + allowedExtra)
+	return float64(most) / mayRun(a)
 }
 
 // misfortune brings about something at random.
