--- a/core/process/quota/account.go
+++ b/core/process/quota/account.go
@@ -171,10 +171,10 @@
 
 // renewedLease is what a renewal and the pool say of a lease.
 type renewedLease struct {
-	seq, acked         uint64
-	demand             float64
-	until              time.Time
-	share, leasedShare float64
+	seq, acked uint64
+	demand     float64
+	until      time.Time
+	share      float64
 }
 
 // renew renews the lease of a daemon: a part of what is leased in all, by its part of the demand.
@@ -203,7 +203,7 @@
 	part := l.demand / (a.demand + l.demand)
 	rate, bursts := a.allowance.Rate*r.share, leaseBursts(a.allowance)*r.share
 	burst := min(max(1, min(l.demand*burstTime.Seconds(), part*bursts)), bursts-a.bursts)
-	perSecond := min(a.worthLeasing(burst)*min(part*rate*r.leasedShare, l.demand*usefulRate(burst)), rate-a.leased)
+	perSecond := min(a.worthLeasing(burst)*min(part*rate*leasedShare, l.demand*usefulRate(burst)), rate-a.leased)
 	if perSecond < minLease || burst < 1 {
 		return leaseTerms{until: r.until}
 	}
--- a/core/process/quota/pool.go
+++ b/core/process/quota/pool.go
@@ -13,9 +13,9 @@
 	// accountTTL is how long after its last use the account of a workspace is forgotten, unless its
 	// bucket has not filled yet.
 	accountTTL = 10 * time.Second
-	// defaultLeasedShare is the share of an allowance that is leased. The rest is for daemons without a
+	// leasedShare is the share of an allowance that is leased. The rest is for daemons without a
 	// lease, and for requests that come unevenly.
-	defaultLeasedShare = 0.5
+	leasedShare = 0.5
 )
 
 // FindWorkspace returns the workspace with a name.
@@ -26,7 +26,6 @@
 	incarnation uint64
 	startedAt   time.Time
 	random      *rand.Rand
-	leasedShare float64
 	daemons     int
 	complete    bool
 	members     map[string]*member // by daemon
@@ -58,20 +57,10 @@
 	leases map[string]*lease
 }
 
-// PoolOption sets up a Pool.
-type PoolOption func(*Pool)
-
-// WithLeasedShare sets the share of an allowance that is leased; the rest is handed out as tokens.
-func WithLeasedShare(share float64) PoolOption { return func(p *Pool) { p.leasedShare = share } }
-
 // NewPool returns a Pool to which nothing is lent. Its incarnation must differ from those of other pools.
-func NewPool(now time.Time, incarnation uint64, opts ...PoolOption) *Pool {
-	p := &Pool{incarnation: incarnation, startedAt: now, random: rand.New(rand.NewPCG(incarnation, 47)), leasedShare: defaultLeasedShare,
+func NewPool(now time.Time, incarnation uint64) *Pool {
+	return &Pool{incarnation: incarnation, startedAt: now, random: rand.New(rand.NewPCG(incarnation, 47)),
 		daemons: 1, countedAt: now, members: map[string]*member{}, accounts: map[string]*account{}}
-	for _, o := range opts {
-		o(p)
-	}
-	return p
 }
 
 // SetDaemons sets the number of daemons that share the allowances. complete is set if all are known: until
@@ -217,7 +206,7 @@
 		l = &lease{}
 		m.leases[w.Name] = l
 	}
-	return a.renew(now, l, renewedLease{seq: r.Seq, acked: r.Acked, demand: demand, until: now.Add(leaseTime(p.daemons)), share: p.leaseShare, leasedShare: p.leasedShare})
+	return a.renew(now, l, renewedLease{seq: r.Seq, acked: r.Acked, demand: demand, until: now.Add(leaseTime(p.daemons)), share: p.leaseShare})
 }
 
 // dropLeases ends the leases of an incarnation that has ended.
--- a/core/process/quota/ways_test.go
+++ b/core/process/quota/ways_test.go
@@ -147,7 +147,6 @@
 	leader  int
 	links   [maxDaemons]linkState
 	started uint64
-	opts    []PoolOption
 	asks    int // for tokens
 }
 
@@ -160,8 +159,8 @@
 // linkState says whether messages of a daemon pass.
 type linkState struct{ leader, daemons bool }
 
-func newPooled(site int, opts ...PoolOption) *pooled {
-	p := &pooled{site: site, opts: opts, leader: relays[0]}
+func newPooled(site int) *pooled {
+	p := &pooled{site: site, leader: relays[0]}
 	for d := range p.site {
 		p.restart(d, t0.Add(-warmUp))
 		p.links[d] = linkState{leader: true, daemons: true}
@@ -172,7 +171,7 @@
 func (p *pooled) restart(d int, now time.Time) {
 	p.started++
 	name := strconv.Itoa(d)
-	x := pooledDaemon{limiter: NewLimiter(p.started), lender: NewLender(now, name, p.started), pool: NewPool(now, p.started, p.opts...)}
+	x := pooledDaemon{limiter: NewLimiter(p.started), lender: NewLender(now, name, p.started), pool: NewPool(now, p.started)}
 	if d == p.leader && now.After(t0) { // only newLeader ends what leads
 		x.pool = p.daemons[d].pool
 	}
