--- a/core/process/quota/account.go
+++ b/core/process/quota/account.go
@@ -203,7 +203,7 @@
 	part := l.demand / (a.demand + l.demand)
 	rate, bursts := a.allowance.Rate*r.share, leaseBursts(a.allowance)*r.share
 	burst := min(max(1, min(l.demand*burstTime.Seconds(), part*bursts)), bursts-a.bursts)
-	perSecond := min(a.worthLeasing(burst)*min(part*rate*leasedShare, l.demand*usefulRate(burst)), rate-a.leased)
+	perSecond := min(a.worthLeasing(burst)*min(part*rate*leasableShare, l.demand*usefulRate(burst)), rate-a.leased)
 	if perSecond < minLease || burst < 1 {
 		return leaseTerms{until: r.until}
 	}
--- a/core/process/quota/pool.go
+++ b/core/process/quota/pool.go
@@ -13,9 +13,9 @@
 	// accountTTL is how long after its last use the account of a workspace is forgotten, unless its
 	// bucket has not filled yet.
 	accountTTL = 10 * time.Second
-	// leasedShare is the share of an allowance that is leased. The rest is for daemons without a
+	// leasableShare is the share of an allowance that is leased. The rest is for daemons without a
 	// lease, and for requests that come unevenly.
-	leasedShare = 0.5
+	leasableShare = 0.5
 )
 
 // FindWorkspace returns the workspace with a name.
