BUDGET: what servers announce is read, logged and counted; nothing heeds it yet

Cause of the gap: no line, counter or log told whether a request was sent to a server that had asked for rest, or when it had been decided. Change: core/request/notice reads Retry-After of a 503 and Server-Leaving (Catkinstep-Leaving), and keeps them by instance. Ruled out: reading it in the router from whole responses only. A response to an abandoned request, or one that breaks off in its body, announces as much.

--- a/core/connection/names/names.go
+++ b/core/connection/names/names.go
@@ -31,6 +31,9 @@
 	// RateLimit is how many requests a second the server takes from all daemons together. A server
 	// in need sends it in its responses for as long as it takes no more. It stays in the reply.
 	RateLimit string
+	// Leaving is set in all responses of a server that takes no new requests until it ends. It stays in
+	// the reply.
+	Leaving string
 	// Key is the number of the request's key. A deployment may let callers send it to daemons
 	// under the same name.
 	Key string
@@ -60,6 +63,7 @@
 		NotRun:      "Catkinstep-Not-Run",
 		Load:        "Catkinstep-Load",
 		RateLimit:   "Catkinstep-Rate-Limit",
+		Leaving:     "Catkinstep-Leaving",
 		Key:         "Catkinstep-Key-Number",
 		Handover:    "Catkinstep-Handover",
 		FirstSent:   "Catkinstep-First-Sent-Millis",
--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -42,6 +42,8 @@
 	ID string
 	// TimeLeft is the time until the caller's deadline. It is sent to the server.
 	TimeLeft time.Duration
+	// DecidedAt is when the server was chosen; zero for control calls.
+	DecidedAt time.Time
 	// SendBefore is the time until which the request may be sent, however long it takes to get a
 	// connection; zero if it may be sent at any time.
 	SendBefore time.Time
@@ -117,6 +119,7 @@
 	if !req.SendBefore.IsZero() && time.Now().After(req.SendBefore) {
 		return nil, 0, &Error{Op: "write", Kind: TooLate, Err: errTooLate}
 	}
+	cl.observer.Sending(req, c.openedAt)
 	head := cl.head(req)
 	var writeDone chan error
 	if len(req.Body) < minConcurrentWrite {
@@ -164,6 +167,9 @@
 		if err != nil {
 			return nil, 0, readError(err)
 		}
+		if n := noticeOf(httpResp, cl.names); !n.IsEmpty() {
+			cl.observer.Announced(req, c.openedAt, n)
+		}
 		body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxResponseBody+1))
 		if err != nil {
 			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: err}
--- a/io/connection/link/link.go
+++ b/io/connection/link/link.go
@@ -42,6 +42,7 @@
 	names        names.Names
 	maxIdleConns int
 	dialer       Dialer
+	observer     Observer
 
 	mu        sync.Mutex
 	idleConns []*conn
@@ -53,6 +54,7 @@
 	r             *bufio.Reader
 	reusableUntil time.Time
 	reused        bool // it served an earlier request
+	openedAt      time.Time
 }
 
 // Dialer opens connections to servers.
@@ -76,7 +78,7 @@
 // instance header, by which any other server recognises that a request is not meant for it.
 // It keeps up to maxIdleConns idle connections.
 func New(address, serverID string, n names.Names, maxIdleConns int, opts ...Option) *Client {
-	cl := &Client{address: address, serverID: serverID, names: n, maxIdleConns: maxIdleConns, dialer: DefaultDialer}
+	cl := &Client{address: address, serverID: serverID, names: n, maxIdleConns: maxIdleConns, dialer: DefaultDialer, observer: noObserver{}}
 	for _, o := range opts {
 		o(cl)
 	}
@@ -159,7 +161,7 @@
 		}
 		return nil, &Error{Op: "dial", Kind: kind, Err: err}
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferSize)}, nil
+	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferSize), openedAt: time.Now()}, nil
 }
 
 // nothingReceived reports whether the server has neither closed an idle connection nor
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -133,7 +133,7 @@
 	timeLeft := time.Until(req.deadline) - responseTransitTime
 	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(responseMargin))
 	defer cancel()
-	serverReq := link.Request{Method: req.Method, Target: req.target, Host: req.Host, Header: r.forwardedHeader(req), Body: req.Body, ID: req.id, TimeLeft: timeLeft, SendBefore: r.sendBefore(req)}
+	serverReq := link.Request{Method: req.Method, Target: req.target, Host: req.Host, Header: r.forwardedHeader(req), Body: req.Body, ID: req.id, TimeLeft: timeLeft, DecidedAt: req.attemptStart, SendBefore: r.sendBefore(req)}
 	resp, err := r.clientPool.requestClient(server).Do(ctx, serverReq)
 	r.countRemoteRequest(server, "requests."+req.service.Name, serverReq, resp)
 	now := time.Now()
--- a/io/process/router/clients.go
+++ b/io/process/router/clients.go
@@ -40,6 +40,8 @@
 	names   names.Names
 	dialer  link.Dialer // of all clients; nil for the usual one
 	inner   link.Dialer // that dialer without observation; nil for the usual one
+	// observe returns the observer of the client of a server instance.
+	observe func(clientKey) link.Observer
 	mu      sync.Mutex
 	clients map[clientKey]*serverClient
 }
@@ -57,7 +59,7 @@
 		if key.purpose != forRequests {
 			maxIdle = maxIdleGrantConns
 		}
-		client = &serverClient{Client: link.New(key.address, key.id, p.names, maxIdle, link.WithDialer(p.dialer))}
+		client = &serverClient{Client: link.New(key.address, key.id, p.names, maxIdle, link.WithDialer(p.dialer), link.WithObserver(p.observe(key)))}
 		p.clients[key] = client
 	}
 	return client
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -27,6 +27,7 @@
 	"catkinstep/core/request/crash"
 	"catkinstep/core/request/fair"
 	"catkinstep/core/request/limit"
+	"catkinstep/core/request/notice"
 	"catkinstep/core/request/permit"
 	"catkinstep/core/request/retry"
 	"catkinstep/core/request/sent"
@@ -35,6 +36,7 @@
 	"catkinstep/core/version/object"
 	"catkinstep/core/version/reopen"
 	"catkinstep/io/connection/caller"
+	"catkinstep/io/connection/link"
 	"catkinstep/io/connection/mesh"
 	"catkinstep/io/process/clock"
 )
@@ -63,6 +65,8 @@
 	connectedAt atomic.Int64
 	// limitedServers is the number of servers whose limits are known.
 	limitedServers atomic.Int64
+	// noticed is the number of servers that have announced something.
+	noticed atomic.Int64
 	// carriedRunning is the number of requests that are served for other daemons.
 	carriedRunning atomic.Int64
 	// tokenRelay is the daemon that asks for tokens of allowances on behalf of this one.
@@ -105,6 +109,8 @@
 	loggedLoan       uint64      // the pool whose loan was logged last
 	fairness         *fair.Meter // finds the workspaces that would push out others
 	permits          permits
+	// notices are what servers have announced to this daemon.
+	notices *notice.Table
 	// rateLimits are the limits that servers have named, and issuer issues tokens for them while
 	// this daemon leads.
 	rateLimits *limit.Table
@@ -165,6 +171,8 @@
 	r.fairness = fair.NewMeter()
 	r.carriers = carry.New(s.Name)
 	r.rateLimits, r.issuer = limit.NewTable(), limit.NewIssuer()
+	r.notices = notice.NewTable(seed)
+	r.clientPool.observe = func(key clientKey) link.Observer { return serverObserver{r: r, key: key} }
 	r.leaderContact.Store(&leaderContact{})
 	r.permits.issuer, r.permits.absentUntil, r.permits.lastID = permit.NewIssuer(seed), map[string]time.Time{}, seed
 	r.tableUpdateCh.Store(new(make(chan struct{})))
