BUDGET: a server that asks for rest gets none but grants and releases until its rest is over

What callers saw: requests went to a server that had just asked the host for rest; they were turned away, sent on or refused with 50 ms to come back. Cause: nothing read Retry-After of a server's response. A decline was one of many outcomes, whose trace faded within 0.4 to 1.6 s. A missing input, not a race; a fix that only reads it would leave requests that were decided before the news and wait for a connection, a permit, a token or a range. Change: link.Gate is asked before a connection is opened and again just before the first byte of a request; it withholds what the instance does not want, and what was decided for an instance that has been replaced. It sees the header of every response: whole or not, to this request or an abandoned one, to grants too. The choice of servers passes over resting ones. Who cannot be served is refused before an allowance, a token, a permit or a retry is taken: with what is left of the rest, or the first end of all; spread over a fifth, half a second at most, so that callers do not come back at once. Hosts come back after the rest spread over a fifth of it, a second at most. What counts: the latest end; 503 only; seconds or a date; no number above 0: nothing; an hour at most. A rest is of one instance; a new one is told by its start and the opening of the connection. Ruled out: withholding renewals (a holder would lose its keys); a gate in the router's send (what waits in link passes it before it waits). Why it works: every byte to a server passes the gate, and what the gate knows is what any response of that instance to this host has said.

--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -29,10 +29,13 @@
 			localCount++
 		}
 	}
-	best := b.bestOf(now, req, servers, true, localCount, candidate{Choice: Choice{Reason: NoServer, RetryAfter: 4 * minRetryAfter}})
+	best := b.bestOf(now, req, servers, true, localCount, candidate{Choice: noServer})
 	if best.Refused() || !best.canServeNow && !b.surelyInTime(now, req, best.Choice) {
 		best = b.bestOf(now, req, servers, false, len(servers)-localCount, best)
 	}
+	if best.Reason == NoServer && !best.restUntil.IsZero() {
+		return b.restingChoice(now, fleet.Server{}, best.restUntil)
+	}
 	return best.Choice
 }
 
@@ -48,6 +51,8 @@
 type candidate struct {
 	Choice
 	cost float64
+	// restUntil is the first end of the rests of servers that were passed over; zero if there are none.
+	restUntil time.Time
 }
 
 // bestOf compares either the local or the remote servers, of which there are count, with the
@@ -59,12 +64,17 @@
 			continue
 		}
 		position++
+		status := b.notices.Status(now, server)
+		if status.Rests(now) {
+			best.restUntil = firstEnd(best.restUntil, status.RestUntil)
+			continue
+		}
 		if server.Draining || isExcluded(req, server.ID) {
 			continue
 		}
 		c := b.assess(now, req, server, loads.forDataCentre(server.DataCentre))
 		c.cost += b.preferenceCost(req, local, subset.Rank(b.limits.LocalIndex, b.limits.LocalDaemons, position, count))
-		if best.Reason == NoServer || better(c, best) {
+		if c.restUntil = best.restUntil; best.Reason == NoServer || better(c, best) {
 			best = c
 		}
 	}
@@ -84,6 +94,9 @@
 // Evaluate decides whether to send a request to the only server that may run it. As there
 // is no alternative, a high failure rate is no reason to refuse.
 func (b *Balancer) Evaluate(now time.Time, req Requirements, server fleet.Server) Choice {
+	if choice, rests := b.Resting(now, server); rests {
+		return choice
+	}
 	c := b.assess(now, req, server, 0)
 	if c.Reason == ServerFailing {
 		c.Reason = ""
--- a/core/request/spread/requirements.go
+++ b/core/request/spread/requirements.go
@@ -42,7 +42,9 @@
 	AllBusy    Reason = "allBusy"    // the queues are too long for a reply in time
 	ColdServer Reason = "coldServer" // the request rate allowed at a cold server is used up
 	// ServerLimited means that the server takes no more requests for now, by the limit that it has named.
-	ServerLimited   Reason = "serverLimited"
+	ServerLimited Reason = "serverLimited"
+	// ServerResting means that the server has asked this host for rest, or all servers have.
+	ServerResting   Reason = "serverResting"
 	ConnectionLimit Reason = "connections"
 	DeadlineTooNear Reason = "deadlineTooNear"
 	ServerFailing   Reason = "serverFailing"
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"catkinstep/core/request/notice"
 	"catkinstep/core/request/token"
 	"catkinstep/core/version/fleet"
 )
@@ -58,11 +59,19 @@
 	senderRanks map[string]int
 	// answeredAt is when a server last responded to a request of this daemon.
 	answeredAt time.Time
+	notices    *notice.Table
 }
 
+// Option configures a Balancer.
+type Option func(*Balancer)
+
+// WithNotices sets the table of what servers have announced. It must not be used concurrently with the
+// Balancer.
+func WithNotices(t *notice.Table) Option { return func(b *Balancer) { b.notices = t } }
+
 // New returns a Balancer without any measurements.
-func New(seed uint64, l Limits) *Balancer {
-	return &Balancer{
+func New(seed uint64, l Limits, opts ...Option) *Balancer {
+	b := &Balancer{
 		random:      rand.New(rand.NewPCG(seed, 11)),
 		limits:      l,
 		routes:      map[string]*routeStats{},
@@ -71,7 +80,12 @@
 		peers:       map[string]peerLoad{},
 		groupLoads:  map[serverGroup]*groupLoad{},
 		senderRanks: map[string]int{},
+		notices:     notice.NewTable(seed),
+	}
+	for _, o := range opts {
+		o(b)
 	}
+	return b
 }
 
 // SetLimits replaces the limits, for example when the number of daemons changes.
--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -88,6 +88,9 @@
 // Do sends a request once and reads the complete response. If the context ends, the
 // connection is closed, which tells the server to stop.
 func (cl *Client) Do(ctx context.Context, req Request) (*Response, error) {
+	if err := cl.checkGate(req); err != nil {
+		return nil, err
+	}
 	c, err := cl.getConn(ctx, time.Now(), req.ExistingConnOnly)
 	if err != nil {
 		return nil, err
@@ -119,7 +122,9 @@
 	if !req.SendBefore.IsZero() && time.Now().After(req.SendBefore) {
 		return nil, 0, &Error{Op: "write", Kind: TooLate, Err: errTooLate}
 	}
-	cl.observer.Sending(req, c.openedAt)
+	if err := cl.checkGate(req); err != nil {
+		return nil, 0, err
+	}
 	head := cl.head(req)
 	var writeDone chan error
 	if len(req.Body) < minConcurrentWrite {
@@ -168,7 +173,7 @@
 			return nil, 0, readError(err)
 		}
 		if n := noticeOf(httpResp, cl.names); !n.IsEmpty() {
-			cl.observer.Announced(req, c.openedAt, n)
+			cl.gate.Announced(req, c.openedAt, n)
 		}
 		body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxResponseBody+1))
 		if err != nil {
--- a/io/connection/link/doc.go
+++ b/io/connection/link/doc.go
@@ -13,6 +13,6 @@
 //	defer client.Close()
 //	resp, err := client.Do(ctx, link.Request{...})
 //
-// Errors are of type *Error. The kinds ConnectionRefused, ConnectFailed and NotSent
-// prove that the server did not run the request.
+// Errors are of type *Error. The kinds ConnectionRefused, ConnectFailed, NotSent,
+// TooLate and Withheld prove that the server did not run the request.
 package link
--- a/io/connection/link/error.go
+++ b/io/connection/link/error.go
@@ -11,13 +11,14 @@
 
 // Kinds of errors.
 const (
-	ConnectionRefused Kind = "refused" // the address refused the connection
-	NotSent           Kind = "notSent" // no byte of the request was written
-	TooLate           Kind = "tooLate" // the same, since its time to be sent had passed
-	ConnectFailed     Kind = "noWay"   // no connection could be established, for another reason
-	ConnectionLost    Kind = "unsure"  // the connection broke before the response header was complete
-	InvalidResponse   Kind = "cut"     // the response is incomplete, malformed or too large, or belongs to another request
-	ContextDone       Kind = "late"    // the context ended before the response was complete
+	ConnectionRefused Kind = "refused"  // the address refused the connection
+	NotSent           Kind = "notSent"  // no byte of the request was written
+	TooLate           Kind = "tooLate"  // the same, since its time to be sent had passed
+	Withheld          Kind = "withheld" // the same, since the gate did not let it pass
+	ConnectFailed     Kind = "noWay"    // no connection could be established, for another reason
+	ConnectionLost    Kind = "unsure"   // the connection broke before the response header was complete
+	InvalidResponse   Kind = "cut"      // the response is incomplete, malformed or too large, or belongs to another request
+	ContextDone       Kind = "late"     // the context ended before the response was complete
 )
 
 // Error is the error type of this package.
@@ -55,5 +56,5 @@
 // NotRun reports whether an error proves that the server did not run the request.
 func NotRun(err error) bool {
 	k := KindOf(err)
-	return k == ConnectionRefused || k == NotSent || k == TooLate || k == ConnectFailed
+	return k == ConnectionRefused || k == NotSent || k == TooLate || k == Withheld || k == ConnectFailed
 }
--- a/io/connection/link/link.go
+++ b/io/connection/link/link.go
@@ -42,7 +42,7 @@
 	names        names.Names
 	maxIdleConns int
 	dialer       Dialer
-	observer     Observer
+	gate         Gate
 
 	mu        sync.Mutex
 	idleConns []*conn
@@ -78,7 +78,7 @@
 // instance header, by which any other server recognises that a request is not meant for it.
 // It keeps up to maxIdleConns idle connections.
 func New(address, serverID string, n names.Names, maxIdleConns int, opts ...Option) *Client {
-	cl := &Client{address: address, serverID: serverID, names: n, maxIdleConns: maxIdleConns, dialer: DefaultDialer, observer: noObserver{}}
+	cl := &Client{address: address, serverID: serverID, names: n, maxIdleConns: maxIdleConns, dialer: DefaultDialer, gate: openGate{}}
 	for _, o := range opts {
 		o(cl)
 	}
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -58,7 +58,6 @@
 		if !sendAgain {
 			return reply
 		}
-		req.excludeFailed(server, resp)
 	}
 }
 
@@ -91,23 +90,21 @@
 // whether the request may be sent there now or is refused. The attempt begins as in
 // chooseServer.
 func (r *Router) chooseHolder(snap *snapshot, req *request, now time.Time) (fleet.Server, spread.Choice) {
-	keyRange, rangeFound := snap.table.RangeOf(req.service.Name, req.key)
-	server, serverFound := snap.fleet.Find(keyRange.Holder.Server)
-	holderAlive := serverFound && server.StartMillis == keyRange.Holder.StartMillis
+	h := snap.holderFor(req)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if retryAfter, ok := r.admit(req, now); !ok {
-		return server, spread.Choice{Server: server, Reason: reasonKeyOverloaded, RetryAfter: retryAfter}
+		return h.server, spread.Choice{Server: h.server, Reason: reasonKeyOverloaded, RetryAfter: retryAfter}
 	}
-	if !rangeFound || !keyRange.IsOpen() || !holderAlive || !snap.mayServe(server) {
-		return server, r.closedRangeChoice(now, req, keyRange, holderAlive)
+	if !h.isUsable {
+		return h.server, r.closedRangeChoice(now, req, h.keyRange, h.isAlive)
 	}
-	choice := r.balancer.Evaluate(now, req.requirements, server)
+	choice := r.balancer.Evaluate(now, req.requirements, h.server)
 	if !choice.Refused() || choice.RefusalUncertain() {
 		req.attemptStart = now
-		r.balancer.Begin(now, server, req.requirements)
+		r.balancer.Begin(now, h.server, req.requirements)
 	}
-	return server, choice
+	return h.server, choice
 }
 
 // send makes one attempt. If the holder of the request's key deduplicates it, send also
@@ -157,7 +154,7 @@
 	switch {
 	case err != nil && link.KindOf(err) == link.ConnectionRefused:
 		return spread.ConnectionRefused
-	case err != nil && link.KindOf(err) == link.TooLate:
+	case link.KindOf(err) == link.TooLate, link.KindOf(err) == link.Withheld:
 		return spread.Cancelled
 	case err != nil && link.KindOf(err) == link.ConnectFailed && ctx.Err() == nil:
 		return spread.ConnectFailed
@@ -207,12 +204,21 @@
 	if notRun && req.key >= 0 && err == nil && !declinedWithFreeSlots(resp) {
 		return r.giveUp(req, choice, reasonDeclined, r.retryAfterDeclined(req, server, resp)), false
 	}
-	if r.mayRetry(ctx, req, notRun) && (!r.retryState(req, notRun).UsesBudget() || r.tryWithdrawRetry(req)) {
-		r.logFailedAttempt(req, server, choice, resp, err, "sent again")
-		return caller.Reply{}, true
+	if !r.mayRetry(ctx, req, notRun) {
+		r.logFailedAttempt(req, server, choice, resp, err, "given up")
+		return r.giveUp(req, choice, reasonAttemptFailed, choice.RetryAfter), false
 	}
-	r.logFailedAttempt(req, server, choice, resp, err, "given up")
-	return r.giveUp(req, choice, reasonAttemptFailed, choice.RetryAfter), false
+	req.excludeFailed(server, resp)
+	if refusal, certain := r.certainRefusal(req); certain {
+		r.logFailedAttempt(req, server, choice, resp, err, "given up")
+		return r.giveUp(req, refusal, string(refusal.Reason), refusal.RetryAfter), false
+	}
+	if r.retryState(req, notRun).UsesBudget() && !r.tryWithdrawRetry(req) {
+		r.logFailedAttempt(req, server, choice, resp, err, "given up")
+		return r.giveUp(req, choice, reasonAttemptFailed, choice.RetryAfter), false
+	}
+	r.logFailedAttempt(req, server, choice, resp, err, "sent again")
+	return caller.Reply{}, true
 }
 
 // isServerResponse reports whether a response comes from the server itself. A response with a
--- a/io/process/router/carry_test.go
+++ b/io/process/router/carry_test.go
@@ -32,6 +32,7 @@
 type pipeServer struct {
 	mu     sync.Mutex
 	status int
+	header string   // further lines, each with its end
 	runs   []string // method and target
 }
 
@@ -50,9 +51,9 @@
 	}
 	s.mu.Lock()
 	s.runs = append(s.runs, req.Method+" "+req.RequestURI)
-	status := s.status
+	status, header := s.status, s.header
 	s.mu.Unlock()
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d x\r\nCatkinstep-Signature: s\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi", status)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d x\r\n"+header+"Catkinstep-Signature: s\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi", status)
 }
 
 // linkedMesh connects routers without a network. A call that fails says so before or after the other
--- a/io/process/router/clients.go
+++ b/io/process/router/clients.go
@@ -37,11 +37,11 @@
 
 // clientPool holds a client for each server instance and purpose.
 type clientPool struct {
-	names   names.Names
-	dialer  link.Dialer // of all clients; nil for the usual one
-	inner   link.Dialer // that dialer without observation; nil for the usual one
-	// observe returns the observer of the client of a server instance.
-	observe func(clientKey) link.Observer
+	names  names.Names
+	dialer link.Dialer // of all clients; nil for the usual one
+	inner  link.Dialer // that dialer without observation; nil for the usual one
+	// gate returns the gate of the client of a server instance.
+	gate    func(clientKey) link.Gate
 	mu      sync.Mutex
 	clients map[clientKey]*serverClient
 }
@@ -59,7 +59,7 @@
 		if key.purpose != forRequests {
 			maxIdle = maxIdleGrantConns
 		}
-		client = &serverClient{Client: link.New(key.address, key.id, p.names, maxIdle, link.WithDialer(p.dialer), link.WithObserver(p.observe(key)))}
+		client = &serverClient{Client: link.New(key.address, key.id, p.names, maxIdle, link.WithDialer(p.dialer), link.WithGate(p.gate(key)))}
 		p.clients[key] = client
 	}
 	return client
--- a/io/process/router/closed.go
+++ b/io/process/router/closed.go
@@ -50,15 +50,27 @@
 	return r.balancer.Evaluate(time.Now(), req.requirements, server).RetryAfter
 }
 
+// latestStart is when a request must be sent for a response within the latency target. r.mu must be held.
+func (r *Router) latestStart(req *request) time.Time {
+	return req.ReadAt.Add(req.route.LatencyTarget - r.balancer.TypicalServiceTime(req.requirements))
+}
+
+// opensInTime reports whether a closed range very probably opens early enough for a response within the
+// latency target. r.mu must be held.
+func (r *Router) opensInTime(req *request) bool {
+	latestStart := r.latestStart(req)
+	return !req.rangeOpensBy.After(latestStart) && !latestStart.After(req.deadline)
+}
+
 // awaitRangeOpen waits for a new table, and reports whether one came into force. A request
 // waits only if its range very probably opens early enough for a response within the latency
 // target. Any other request is refused at once, so that its caller can proceed without the
 // response.
 func (r *Router) awaitRangeOpen(ctx context.Context, req *request, tableUpdateCh <-chan struct{}) bool {
 	r.mu.Lock()
-	latestStart := req.ReadAt.Add(req.route.LatencyTarget - r.balancer.TypicalServiceTime(req.requirements))
+	latestStart, opensInTime := r.latestStart(req), r.opensInTime(req)
 	r.mu.Unlock()
-	if req.rangeOpensBy.After(latestStart) || latestStart.After(req.deadline) {
+	if !opensInTime {
 		return false
 	}
 	timer := time.NewTimer(time.Until(latestStart))
--- a/io/process/router/control_test.go
+++ b/io/process/router/control_test.go
@@ -54,6 +54,12 @@
 	return object.Item{Name: id, Revision: revision, Value: v}
 }
 
+// restartedItem is the entry of another instance of a server.
+func restartedItem(id string, revision uint64, startMillis int64) object.Item {
+	v, _ := json.Marshal(fleet.Server{ID: id, Address: id, Service: "s", DataCentre: "x", Slots: 3, StartMillis: startMillis})
+	return object.Item{Name: id, Revision: revision, Value: v}
+}
+
 func (r *Router) updateServers(at time.Time, throughRevision uint64, items ...object.Item) {
 	r.control.update(at, deltaMsg{delta: object.Delta{Kind: object.Servers, Items: items, Through: throughRevision, CurrentAt: at}})
 }
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -172,12 +172,12 @@
 	r.carriers = carry.New(s.Name)
 	r.rateLimits, r.issuer = limit.NewTable(), limit.NewIssuer()
 	r.notices = notice.NewTable(seed)
-	r.clientPool.observe = func(key clientKey) link.Observer { return serverObserver{r: r, key: key} }
+	r.clientPool.gate = func(key clientKey) link.Gate { return serverGate{r: r, key: key} }
 	r.leaderContact.Store(&leaderContact{})
 	r.permits.issuer, r.permits.absentUntil, r.permits.lastID = permit.NewIssuer(seed), map[string]time.Time{}, seed
 	r.tableUpdateCh.Store(new(make(chan struct{})))
 	r.random = rand.New(rand.NewPCG(seed, 23))
-	r.balancer = spread.New(seed, r.coldLimits().WithMembers(spread.Members{Self: s.Name}))
+	r.balancer = spread.New(seed, r.coldLimits().WithMembers(spread.Members{Self: s.Name}), spread.WithNotices(r.notices))
 	r.current.Store((&snapshot{}).withFleet(fleet.New(nil), nil))
 	r.bootDone, r.boot = make(chan struct{}), boot.New(r.now())
 	r.control = newControl(r, r.now())
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -81,6 +81,10 @@
 	if r.checkCrashSuspect(req) {
 		return r.refuseRequest(req, reasonCrashSuspect, crashRetention/4)
 	}
+	if refusal, certain := r.certainRefusal(req); certain && !r.cutOff.Load() {
+		r.recordUnserved(req)
+		return r.giveUp(req, refusal, string(refusal.Reason), refusal.RetryAfter)
+	}
 	if refusal := r.admitToAllowance(ctx, req); refusal != nil {
 		return *refusal
 	}
@@ -165,6 +169,16 @@
 	return header
 }
 
+// recordUnserved counts a request that is refused since no server can get it. Whether one of a workspace
+// with an allowance is within it is not known, and it is not counted.
+func (r *Router) recordUnserved(req *request) {
+	if req.identity.workspace.Allowance.Limited() {
+		return
+	}
+	r.recordDemand(req)
+	r.recordArrival(req)
+}
+
 // recordArrival counts a request for its key's bucket and deposits its share into the
 // service's retry budget.
 func (r *Router) recordArrival(req *request) {
--- a/io/process/router/servers.go
+++ b/io/process/router/servers.go
@@ -232,7 +232,7 @@
 	c.r.balancer.Prune(f)
 	c.r.applyRateLimits(f)
 	c.r.notices.Prune(time.Now(), f)
-	c.r.noticed.Store(int64(c.r.notices.Len()))
+	c.r.countNotices()
 	c.r.mu.Unlock()
 	c.updateReachableServers(c.r.now())
 }
--- a/io/process/router/snapshot.go
+++ b/io/process/router/snapshot.go
@@ -26,6 +26,24 @@
 	return !server.Draining && !s.excludedDataCentres[server.DataCentre]
 }
 
+// keyHolder is the holder of a request's key.
+type keyHolder struct {
+	server   fleet.Server
+	keyRange grant.Range
+	// isAlive is set if the instance is listed that holds the key, and isUsable if it may also get new
+	// requests for it.
+	isAlive, isUsable bool
+}
+
+// holderFor returns the holder of a request's key.
+func (s *snapshot) holderFor(req *request) keyHolder {
+	keyRange, rangeFound := s.table.RangeOf(req.service.Name, req.key)
+	server, serverFound := s.fleet.Find(keyRange.Holder.Server)
+	h := keyHolder{server: server, keyRange: keyRange, isAlive: serverFound && server.StartMillis == keyRange.Holder.StartMillis}
+	h.isUsable = rangeFound && keyRange.IsOpen() && h.isAlive && s.mayServe(server)
+	return h
+}
+
 // withFleet returns a snapshot with other servers and other data centres that are out of
 // service.
 func (s *snapshot) withFleet(f *fleet.Fleet, excludedDataCentres map[string]bool) *snapshot {
