Retry-After of a key whose holder must not be used grows while it cannot be moved

What callers saw: a holder that drains while the store is away keeps its keys for as long as that lasts. Each request for them was held for half a second or so and refused with 0.1 to 0.3 s to come back, again and again. Cause: such a range counted as closed from the moment of each question, so nothing ever had lasted for long. Change: the estimator is told which listed servers must not be used; their ranges count as closed since then.

--- a/core/version/reopen/reopen.go
+++ b/core/version/reopen/reopen.go
@@ -49,12 +49,13 @@
 // Estimator records how long ranges stay closed. Create it with New; the zero Estimator is not usable.
 type Estimator struct {
 	closed    map[rangeStart]closedPeriod
+	unusable  map[grant.Holder]time.Time // listed servers that must not be used, and since when
 	durations map[sampleGroup][]time.Duration // up to maxSamples, the newest last
 }
 
 // New returns an Estimator that has observed nothing.
 func New() *Estimator {
-	return &Estimator{closed: map[rangeStart]closedPeriod{}, durations: map[sampleGroup][]time.Duration{}}
+	return &Estimator{closed: map[rangeStart]closedPeriod{}, unusable: map[grant.Holder]time.Time{}, durations: map[sampleGroup][]time.Duration{}}
 }
 
 // Observe records which ranges of a table are closed, and the closed periods of those that have
@@ -87,7 +88,8 @@
 }
 
 // EstimateReopening estimates how long it takes until a range opens again. A range that is still
-// open in the table, although its holder must not be used, counts as closed from now on.
+// open in the table, although its holder must not be used, counts as closed since ObserveUnusable named the holder: it
+// cannot be moved while nobody reaches the store.
 // holderAlive says whether the holder of such a range is alive. For a range that Observe has found
 // closed it has no effect, since Observe recorded whether the holder was alive at that time.
 func (e *Estimator) EstimateReopening(now time.Time, service string, r grant.Range, holderAlive bool) Estimate {
@@ -95,10 +97,25 @@
 	elapsed := time.Duration(0)
 	if c, ok := e.closed[rangeStart{service: service, from: r.From}]; ok {
 		elapsed, group.holderLost = now.Sub(c.closedAt), c.holderLost
+	} else if since, unusable := e.unusable[r.Holder]; unusable {
+		elapsed = now.Sub(since)
 	}
 	return e.remaining(group, elapsed)
 }
 
+// ObserveUnusable records which listed servers must not be used, of which one may still hold open ranges.
+func (e *Estimator) ObserveUnusable(now time.Time, servers []grant.Holder) {
+	unusable := make(map[grant.Holder]time.Time, len(servers))
+	for _, h := range servers {
+		since, known := e.unusable[h]
+		if !known {
+			since = now
+		}
+		unusable[h] = since
+	}
+	e.unusable = unusable
+}
+
 // remaining estimates how much longer a closed period lasts, based on the earlier ones that
 // lasted longer than this one has so far. If there are none, it uses the default times and
 // overrunFactor.
--- a/core/version/reopen/reopen_test.go
+++ b/core/version/reopen/reopen_test.go
@@ -63,3 +63,24 @@
 		So(estimator.EstimateReopening(at(101), "s", newTable(true).Services[0].Ranges[0], false).Median, ShouldEqual, 2500*time.Millisecond)
 	})
 }
+
+// Guards against callers who are held, or asked to come back at once again and again, for a range that
+// cannot be moved while its holder must not be used.
+func TestOpenRangeOfUnusableHolder(t *testing.T) {
+	Convey("The longer it lasts, the longer it is expected to last, until the range has another holder", t, func() {
+		estimator := New()
+		observeClosedPeriods(estimator, false, 0.1, 0.1, 0.2)
+		r := newTable(false).Services[0].Ranges[0]
+		estimator.ObserveUnusable(at(10), []grant.Holder{r.Holder})
+		estimator.ObserveUnusable(at(12), []grant.Holder{r.Holder, {Server: "c"}})
+		So(estimator.EstimateReopening(at(14), "s", r, true).Median, ShouldEqual, 2*time.Second)
+		r.Holder.Server = "b"
+		So(estimator.EstimateReopening(at(14), "s", r, true).Median, ShouldEqual, 100*time.Millisecond)
+	})
+	Convey("A holder that may be used again counts no more", t, func() {
+		estimator, r := New(), newTable(false).Services[0].Ranges[0]
+		estimator.ObserveUnusable(at(10), []grant.Holder{r.Holder})
+		estimator.ObserveUnusable(at(12), nil)
+		So(estimator.EstimateReopening(at(20), "s", r, true).Median, ShouldEqual, defaultReleaseTime)
+	})
+}
--- a/io/process/router/servers.go
+++ b/io/process/router/servers.go
@@ -233,6 +233,7 @@
 	c.r.applyRateLimits(f)
 	c.r.notices.Prune(time.Now(), f)
 	c.r.countNotices()
+	c.r.reopenEstimator.ObserveUnusable(c.r.now(), c.r.current.Load().unusable())
 	c.r.mu.Unlock()
 	c.updateReachableServers(c.r.now())
 }
--- a/io/process/router/snapshot.go
+++ b/io/process/router/snapshot.go
@@ -44,6 +44,17 @@
 	return h
 }
 
+// unusable returns the listed servers that may not get new requests.
+func (s *snapshot) unusable() []grant.Holder {
+	var out []grant.Holder
+	for _, server := range s.fleet.All() {
+		if !s.mayServe(server) {
+			out = append(out, grant.Holder{Server: server.ID, StartMillis: server.StartMillis, Address: server.Address})
+		}
+	}
+	return out
+}
+
 // withFleet returns a snapshot with other servers and other data centres that are out of
 // service.
 func (s *snapshot) withFleet(f *fleet.Fleet, excludedDataCentres map[string]bool) *snapshot {
