DRAIN: a server that says that it leaves gets nothing more, and its keys move

Cause: a server counted as draining by its entry only. Nothing read its answers, nor those to grants and releases. Change: an instance that says so counts as draining until it ends, whatever the store says: in the gate before each write, in the choice, and in the list of servers, by which the leader moves keys. Hosts tell each other at once, as they do other changes, with a digest in each message for those that missed it. It is remembered for 10 minutes for an instance that is not listed; a server whose entry has no start time (the own interface) is tried again after a minute. Releases and renewals pass; no new keys are granted. Server-Leaving goes to the caller as it came. While the store is away the keys stay, since a move must be stored first, and their callers are refused at once. Ruled out: writing 'draining' into the server's entry (that is the server's own; a host out of touch could not); moving keys without the store (a successor would grant them to the one before).

--- a/core/request/notice/table.go
+++ b/core/request/notice/table.go
@@ -16,7 +16,7 @@
 	returnSpread    = 0.2
 	maxReturnSpread = time.Second
 	// leavingTTL is how long a server counts as leaving whose entry does not say when it started: its
-	// next instance cannot be told from it.
+	// next instance looks the same.
 	leavingTTL = time.Minute
 	// endedRetention is how long it is remembered that a server left that is no longer listed. Its entry
 	// may come back for a while.
--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -65,11 +65,11 @@
 		}
 		position++
 		status := b.notices.Status(now, server)
-		if status.Rests(now) {
+		if status.Rests(now) && !status.Leaving {
 			best.restUntil = firstEnd(best.restUntil, status.RestUntil)
 			continue
 		}
-		if server.Draining || isExcluded(req, server.ID) {
+		if server.Draining || status.Leaving || isExcluded(req, server.ID) {
 			continue
 		}
 		c := b.assess(now, req, server, loads.forDataCentre(server.DataCentre))
--- a/core/request/spread/resting.go
+++ b/core/request/spread/resting.go
@@ -16,19 +16,20 @@
 // Resting returns the refusal of requests that only one server may run, if that server has asked for rest.
 func (b *Balancer) Resting(now time.Time, server fleet.Server) (refusal Choice, rests bool) {
 	status := b.notices.Status(now, server)
-	if !status.Rests(now) {
+	if status.Leaving || !status.Rests(now) {
 		return Choice{}, false
 	}
 	return b.restingChoice(now, server, status.RestUntil), true
 }
 
-// NoneAvailable returns the refusal of a request that none of the servers may get, as they rest, drain or are
+// NoneAvailable returns the refusal of a request that none of the servers may get, as they rest, leave or are
 // excluded. It returns false if there is any other.
 func (b *Balancer) NoneAvailable(now time.Time, req Requirements, servers []fleet.Server) (refusal Choice, none bool) {
 	var restUntil time.Time
 	for _, server := range servers {
 		status := b.notices.Status(now, server)
 		switch {
+		case status.Leaving:
 		case status.Rests(now):
 			restUntil = firstEnd(restUntil, status.RestUntil)
 		case !server.Draining && !isExcluded(req, server.ID):
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -96,7 +96,7 @@
 	if retryAfter, ok := r.admit(req, now); !ok {
 		return h.server, spread.Choice{Server: h.server, Reason: reasonKeyOverloaded, RetryAfter: retryAfter}
 	}
-	if !h.isUsable {
+	if !h.isUsable || r.notices.Status(now, h.server).Leaving {
 		return h.server, r.closedRangeChoice(now, req, h.keyRange, h.isAlive)
 	}
 	choice := r.balancer.Evaluate(now, req.requirements, h.server)
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -183,6 +183,7 @@
 		c.role.isStandby.Store(!c.stopping && c.members.IsStandbyReader(now, c.r.current.Load().table.Leader.Daemon))
 	}
 	c.dropExpiredServers(now)
+	c.applyOwnLeaving(now)
 	c.tryAcquireLeadership(now)
 	if c.keeper != nil {
 		c.runKeeper(now)
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -131,6 +131,7 @@
 	}
 	g.Suspects, g.Sent = c.r.recentSuspects(), c.r.recentUnanswered()
 	g.ServerLimits, g.ServerLimitsDigest = c.r.rateLimitNews(c.members.GossipInterval())
+	g.LeavingServers, g.LeavingServersDigest = c.r.leavingNews()
 	g.LimitsEpoch, g.LimitsSeq = c.limits.epoch, c.limits.seq
 	if c.members.IsRelay(now) {
 		g.Live = uint32(c.members.LiveLocalCount(now))
@@ -196,6 +197,7 @@
 	c.applyPeerLoad(now, g)
 	c.r.mergeUnanswered(g.Sent)
 	c.r.mergeRateLimits(g.ServerLimits)
+	c.receiveLeaving(now, g.LeavingServers)
 	if c.r.mergeSuspects(g.Suspects) {
 		c.propagateChange(now, false)
 	}
@@ -216,6 +218,9 @@
 	if g.ServerLimitsDigest != reply.ServerLimitsDigest {
 		reply.ServerLimits = c.r.someRateLimits()
 	}
+	if g.LeavingServersDigest != reply.LeavingServersDigest {
+		reply.LeavingServers = c.r.someLeaving()
+	}
 	if c.limits.newerThan(holderLimits{epoch: g.LimitsEpoch, seq: g.LimitsSeq}) {
 		reply.Limits = c.limits.toWire(now)
 	}
--- a/io/process/router/notices.go
+++ b/io/process/router/notices.go
@@ -20,6 +20,7 @@
 
 var (
 	errRests    = errors.New("the server has asked for rest")
+	errLeaves   = errors.New("the server is leaving")
 	errReplaced = errors.New("the server has started again since it was chosen")
 )
 
@@ -32,6 +33,10 @@
 	r, s, now := g.r, g.server(), time.Now()
 	r.mu.Lock()
 	change := r.notices.Add(now, s, connOpenedAt, n)
+	if change.Leaves {
+		r.leavingBuffer.add(now, notice.Leaving{Server: s.ID, StartMillis: s.StartMillis, SaidAt: now})
+		r.leavingChanged.Store(true)
+	}
 	r.countNotices()
 	r.mu.Unlock()
 	if change.Rests {
@@ -77,7 +82,10 @@
 	g.r.mu.Lock()
 	status := g.r.notices.Status(now, s)
 	g.r.mu.Unlock()
-	if status.Rests(now) {
+	switch {
+	case status.Leaving:
+		return errLeaves
+	case status.Rests(now):
 		return errRests
 	}
 	return nil
@@ -96,7 +104,7 @@
 		return r.balancer.NoneAvailable(now, req.requirements, snap.serving[req.service.Name])
 	}
 	h := snap.holderFor(req)
-	if !h.isUsable {
+	if !h.isUsable || r.notices.Status(now, h.server).Leaving {
 		return r.closedRangeChoice(now, req, h.keyRange, h.isAlive), !r.opensInTime(req)
 	}
 	return r.balancer.Resting(now, h.server)
--- a/io/process/router/notices_test.go
+++ b/io/process/router/notices_test.go
@@ -30,7 +30,7 @@
 // announce records that a server announces something.
 func (r *Router) announce(id string, n notice.Notice) {
 	s, _ := r.current.Load().fleet.Find(id)
-	r.gateOf(s).Announced(link.Request{}, time.Now(), n)
+	r.gateOf(s).Announced(link.Request{}, time.UnixMilli(s.StartMillis), n)
 }
 
 func (r *Router) gateOf(s fleet.Server) serverGate {
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -67,6 +67,8 @@
 	limitedServers atomic.Int64
 	// noticed is the number of servers that have announced something.
 	noticed atomic.Int64
+	// leavingChanged is set until the control loop has taken into account what a server said to this daemon.
+	leavingChanged atomic.Bool
 	// carriedRunning is the number of requests that are served for other daemons.
 	carriedRunning atomic.Int64
 	// tokenRelay is the daemon that asks for tokens of allowances on behalf of this one.
@@ -111,6 +113,8 @@
 	permits          permits
 	// notices are what servers have announced to this daemon.
 	notices *notice.Table
+	// leavingBuffer holds the instances that were lately found to leave, for the other daemons.
+	leavingBuffer piggybackBuffer[notice.Leaving]
 	// rateLimits are the limits that servers have named, and issuer issues tokens for them while
 	// this daemon leads.
 	rateLimits *limit.Table
--- a/io/process/router/servers.go
+++ b/io/process/router/servers.go
@@ -225,7 +225,7 @@
 	for _, it := range c.caches[object.Exclusions].List() {
 		excluded[it.Name] = true
 	}
-	f := fleet.New(c.serverList.list())
+	f := fleet.New(c.r.markLeaving(c.serverList.list()))
 	c.r.current.Store(c.r.current.Load().withFleet(f, excluded))
 	c.r.clientPool.closeRemoved(f)
 	c.r.mu.Lock()
