--- a/core/request/spread/simulation_test.go
+++ b/core/request/spread/simulation_test.go
@@ -38,6 +38,14 @@
 	// traffic says where requests come from and learns what becomes of them; nil if it does not
 	// matter.
 	traffic traffic
+	// observer sees what reaches the servers; nil if that does not matter.
+	observer serverObserver
+}
+
+// serverObserver sees the requests that reach a server, and those that it declines.
+type serverObserver interface {
+	arrivedAt(from origin, s fleet.Server)
+	declinedBy(from origin, s fleet.Server)
 }
 
 // traffic chooses the origins of requests, and follows them.
@@ -238,6 +246,9 @@
 }
 
 func (sim *simulation) receive(b *backend, j job) {
+	if sim.observer != nil {
+		sim.observer.arrivedAt(j.from, b.server)
+	}
 	switch {
 	case b.running < b.server.Slots:
 		sim.start(b, j)
@@ -246,6 +257,9 @@
 	default:
 		sim.declined++
 		sim.endPermit(b, j)
+		if sim.observer != nil {
+			sim.observer.declinedBy(j.from, b.server)
+		}
 		j.daemon.End(sim.now, b.server, j.req, j.sentAt, Declined, b.report())
 		j.req.Excluded = append(j.req.Excluded, b.server.ID)
 		sim.send(j.from, j.req)
