--- a/core/version/reopen/reopen.go
+++ b/core/version/reopen/reopen.go
@@ -49,7 +49,7 @@
 // Estimator records how long ranges stay closed. Create it with New; the zero Estimator is not usable.
 type Estimator struct {
 	closed    map[rangeStart]closedPeriod
-	unusable  map[grant.Holder]time.Time // listed servers that must not be used, and since when
+	unusable  map[grant.Holder]time.Time      // listed servers that must not be used, and since when
 	durations map[sampleGroup][]time.Duration // up to maxSamples, the newest last
 }
 
