--- a/io/standin/server/serve.go
+++ b/io/standin/server/serve.go
@@ -48,12 +48,17 @@
 		writeDeclined(w, r, http.StatusMisdirectedRequest)
 		return
 	}
+	s.announceLeaving(w)
 	switch r.URL.Path {
 	case native.GrantPath:
 		s.serveGrant(inst, w, body, arrived)
 	case native.ReleasePath:
 		s.serveRelease(inst, w, body)
 	default:
+		if s.asksForRest(w) {
+			writeDeclined(w, r, http.StatusServiceUnavailable)
+			return
+		}
 		s.serveRequest(inst, w, r)
 	}
 }
@@ -318,22 +323,5 @@
 	}
 }
 
-func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var req struct {
-		Faults
-		TurnCold bool `json:"turnCold"`
-	}
-	d := json.NewDecoder(r.Body)
-	d.DisallowUnknownFields()
-	if err := d.Decode(&req); err != nil {
-		http.Error(w, fmt.Sprintf("faults: %v", err), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(req.Faults)
-	if req.TurnCold {
-		s.TurnCold()
-	}
-}
-
 // defaultTimeout applies to requests without a deadline.
 const defaultTimeout = 5 * time.Second
--- a/io/standin/server/server.go
+++ b/io/standin/server/server.go
@@ -64,6 +64,10 @@
 	// CrashOnPath crashes the server when it is about to run a request whose path contains this text;
 	// empty means never.
 	CrashOnPath string `json:"crashOn"`
+	// RestSeconds makes the server decline all requests for so long, and ask for rest until then.
+	RestSeconds float64 `json:"restSeconds"`
+	// Leaving makes the server say in all its responses that it leaves.
+	Leaving bool `json:"leaving"`
 }
 
 // keyGrant is the grant of one key. Its fence stays after the release, so that a delayed grant
@@ -100,6 +104,7 @@
 	instance  *instance
 	faults    Faults
 	resumed   chan struct{} // closed unless the server is frozen
+	restUntil time.Time     // see Faults.RestSeconds
 	lastRunID uint64
 	rng       *rand.Rand
 	runs      []oracle.Run
@@ -169,6 +174,7 @@
 		}
 	}
 	s.faults = f
+	s.restUntil = time.Now().Add(time.Duration(f.RestSeconds * float64(time.Second)))
 }
 
 // Freeze suspends the server, as SIGSTOP does with a process, or resumes it. It clears all
