QUOTA: allowances are kept in two halves, so that the loss of the leader leaves enough

What callers saw: after the leader was lost, a workspace that keeps to its allowance was refused for 0.4 to 0.95 s at 8 to 90 hosts, and for up to 7 s at 1,500; after all hosts were killed as well. Cause: all shares were lent to one pool, whose loans end long after it is gone. Until then nobody may hand out what was lent. Change: each allowance has two halves with loans and pools of their own; each prefers another one of the leader and its successor, and stays where it is when the successor leads. What one half and its saved burst give covers the usual load until the loans of the other have ended. Daemons that have all just started renew every 50 ms (80 us a daemon on large sites) until they may lend, give up a pool that never answered after 0.1 s, and are asked back by what the pool will soon have, not by what it has in its first moments.

--- a/core/process/quota/account.go
+++ b/core/process/quota/account.go
@@ -13,7 +13,7 @@
 	minLease = 1.0
 	// minLeasedAllowance is the lowest allowance that is leased, in requests per second. Smaller ones need
 	// few tokens, and a lease that goes unused would take much of them.
-	minLeasedAllowance = 50.0
+	minLeasedAllowance = 50.0 / halves
 	// burstTime is the time whose requests a lease may save up, as far as there is room.
 	burstTime = time.Second
 	// minUsefulRate, usefulRatePerBurst and maxUsefulRate are for usefulRate.
@@ -142,8 +142,9 @@
 	a.tokens = min(a.cap, a.tokens)
 }
 
-// take takes a token. Daemons that get none are asked to return one after the other.
-func (a *account) take(now time.Time) (retryAfter time.Duration, ok bool) {
+// take takes a token. Daemons that get none are asked to return one after the other, as tokens come with the
+// share that the pool will soon have.
+func (a *account) take(now time.Time, expectedShare float64) (retryAfter time.Duration, ok bool) {
 	a.lastUsedAt = now
 	if a.tokens >= 1 {
 		a.tokens--
@@ -154,7 +155,7 @@
 		return 0, true
 	}
 	a.denied++
-	rate := a.allowance.Rate*a.share - a.leased
+	rate := a.allowance.Rate*expectedShare - a.leased
 	if rate <= 0 {
 		return maxTokenWait, false
 	}
--- a/core/process/quota/lender.go
+++ b/core/process/quota/lender.go
@@ -8,6 +8,8 @@
 const (
 	// failingAfter is how long the renewals to a pool get no answer until another one is chosen.
 	failingAfter = 300 * time.Millisecond
+	// unknownFailingAfter is the same for a pool that has never answered, to which nothing can be lent.
+	unknownFailingAfter = 100 * time.Millisecond
 	// minRetryInterval is the shortest time between two renewals to a pool.
 	minRetryInterval = 50 * time.Millisecond
 )
@@ -48,7 +50,11 @@
 
 // isFailing reports whether the pool has not answered for a while.
 func (c *contact) isFailing(now time.Time) bool {
-	return !c.failingSince.IsZero() && now.Sub(c.failingSince) >= failingAfter
+	after := failingAfter
+	if c.pool == 0 {
+		after = unknownFailingAfter
+	}
+	return !c.failingSince.IsZero() && now.Sub(c.failingSince) >= after
 }
 
 // isSilent reports whether the pool has not answered the last renewal.
@@ -106,6 +112,9 @@
 func (l *Lender) isDue(now time.Time, address, target string) bool {
 	c := l.contact(address)
 	interval := RenewInterval(l.daemons)
+	if l.complete && !l.isFree {
+		interval = freshInterval(l.daemons)
+	}
 	if address == target && l.loan(now, c) > 0 && !l.isLentTo(c) {
 		interval = minRetryInterval
 	}
@@ -155,6 +164,12 @@
 	return loan
 }
 
+// uses reports whether the share was lent last to the pool at an address.
+func (l *Lender) uses(address string) bool {
+	c := l.contacts[address]
+	return c != nil && l.isLentTo(c)
+}
+
 func (l *Lender) isLentTo(c *contact) bool { return c.pool != 0 && c.pool == l.lentTo }
 
 // Answered records a grant. It returns false if the grant does not answer the newest renewal.
--- a/core/process/quota/messages.go
+++ b/core/process/quota/messages.go
@@ -9,6 +9,8 @@
 	// Seq orders the renewals of an incarnation to a pool, and Acked is that of the last one whose Grant
 	// arrived.
 	Seq, Acked uint64
+	// Half is that of the allowances which the renewal is about, from 0.
+	Half int
 	// Pool and Stamp are those of the newest grant of this pool; zero before the first.
 	Pool  uint64
 	Stamp time.Duration
--- a/core/process/quota/pool.go
+++ b/core/process/quota/pool.go
@@ -34,6 +34,8 @@
 	// whose loans last longer than a lease. They were counted at countedAt.
 	share, leaseShare float64
 	countedAt         time.Time
+	// renewing is the share of the daemons that have renewed lately, whether they lend or will soon.
+	renewing float64
 	// lent is the sum of share over time, in seconds, and unused is how much of it a bucket holds
 	// from which nothing was taken.
 	lent, unused float64
@@ -224,7 +226,7 @@
 // there may be one for this daemon.
 func (p *Pool) Take(now time.Time, w space.Workspace) (retryAfter time.Duration, ok bool) {
 	p.refreshShare(now)
-	return p.account(now, w).take(now)
+	return p.account(now, w).take(now, max(p.share, p.renewing))
 }
 
 // account returns the account of a workspace, with what it has at present.
@@ -253,7 +255,7 @@
 	lentSince := p.lentSinceCount(now)
 	p.lent += lentSince
 	p.unused += lentSince
-	lent, lentLonger := 0, 0
+	lent, lentLonger, renewing := 0, 0, 0
 	forTokens := now.Add(shareTTL + tokenTTL)
 	forLeases := forTokens.Add(leaseTime(p.daemons))
 	for _, m := range p.members {
@@ -263,7 +265,11 @@
 		if !m.lentUntil.Before(forLeases) {
 			lentLonger++
 		}
+		if now.Sub(m.renewedAt) < leaseTime(p.daemons) {
+			renewing++
+		}
 	}
+	p.renewing = min(1, float64(renewing)/float64(p.daemons))
 	if !p.complete {
 		lent, lentLonger = 0, 0
 	}
--- a/core/process/quota/report.go
+++ b/core/process/quota/report.go
@@ -20,6 +20,13 @@
 	Left float64
 }
 
+// with adds the usage of another pool for the same workspace.
+func (u Usage) with(other Usage) Usage {
+	u.Taken, u.Denied = u.Taken+other.Taken, u.Denied+other.Denied
+	u.Share, u.Leased, u.Left = u.Share+other.Share, u.Leased+other.Leased, u.Left+other.Left
+	return u
+}
+
 // TakeReport returns the usages of up to n workspaces of which tokens were denied since the last report, or half
 // of the pool's part of the allowance was handed out, and begins the next one. seconds is the time since the last report.
 func (p *Pool) TakeReport(n int, seconds float64) []Usage {
--- a/core/process/quota/timing.go
+++ b/core/process/quota/timing.go
@@ -11,6 +11,8 @@
 	// bounds the renewals that a pool gets: 670 a second at most.
 	minRenewInterval   = 100 * time.Millisecond
 	renewTimePerDaemon = 1500 * time.Microsecond
+	// freshTimePerDaemon is the same for daemons that have just started: 12,500 a second for a moment.
+	freshTimePerDaemon = 80 * time.Microsecond
 	// tokenTTL is how long after it was taken or asked for a token may be used.
 	tokenTTL = 120 * time.Millisecond
 	// renewMargin is for messages that take their time.
@@ -22,6 +24,12 @@
 	return max(minRenewInterval, time.Duration(daemons)*renewTimePerDaemon)
 }
 
+// freshInterval is the time between two renewals of a daemon that has lent nothing since its start. If all
+// have just started, each must have renewed twice until they may lend.
+func freshInterval(daemons int) time.Duration {
+	return max(minRetryInterval, time.Duration(daemons)*freshTimePerDaemon)
+}
+
 // leaseTime is how long a lease lasts: until the next renewal.
 func leaseTime(daemons int) time.Duration { return RenewInterval(daemons) + renewMargin }
 
@@ -39,8 +47,8 @@
 const (
 	leaseBurstTime  = 150 * time.Millisecond
 	leaseBurstShare = 0.05
-	leaseBurstExtra = 8.0
-	poolExtra       = 8.0
+	leaseBurstExtra = 8.0 / halves
+	poolExtra       = 8.0 / halves
 )
 
 // leaseBursts is how many requests all leases of a workspace together may save up.
--- a/core/process/quota/ways_test.go
+++ b/core/process/quota/ways_test.go
@@ -152,8 +152,8 @@
 
 type pooledDaemon struct {
 	limiter *Limiter
-	lender  *Lender
-	pool    *Pool
+	lender  *Lenders
+	pool    *Pools
 }
 
 // linkState says whether messages of a daemon pass.
@@ -171,7 +171,7 @@
 func (p *pooled) restart(d int, now time.Time) {
 	p.started++
 	name := strconv.Itoa(d)
-	x := pooledDaemon{limiter: NewLimiter(p.started), lender: NewLender(now, name, p.started), pool: NewPool(now, p.started)}
+	x := pooledDaemon{limiter: NewLimiter(p.started), lender: NewLenders(now, name, p.started), pool: NewPools(now, p.started)}
 	if d == p.leader && now.After(t0) { // only newLeader ends what leads
 		x.pool = p.daemons[d].pool
 	}
@@ -214,7 +214,7 @@
 }
 
 // reach returns the pool at an address, if messages between it and a daemon pass.
-func (p *pooled) reach(d int, address string) (*Pool, bool) {
+func (p *pooled) reach(d int, address string) (*Pools, bool) {
 	other, err := strconv.Atoi(address)
 	switch {
 	case err != nil:
@@ -229,15 +229,15 @@
 	find := func(string) (space.Workspace, bool) { return w, true }
 	for d := range p.site {
 		x := &p.daemons[d]
-		for _, address := range x.lender.Due(now) {
-			renewal := x.lender.Begin(now, address).WithDemands(x.limiter.Demands(now))
-			pool, ok := p.reach(d, address)
+		for _, target := range x.lender.Due(now) {
+			renewal := x.lender.Begin(now, target).WithDemands(x.limiter.Demands(now))
+			pool, ok := p.reach(d, target.Address)
 			var grant Grant
 			if ok {
 				grant, ok = pool.Renew(now, renewal, find)
 			}
-			if !ok || !x.lender.Answered(now, address, grant) {
-				x.lender.Failed(address)
+			if !ok || !x.lender.Answered(now, target, grant) {
+				x.lender.Failed(target)
 				continue
 			}
 			x.limiter.SetLeases(now, now, grant)
--- a/core/process/quota/world_test.go
+++ b/core/process/quota/world_test.go
@@ -90,7 +90,7 @@
 	x := h.daemons[d]
 	x.life++
 	x.frozen = time.Time{}
-	x.pooledDaemon = pooledDaemon{limiter: NewLimiter(h.started), lender: NewLender(h.now, strconv.Itoa(d), h.started), pool: NewPool(h.now, h.started)}
+	x.pooledDaemon = pooledDaemon{limiter: NewLimiter(h.started), lender: NewLenders(h.now, strconv.Itoa(d), h.started), pool: NewPools(h.now, h.started)}
 	x.pool.SetDaemons(h.now, len(h.daemons), true)
 	x.lender.SetDaemons(len(h.daemons), true)
 	h.learnLeader(d, h.leader)
@@ -154,13 +154,13 @@
 // renew sends the renewals that are due.
 func (h *hosts) renew(d int) {
 	x, life, sentAt := h.daemons[d], h.daemons[d].life, h.now
-	for _, address := range x.lender.Due(h.now) {
-		renewal, ended := x.lender.Begin(h.now, address).WithDemands(x.limiter.Demands(h.now)), false
-		to, _ := strconv.Atoi(address)
+	for _, target := range x.lender.Due(h.now) {
+		renewal, ended := x.lender.Begin(h.now, target).WithDemands(x.limiter.Demands(h.now)), false
+		to, _ := strconv.Atoi(target.Address)
 		h.after(callTimeout, func() {
 			if x.life == life && !ended {
 				ended = true
-				x.lender.Failed(address)
+				x.lender.Failed(target)
 			}
 		})
 		transit, ok := h.transit(d, to)
@@ -178,8 +178,8 @@
 					return
 				}
 				ended = true
-				if !x.lender.Answered(h.now, address, grant) {
-					x.lender.Failed(address)
+				if !x.lender.Answered(h.now, target, grant) {
+					x.lender.Failed(target)
 					return
 				}
 				x.limiter.SetLeases(h.now, sentAt, grant)
--- a/io/process/router/allowance_test.go
+++ b/io/process/router/allowance_test.go
@@ -168,7 +168,7 @@
 		b.applyWorkspaces(2, atSecond(66), large)
 		r := newLimitedRouter()
 		r.mesh, r.self.Name = m, "e"
-		r.lender = quota.NewLender(atSecond(60), "e", 7)
+		r.lender = quota.NewLenders(atSecond(60), "e", 7)
 		for s := 66.0; s <= 70; s += 0.05 {
 			now := atSecond(s)
 			r.now, b.now = func() time.Time { return now }, func() time.Time { return now }
@@ -178,8 +178,8 @@
 			b.pool.SetDaemons(now, 2, true)
 			r.lender.SetDaemons(2, true)
 			r.lender.SetPools([]string{"b:1"})
-			for i, address := range r.lender.Due(now) {
-				r.renewAt(address, now, r.lender.Begin(now, address).WithDemands(r.workspaceLimiter.Demands(now)), i%2 == 0)
+			for i, target := range r.lender.Due(now) {
+				r.renewAt(target, now, r.lender.Begin(now, target).WithDemands(r.workspaceLimiter.Demands(now)), i%2 == 0)
 			}
 		}
 		So(b.pool.Share(b.now()), ShouldEqual, 0.5) // b itself no longer renews
@@ -217,8 +217,8 @@
 	Convey("A daemon gets tokens by way of the relay, from the pool that the relay uses", t, func() {
 		m := &linkedMesh{daemons: map[string]*Router{"leader:1": newLimitedRouter(), "relay:1": newLimitedRouter()}}
 		relay := m.daemons["relay:1"]
-		relay.mesh, relay.self.Address, relay.pool = m, "relay:1", quota.NewPool(relay.now(), 5)
-		relay.lender = quota.NewLender(relay.now(), "relay", 5)
+		relay.mesh, relay.self.Address, relay.pool = m, "relay:1", quota.NewPools(relay.now(), 5)
+		relay.lender = quota.NewLenders(relay.now(), "relay", 5)
 		relay.lender.SetPools([]string{"leader:1"})
 		r := newLimitedRouter()
 		r.mesh = m
@@ -235,8 +235,8 @@
 	Convey("A relay that reaches no pool is left out, and the pools are asked", t, func() {
 		m := &linkedMesh{daemons: map[string]*Router{"leader:1": newLimitedRouter(), "relay:1": newLimitedRouter()}}
 		relay := m.daemons["relay:1"]
-		relay.mesh, relay.self.Address, relay.pool = m, "relay:1", quota.NewPool(relay.now(), 5)
-		relay.lender = quota.NewLender(relay.now(), "relay", 5)
+		relay.mesh, relay.self.Address, relay.pool = m, "relay:1", quota.NewPools(relay.now(), 5)
+		relay.lender = quota.NewLenders(relay.now(), "relay", 5)
 		r := newLimitedRouter()
 		r.mesh = m
 		r.lender.SetPools([]string{"leader:1"})
--- a/io/process/router/pool.go
+++ b/io/process/router/pool.go
@@ -53,19 +53,19 @@
 	c.r.lender.SetDaemons(daemons, complete)
 	c.r.lender.SetPools(candidates)
 	var renewals []quota.Renewal
-	due, silent := c.r.lender.Due(now), map[string]bool{}
-	for _, address := range due {
-		silent[address] = c.r.lender.IsSilent(address)
-		renewals = append(renewals, c.r.lender.Begin(now, address).WithDemands(c.r.workspaceLimiter.Demands(now)))
+	due, silent := c.r.lender.Due(now), map[quota.Target]bool{}
+	for _, target := range due {
+		silent[target] = c.r.lender.IsSilent(target)
+		renewals = append(renewals, c.r.lender.Begin(now, target).WithDemands(c.r.workspaceLimiter.Demands(now)))
 	}
 	share := c.r.pool.Share(now)
 	c.r.mu.Unlock()
-	for i, address := range due {
-		if address == c.r.self.Address {
-			c.r.renewAt(address, now, renewals[i], false)
+	for i, target := range due {
+		if target.Address == c.r.self.Address {
+			c.r.renewAt(target, now, renewals[i], false)
 			continue
 		}
-		go c.r.renewAt(address, now, renewals[i], silent[address])
+		go c.r.renewAt(target, now, renewals[i], silent[target])
 	}
 	c.logShare(share, daemons)
 	if last := c.lastRuns.usageReport; c.due(now, &c.lastRuns.usageReport, usageReportInterval) {
@@ -121,21 +121,22 @@
 	c.loggedShare = share
 }
 
-// renewAt sends a renewal to the pool at an address, and applies the grant.
-func (r *Router) renewAt(address string, sentAt time.Time, renewal quota.Renewal, silent bool) {
-	m, err := r.callPool(address, renewal, silent)
+// renewAt sends a renewal to a pool, and applies the grant.
+func (r *Router) renewAt(target quota.Target, sentAt time.Time, renewal quota.Renewal, silent bool) {
+	m, err := r.callPool(target.Address, renewal, silent)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now, before := r.now(), r.lender.LentTo()
-	if err != nil || m == nil || !r.lender.Answered(now, address, grantFromWire(m)) {
-		r.lender.Failed(address)
+	lender := r.lender.Of(target.Half)
+	now, before := r.now(), lender.LentTo()
+	if err != nil || m == nil || !r.lender.Answered(now, target, grantFromWire(m)) {
+		r.lender.Failed(target)
 		r.metrics.increment("allowance.renewalsFailed")
 		return
 	}
 	r.workspaceLimiter.SetLeases(now, sentAt, grantFromWire(m))
-	if renewal.Loan > 0 && before != r.loggedLoan {
-		r.loggedLoan = before
-		r.log.Info("allowances: share is lent", "pool", address, "until", r.lender.LentUntil().Sub(now).String(), "leases", len(m.Leases))
+	if renewal.Loan > 0 && before != r.loggedLoans[target.Half] {
+		r.loggedLoans[target.Half] = before
+		r.log.Info("allowances: share is lent", "pool", target.Address, "half", target.Half, "until", lender.LentUntil().Sub(now).String(), "leases", len(m.Leases))
 	}
 }
 
--- a/io/process/router/poolwire.go
+++ b/io/process/router/poolwire.go
@@ -10,7 +10,7 @@
 
 func renewalToWire(renewal quota.Renewal) *wire.Renewal {
 	m := &wire.Renewal{Daemon: renewal.Daemon, Incarnation: renewal.Incarnation, Seq: renewal.Seq, Acked: renewal.Acked, Pool: renewal.Pool, StampMicros: renewal.Stamp.Microseconds(),
-		LoanMillis: millisOf(renewal.Loan), Recall: renewal.Recall, IsFresh: renewal.IsFresh}
+		LoanMillis: millisOf(renewal.Loan), Recall: renewal.Recall, IsFresh: renewal.IsFresh, Half: uint32(renewal.Half)}
 	for _, d := range renewal.Demands {
 		m.Demands = append(m.Demands, &wire.Demand{Workspace: d.Workspace, PerSecond: float32(d.PerSecond)})
 	}
@@ -19,7 +19,7 @@
 
 func renewalFromWire(m *wire.Renewal) quota.Renewal {
 	renewal := quota.Renewal{Daemon: m.Daemon, Incarnation: m.Incarnation, Seq: m.Seq, Acked: m.Acked, Pool: m.Pool, Stamp: time.Duration(m.StampMicros) * time.Microsecond,
-		Loan: millis(m.LoanMillis), Recall: m.Recall, IsFresh: m.IsFresh}
+		Loan: millis(m.LoanMillis), Recall: m.Recall, IsFresh: m.IsFresh, Half: int(m.Half)}
 	for _, d := range m.Demands {
 		if rate := float64(d.PerSecond); rate > 0 && !math.IsInf(rate, 0) {
 			renewal.Demands = append(renewal.Demands, quota.Demand{Workspace: d.Workspace, PerSecond: rate})
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -106,10 +106,10 @@
 	// workspaceLimiter holds the leases of this daemon on the allowances of workspaces. lender decides to
 	// which pool its share of them is lent, and pool is what other daemons lend to it.
 	workspaceLimiter *quota.Limiter
-	lender           *quota.Lender
-	pool             *quota.Pool
-	loggedLoan       uint64      // the pool whose loan was logged last
-	fairness         *fair.Meter // finds the workspaces that would push out others
+	lender           *quota.Lenders
+	pool             *quota.Pools
+	loggedLoans      map[int]uint64 // the pools whose loans were logged last, by half
+	fairness         *fair.Meter    // finds the workspaces that would push out others
 	permits          permits
 	// notices are what servers have announced to this daemon.
 	notices *notice.Table
@@ -171,8 +171,8 @@
 	r.reopenEstimator = reopen.New()
 	seed := seedOf(r.self)
 	r.admission, r.workspaceLimiter = admit.NewLimiter(seed), quota.NewLimiter(seed)
-	r.lender, r.pool = quota.NewLender(r.now(), s.Name, r.self.Incarnation), quota.NewPool(r.now(), seed)
-	r.fairness = fair.NewMeter()
+	r.lender, r.pool = quota.NewLenders(r.now(), s.Name, r.self.Incarnation), quota.NewPools(r.now(), seed)
+	r.loggedLoans, r.fairness = map[int]uint64{}, fair.NewMeter()
 	r.carriers = carry.New(s.Name)
 	r.rateLimits, r.issuer = limit.NewTable(), limit.NewIssuer()
 	r.notices = notice.NewTable(seed)
