--- a/core/process/quota/doc.go
+++ b/core/process/quota/doc.go
@@ -8,20 +8,23 @@
 // many pools there are or what each of them knows. A daemon that starts has nothing, and lends its share
 // only once a loan of the incarnation before it has ended.
 //
-// Each daemon has a Limiter, which holds its leases and decides on requests, a Lender, which decides
-// to which pool it lends its share, and a Pool, which is empty until daemons lend to it.
+// Every allowance has two halves, each with loans and pools of its own, so that the loss of one pool leaves
+// the other half in use.
+//
+// Each daemon has a Limiter, which holds its leases and decides on requests, Lenders, which decide
+// to which pools it lends its shares, and Pools, which are empty until daemons lend to them.
 //
 // # Usage
 //
-//	lender.SetPools([]string{leader, relay, self})
-//	for _, address := range lender.Due(now) {
-//		renewal := lender.Begin(now, address).WithDemands(limiter.Demands(now))
-//		grant, ok := pool.Renew(now, renewal, findWorkspace) // at that address
-//		lender.Answered(now, address, grant)
+//	lenders.SetPools([]string{leader, successor, relay, self})
+//	for _, target := range lenders.Due(now) {
+//		renewal := lenders.Begin(now, target).WithDemands(limiter.Demands(now))
+//		grant, ok := pools.Renew(now, renewal, findWorkspace) // at the target's address
+//		lenders.Answered(now, target, grant)
 //		limiter.SetLeases(now, sentAt, grant)
 //	}
 //	token, verdict, retryAfter := limiter.Take(now, workspace)
 //	if verdict == quota.AskPool {
-//		retryAfter, ok := pool.Take(now, workspace) // at one of lender.Pools(now)
+//		retryAfter, ok := pools.Take(now, workspace) // at one of lenders.Pools(now)
 //	}
 package quota
