--- /dev/null
+++ b/core/request/class/class_test.go
@@ -0,0 +1,79 @@
+package class
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"catkinstep/core/version/config"
+)
+
+func routeTo(priority int, services ...string) config.Route {
+	r := config.Route{Priority: priority}
+	for _, s := range services {
+		r.Destinations = append(r.Destinations, config.Destination{Service: s, Weight: 1})
+	}
+	return r
+}
+
+// Guards against a service whose routes all have the same priority, but whose requests are
+// treated as less urgent because of routes of other services.
+func TestRanks(t *testing.T) {
+	ranks := NewRanks([]config.Route{routeTo(2, "a"), routeTo(0, "b"), routeTo(1, "b", "c"), routeTo(5, "b")})
+	Convey("A priority is ranked among those of the same service", t, func() {
+		So(ranks.Rank("a", 2), ShouldEqual, 0)
+		So(ranks.Rank("b", 0), ShouldEqual, 0)
+		So(ranks.Rank("b", 1), ShouldEqual, 1)
+		So(ranks.Rank("b", 5), ShouldEqual, 2)
+		So(ranks.Rank("c", 1), ShouldEqual, 0)
+	})
+	Convey("A priority that no route has is ranked by its value", t, func() {
+		So(ranks.Rank("b", 3), ShouldEqual, 2)
+		So(ranks.Rank("b", 9), ShouldEqual, 3)
+		So(ranks.Rank("unknown", 7), ShouldEqual, 0)
+		So(Ranks{}.Rank("a", 2), ShouldEqual, 0)
+	})
+}
+
+// Guards against a surge in which the less urgent requests take what the more urgent ones need, and
+// against one of the most urgent requests that starves all others.
+func TestFractions(t *testing.T) {
+	served := func(demands, fractions []float64) (sum float64) {
+		for i, d := range demands {
+			sum += d * fractions[i]
+		}
+		return sum
+	}
+	for _, tc := range []struct {
+		name     string
+		demands  []float64
+		fraction float64
+	}{
+		{"a surge of all", []float64{173, 173, 230}, 0.55},
+		{"a surge of the most urgent", []float64{900, 50, 50}, 0.3},
+		{"a surge of the least urgent", []float64{50, 50, 900}, 0.3},
+		{"one rank only", []float64{0, 40, 0}, 0.2},
+		{"room for nearly all", []float64{10, 10, 10}, 0.95},
+	} {
+		Convey("In "+tc.name+", the fractions fall with the rank, fill the fraction, and none is starved", t, func() {
+			fractions := Fractions(tc.demands, tc.fraction)
+			total := tc.demands[0] + tc.demands[1] + tc.demands[2]
+			So(served(tc.demands, fractions), ShouldAlmostEqual, total*tc.fraction, 1e-9)
+			last := 1.0
+			for i, d := range tc.demands {
+				if d == 0 {
+					continue
+				}
+				So(fractions[i], ShouldBeBetweenOrEqual, tc.fraction/4, last+1e-9)
+				last = fractions[i]
+			}
+		})
+	}
+	Convey("Where the most urgent fit beside the others' minimum, all of them are let through", t, func() {
+		So(Fractions([]float64{173, 173, 230}, 0.55)[0], ShouldAlmostEqual, 1)
+	})
+	Convey("Without demand, all get the given fraction", t, func() {
+		So(Fractions([]float64{0, 0}, 0.4), ShouldResemble, []float64{0.4, 0.4})
+		So(Fractions([]float64{1, 2}, 1), ShouldResemble, []float64{1, 1})
+	})
+}
--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -86,11 +86,20 @@
 func (b *Balancer) preferenceCost(req Requirements, local bool, rank int) float64 {
 	cost := rankCost * float64(min(maxRank, rank)) * b.typicalSeconds(req)
 	if !local {
-		cost += remoteCostPerKB.Seconds() * b.routeStats(req).responseKB
+		cost += remoteCostPerKB.Seconds() * (b.routeStats(req).responseKB + largeBodyKB(req.BodyBytes))
 	}
 	return cost
 }
 
+// largeBodyKB returns the size of a request body in kilobytes, or 0 if it is hardly larger than the
+// headers, which are not counted either.
+func largeBodyKB(bytes int) float64 {
+	if bytes < minLargeBody {
+		return 0
+	}
+	return float64(bytes) / 1024
+}
+
 // Evaluate decides whether to send a request to the only server that may run it. As there
 // is no alternative, a high failure rate is no reason to refuse.
 func (b *Balancer) Evaluate(now time.Time, req Requirements, server fleet.Server) Choice {
--- a/core/request/spread/options.go
+++ b/core/request/spread/options.go
@@ -31,10 +31,12 @@
 	maxSlowdown = 25.0
 	minSlowdown = 0.25
 	// remoteCostPerKB is the surcharge on the cost of a remote server for each kilobyte of its
-	// response. Costs are times, so a remote server must save this much time to be chosen over
+	// response, and of a large request body. Costs are times, so a remote server must save this much time to be chosen over
 	// a local one. The surcharge stands for the price of traffic between data centres, not for
 	// the network latency, which is only a millisecond or two.
 	remoteCostPerKB = 100 * time.Millisecond
+	// minLargeBody is the size in bytes from which a request body counts for that surcharge.
+	minLargeBody = 8 << 10
 	// surelyInTimeShare is the share of the time left until a request's latency target within
 	// which the expected response is surely in time.
 	surelyInTimeShare = 0.6
--- a/core/request/spread/requirements.go
+++ b/core/request/spread/requirements.go
@@ -17,6 +17,11 @@
 	LatencyTarget time.Duration
 	// Priority is lower for more urgent requests.
 	Priority int
+	// Rank is the rank of the priority among the routes of the service; 0 is the most urgent (see
+	// package class).
+	Rank int
+	// BodyBytes is the size of the request's body.
+	BodyBytes int
 	// Deferred is set if other requests go first while servers are overloaded, since the request's
 	// workspace sends far more than the others.
 	Deferred bool
--- a/io/process/router/snapshot.go
+++ b/io/process/router/snapshot.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"catkinstep/core/request/class"
 	"catkinstep/core/version/config"
 	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/grant"
@@ -14,6 +15,8 @@
 	// configured means that a configuration has been read into config.
 	configured bool
 	config     config.Config
+	// ranks are the ranks of the priorities in config.
+	ranks class.Ranks
 	// serving are the servers that may get new requests, by service.
 	serving             map[string][]fleet.Server
 	fleet               *fleet.Fleet
@@ -72,7 +75,7 @@
 // withConfig returns a snapshot with another configuration.
 func (s *snapshot) withConfig(c config.Config) *snapshot {
 	next := *s
-	next.config, next.configured = c, true
+	next.config, next.ranks, next.configured = c, class.NewRanks(c.Routes), true
 	return &next
 }
 
