keeper: servers without keys get some at once while holders are overloaded

Cause: callers of a data centre that was cut off for five seconds were refused for three more after its return: keyOverloaded 786, 1,638 and 573 a second, at 82 holders that were left, while the servers that had come back had no keys. A round started at most one move for twelve servers, and gave first keys every 1.5 s only. Ruled out: stale counts after the partition (refusals spread over all holders that were left, none of them at one key); servers that count as unresponsive (their records end as they leave the list). Change: while limits are in force for a service, as many moves may run as there are servers without keys, at most half of the servers, and one for six servers otherwise. TestReturnedDataCentreGetsKeys failed before.

--- a/core/process/keeper/balance.go
+++ b/core/process/keeper/balance.go
@@ -105,8 +105,8 @@
 	s.balancedAt = now
 	k.mergeRanges(now, s)
 	eligible := k.eligibleServers(s.service)
-	maxMoves := max(minMoveLimit, len(eligible)/serversPerMove)
-	firstKeys := now.Sub(s.firstKeysRoundAt) >= firstKeysInterval
+	maxMoves := k.maxMoves(s, eligible)
+	firstKeys := s.firstKeysDue(now.Sub(s.firstKeysRoundAt))
 	if firstKeys {
 		s.firstKeysRoundAt = now
 	}
--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -66,6 +66,8 @@
 	latencyTarget      time.Duration
 	coldRate           float64
 	rateLimits         map[string]float64
+	// limited is set while requests for keys of overloaded holders are refused.
+	limited bool
 	// moveDuration is the average time for which a move closes a range.
 	moveDuration time.Duration
 }
--- a/core/process/keeper/limits.go
+++ b/core/process/keeper/limits.go
@@ -28,7 +28,9 @@
 	k.limitState.control.EndRound(now)
 	cmd := LimitCmd{}
 	for _, s := range k.services {
-		cmd.Limits = append(cmd.Limits, k.serviceLimits(now, s)...)
+		limits := k.serviceLimits(now, s)
+		s.limited = len(limits) > 0
+		cmd.Limits = append(cmd.Limits, limits...)
 		cmd.Contended = append(cmd.Contended, k.contendedServers(now, s)...)
 	}
 	active := len(cmd.Limits) > 0 || len(cmd.Contended) > 0
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -89,6 +89,9 @@
 	// servers, since balancing them would take minutes otherwise.
 	minMoveLimit   = 3
 	serversPerMove = 12
+	// serversPerMoveWhileLimited replaces serversPerMove while requests are refused because holders
+	// are overloaded: more is lost by the imbalance then than by closed ranges.
+	serversPerMoveWhileLimited = 6
 	// publishInterval is the shortest time between two published tables: with many
 	// concurrent moves, each step of each move would publish one.
 	publishInterval = 50 * time.Millisecond
