Keeper: releases without an answer go through other daemons

Cause: a release that gets no answer is repeated by the leader alone every 0.3 s.

Ruled out: taking an unreachable holder for a lost one (a second holder), and counting the answer of another daemon as one to this daemon: the server would get keys whose grants do not arrive.

Change: the keeper counts the releases of a move without an answer. The first try is direct, the next three ask for another daemon (ReleaseCmd.Indirect 1, 2, 3), the fourth is direct again. The first indirect try follows at once, the others after callRetryDelay.

--- a/core/process/keeper/fuzz_test.go
+++ b/core/process/keeper/fuzz_test.go
@@ -18,8 +18,16 @@
 
 // runSeed runs a simulation with faults for 60 s and without faults for 30 s more. At the end
 // all keys must have a holder.
-func runSeed(t fataler, seed uint64) {
+func runSeed(t fataler, seed uint64) { runSimulation(t, seed, newSimulation(seed)) }
+
+// runIndirectSeed is runSeed with releases through other daemons.
+func runIndirectSeed(t fataler, seed uint64) {
 	s := newSimulation(seed)
+	s.indirect = true
+	runSimulation(t, seed, s)
+}
+
+func runSimulation(t fataler, seed uint64, s *simulation) {
 	s.run(60 * time.Second)
 	s.faultFree = true
 	for _, d := range s.daemons {
@@ -64,6 +72,13 @@
 	rapid.Check(t, func(t *rapid.T) { runSeed(t, rapid.Uint64().Draw(t, "seed")) })
 }
 
+// Guards against a second holder after a release that another daemon carries out late or twice.
+func TestFuzzIndirectReleases(t *testing.T) {
+	for seed := range uint64(30) {
+		runIndirectSeed(t, 1000+seed)
+	}
+}
+
 // Tries new seeds for as long as the flag says. Run it by hand:
 // go test ./core/process/keeper -keeper.for 20m.
 func TestFuzzNewSeeds(t *testing.T) {
@@ -73,5 +88,6 @@
 	seed := uint64(time.Now().UnixNano())
 	for end := time.Now().Add(*newSeedsDuration); time.Now().Before(end); seed++ {
 		runSeed(t, seed)
+		runIndirectSeed(t, seed)
 	}
 }
--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -37,6 +37,8 @@
 	nextExpiresAt time.Time
 	// nextCallAt is the earliest time of the next call to the holder.
 	nextCallAt time.Time
+	// unansweredReleases counts the releases of the present move that got no answer.
+	unansweredReleases int
 	// handover is the state of the keys that the last holder returned with its release. It is
 	// sent with the grants to Holder until one is confirmed.
 	handover string
@@ -97,6 +99,7 @@
 	excludedDataCentres       map[string]bool
 	rebalancingDisabled       bool // no moves to balance load
 	daemonCount               int  // daemons that each change is published to
+	indirectReleases          bool // releases may go through other daemons
 	serverCountUnchangedSince time.Time
 	serverCount               int
 }
@@ -252,6 +255,7 @@
 		k.serverCountUnchangedSince, k.serverCount = now, len(m.Fleet.All())
 	}
 	k.fleet, k.keyedServices, k.excludedDataCentres, k.rebalancingDisabled, k.daemonCount = m.Fleet, m.KeyedServices, m.ExcludedDataCentres, m.RebalancingDisabled, m.DaemonCount
+	k.indirectReleases = m.IndirectReleases
 	for h := range k.records.ended {
 		if s, ok := k.fleet.Find(h.Server); (!ok || s.StartMillis != h.StartMillis) && !k.isReferenced(h) {
 			delete(k.records.ended, h)
@@ -269,18 +273,6 @@
 	}
 }
 
-// isReferenced reports whether a server instance is the holder or next holder of a range.
-func (k *Keeper) isReferenced(h grant.Holder) bool {
-	for _, s := range k.services {
-		for _, rs := range s.ranges {
-			if rs.Holder == h || rs.Next == h {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // updateLoad records the load of one service. The queue reports in the message cover the
 // servers of all services.
 func (k *Keeper) updateLoad(m LoadMsg) {
--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -24,6 +24,8 @@
 	RebalancingDisabled bool
 	// DaemonCount is the number of daemons that each change of the table is published to.
 	DaemonCount int
+	// IndirectReleases lets releases go through other daemons if the holder does not answer this one.
+	IndirectReleases bool
 }
 
 // LoadMsg reports the load of a service's keys, summed over all daemons, and the speed of
@@ -123,6 +125,9 @@
 // ended. It must be sent before SendBefore.
 type ReleaseCmd struct {
 	grant.Call
+	// Indirect is 0 if this daemon itself is to call the server. Otherwise another daemon is to do so,
+	// and Indirect counts these tries of the move from 1; each should go to another daemon.
+	Indirect   int
 	Service    string
 	Holder     grant.Holder
 	SendBefore time.Time
--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -51,6 +51,18 @@
 	return ok && srv.StartMillis != h.StartMillis
 }
 
+// isReferenced reports whether a server instance is the holder or next holder of a range.
+func (k *Keeper) isReferenced(h grant.Holder) bool {
+	for _, s := range k.services {
+		for _, rs := range s.ranges {
+			if rs.Holder == h || rs.Next == h {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // addressReused reports whether a new instance of the server answers at the address of
 // one that has ended. A grant meant for the old instance may have reached the new one,
 // which may then hold the range and has to release it like any holder.
@@ -91,7 +103,7 @@
 func (k *Keeper) startMove(s *serviceState, rs *rangeState, to grant.Holder, reason string) {
 	k.seq++
 	rs.Next, rs.step, rs.intentSeq, rs.origin = to, saving, k.seq, originAfter(rs.Holder)
-	rs.releasedBy = grant.Holder{}
+	rs.releasedBy, rs.unansweredReleases = grant.Holder{}, 0
 	k.storeState.savePending = true
 	k.log(LogCmd{Text: "range is to move", Service: s.service, From: rs.From, To: rs.To,
 		Holder: rs.Holder, Next: rs.Next, Fence: rs.Fence, Reason: reason})
@@ -120,7 +132,7 @@
 	}
 	if rs.step == releasing {
 		rs.callInFlight = true
-		k.cmds = append(k.cmds, ReleaseCmd{Service: s.service, Holder: rs.Holder, SendBefore: now.Add(sendWindow),
+		k.cmds = append(k.cmds, ReleaseCmd{Indirect: k.releaseWay(rs), Service: s.service, Holder: rs.Holder, SendBefore: now.Add(sendWindow),
 			Call: grant.Call{Address: rs.Holder.Address, From: rs.From, To: rs.To, Fence: k.nextFence()}})
 		return
 	}
@@ -148,7 +160,7 @@
 		rs.releasedBy = rs.Holder
 	}
 	rs.Holder, rs.Next, rs.Pending = rs.Next, grant.Holder{}, true
-	rs.Fence, rs.step, rs.nextCallAt = k.nextFence(), granting, now
+	rs.Fence, rs.step, rs.nextCallAt, rs.unansweredReleases = k.nextFence(), granting, now, 0
 	rs.expiresAt, rs.nextExpiresAt = rs.nextExpiresAt, time.Time{}
 	k.storeState.lazySavePending, k.publishState.pending = true, true
 }
@@ -224,7 +236,9 @@
 }
 
 func (k *Keeper) handleReleaseResult(now time.Time, m ReleaseResultMsg) {
-	k.recordCallResult(now, m.Cmd.Holder, m.Result, false)
+	if m.Cmd.Indirect == 0 { // otherwise it does not show whether the server answers this daemon
+		k.recordCallResult(now, m.Cmd.Holder, m.Result, false)
+	}
 	rs := k.findRange(m.Cmd.Service, m.Cmd.From, m.Cmd.To)
 	if rs == nil || rs.Holder != m.Cmd.Holder || rs.step != releasing {
 		return
@@ -239,6 +253,9 @@
 		k.markInstanceEnded(m.Cmd.Holder)
 	default:
 		rs.nextCallAt = now.Add(callRetryDelay)
+		if k.countUnanswered(rs, m) {
+			rs.nextCallAt = now
+		}
 	}
 }
 
--- a/core/process/keeper/simulation_network_test.go
+++ b/core/process/keeper/simulation_network_test.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"slices"
 	"time"
 
 	"catkinstep/core/version/grant"
@@ -91,11 +92,47 @@
 }
 
 func (s *simulation) deliverRelease(d *daemon, incarnation uint64, c ReleaseCmd) {
+	if c.Indirect > 0 {
+		s.deliverIndirectRelease(d, incarnation, c)
+		return
+	}
 	srv, r := s.findReachable(d, incarnation, c.Address, c.SendBefore)
 	if srv == nil {
 		s.after(100*time.Millisecond, func() { s.send(d, incarnation, ReleaseResultMsg{Cmd: c, Result: r}) })
 		return
 	}
+	endsAt := s.applyRelease(srv, c)
+	r = grant.Done
+	if s.chance(0.05) {
+		r = grant.OutcomeUnknown
+	}
+	s.after(endsAt.Sub(s.now)+simStep, func() { s.send(d, incarnation, ReleaseResultMsg{Cmd: c, Result: r, Handover: "handover"}) })
+}
+
+// deliverIndirectRelease simulates a release through another daemon. If that one is suspended, it goes on
+// with the release after the suspension, although the leader has given it up.
+func (s *simulation) deliverIndirectRelease(d *daemon, incarnation uint64, c ReleaseCmd) {
+	other := s.daemons[(slices.Index(s.daemons, d)+1+c.Indirect%(len(s.daemons)-1))%len(s.daemons)]
+	wait, late := max(0, other.suspendedUntil.Sub(s.now)), false
+	if wait > 0 || s.chance(0.1) {
+		late = true
+		wait += s.randomDuration(0, 5*time.Second)
+		s.after(time.Second, func() { s.send(d, incarnation, ReleaseResultMsg{Cmd: c, Result: grant.OutcomeUnknown}) })
+	}
+	s.after(wait, func() {
+		srv, r := s.findReachable(other, other.incarnation, c.Address, s.now.Add(sendWindow))
+		endsAt := s.now.Add(100 * time.Millisecond)
+		if srv != nil {
+			endsAt = s.applyRelease(srv, c)
+		}
+		if !late {
+			s.after(endsAt.Sub(s.now)+simStep, func() { s.send(d, incarnation, ReleaseResultMsg{Cmd: c, Result: r, Handover: "handover"}) })
+		}
+	})
+}
+
+// applyRelease makes a server carry out a release, and returns when the requests that run on the range end.
+func (s *simulation) applyRelease(srv *server, c ReleaseCmd) time.Time {
 	endsAt := s.now
 	for b := Bucket(c.From); b <= Bucket(c.To); b++ {
 		srv.fences[b] = max(srv.fences[b], c.Fence)
@@ -107,11 +144,7 @@
 			endsAt = srv.requestsEndAt[b]
 		}
 	}
-	r = grant.Done
-	if s.chance(0.05) {
-		r = grant.OutcomeUnknown
-	}
-	s.after(endsAt.Sub(s.now)+simStep, func() { s.send(d, incarnation, ReleaseResultMsg{Cmd: c, Result: r, Handover: "handover"}) })
+	return endsAt
 }
 
 // write updates the stored table if it still has the given revision.
--- a/core/process/keeper/simulation_test.go
+++ b/core/process/keeper/simulation_test.go
@@ -15,9 +15,11 @@
 // worst fault is a grant that a server applies late: the server refuses it only if it has seen
 // a higher fence, of a grant or a release.
 type simulation struct {
-	rng           *rand.Rand
-	now           time.Time
-	faultFree     bool
+	rng       *rand.Rand
+	now       time.Time
+	faultFree bool
+	// indirect lets leaders release through other daemons.
+	indirect      bool
 	servers       []*server
 	daemons       []*daemon
 	table         grant.Table
@@ -171,7 +173,7 @@
 	if d.keeper == nil || s.now.UnixMilli()%50 != 0 {
 		return
 	}
-	s.update(d, FleetMsg{Fleet: s.fleet(), KeyedServices: []string{testService}})
+	s.update(d, FleetMsg{Fleet: s.fleet(), KeyedServices: []string{testService}, IndirectReleases: s.indirect})
 	if d.keeper != nil && s.previousLeaderStopped(d) {
 		s.update(d, PreviousLeaderStoppedMsg{At: s.now})
 	}
