Router: the leader asks other daemons for releases

Cause: the keeper asks for releases through other daemons, and nothing made them.

Ruled out: letting an answer that is missing or unknown count as done (a second holder), an error of the receiving daemon as anything but "not sent", and the bulk connections of carried requests, which are kept although nobody answers.

Change: member.ReleasePeer names a daemon of the holder's data centre, which is known for two minutes after the holder's entry vanished; Call.release and Reply.release carry the call and its result. The receiving daemon uses the code of a leader, waits for one of 32 slots, and makes no call once the time left has passed or if it knows a newer epoch than the fence shows. The setting IndirectReleases is off by default; indirectReleases in the daemon's own file. Counters releases.indirect.RESULT, releases.forOthers, remoteBytes.releases. sendRelease moves from lead.go to indirect.go.

Before the receiving side answered the call, TestReleaseForLeader failed. Tests of router, member and prefs pass with the race detector, those of admin, logs and native without.

--- a/core/process/keeper/indirect.go
+++ b/core/process/keeper/indirect.go
@@ -6,6 +6,9 @@
 // the other daemons may be the ones that do not reach the holder.
 const directEvery = 4
 
+// EpochOf returns the epoch of the leader that issued a fence.
+func EpochOf(fence uint64) uint64 { return fence >> fenceShift }
+
 // releaseWay returns which try through another daemon the next release of a range is, from 1, or 0 if
 // the leader makes it itself.
 func (k *Keeper) releaseWay(rs *rangeState) int {
--- a/io/process/prefs/prefs.go
+++ b/io/process/prefs/prefs.go
@@ -55,6 +55,8 @@
 	Peers []string `yaml:"peers,omitempty"`
 	// MaxBodyBytes is the size limit of a request body; default 1 MiB.
 	MaxBodyBytes int `yaml:"maxBody,omitempty"`
+	// IndirectReleases lets a leader release keys through other daemons; see setup.Settings.
+	IndirectReleases bool `yaml:"indirectReleases,omitempty"`
 }
 
 const (
--- a/io/process/prefs/prefs_test.go
+++ b/io/process/prefs/prefs_test.go
@@ -13,6 +13,14 @@
 		So(err, ShouldBeNil)
 		So(p.MaxBodyBytes, ShouldEqual, defaultMaxBodyBytes)
 	})
+	Convey("Releases through other daemons are off unless the file asks for them", t, func() {
+		p, err := Parse("host.yaml", []byte(valid))
+		So(err, ShouldBeNil)
+		So(p.IndirectReleases, ShouldBeFalse)
+		p, err = Parse("host.yaml", []byte(valid+"indirectReleases: true\n"))
+		So(err, ShouldBeNil)
+		So(p.IndirectReleases, ShouldBeTrue)
+	})
 	Convey("An operator interface on a non-loopback address requires a token", t, func() {
 		_, err := Parse("host.yaml", []byte("dataCentre: d\ncallers: 127.0.0.1:1\nmesh: 127.0.0.1:2\noperator: 10.0.0.1:3\nplatform: 127.0.0.1:4\n"))
 		So(err.Error(), ShouldEqual, "host.yaml:1: operatorToken: missing: the operator interface does not listen on a loopback address")
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -117,7 +117,7 @@
 
 func (c *control) updateKeeperFleet(now time.Time) {
 	s := c.r.current.Load()
-	c.updateKeeper(now, keeper.FleetMsg{Fleet: s.fleet, KeyedServices: s.keyedServices(), ExcludedDataCentres: s.excludedDataCentres, RebalancingDisabled: s.config.DisableRebalancing, DaemonCount: c.members.Count()})
+	c.updateKeeper(now, keeper.FleetMsg{Fleet: s.fleet, KeyedServices: s.keyedServices(), ExcludedDataCentres: s.excludedDataCentres, RebalancingDisabled: s.config.DisableRebalancing, DaemonCount: c.members.Count(), IndirectReleases: c.releasesIndirectly()})
 }
 
 // updateKeeper passes a message to the keeper and executes the commands that it returns.
@@ -139,7 +139,7 @@
 	case keeper.GrantCmd:
 		go c.r.sendGrant(cmd)
 	case keeper.ReleaseCmd:
-		go c.r.sendRelease(cmd)
+		go c.r.sendRelease(cmd, c.releasePeer(now, cmd))
 	case keeper.SaveCmd:
 		go c.r.saveKeeperTable(cmd)
 	case keeper.ReadCmd:
@@ -176,18 +176,6 @@
 	r.post(keeperMsg{msg: result})
 }
 
-// sendRelease asks a server for a release, unless cmd.SendBefore has passed, and reports the
-// result to the keeper.
-func (r *Router) sendRelease(cmd keeper.ReleaseCmd) {
-	result := keeper.ReleaseResultMsg{Cmd: cmd, Result: grant.NotSent}
-	if r.now().Before(cmd.SendBefore) {
-		client := r.clientPool.get(clientKey{address: cmd.Address, id: cmd.Holder.Server, startMillis: cmd.Holder.StartMillis, purpose: forReleases})
-		result.Result, result.Handover = r.callServer(client, cmd.Holder, r.protocol.Release(cmd.Call), releaseTimeout)
-	}
-	r.metrics.increment("releases." + result.Result.String())
-	r.post(keeperMsg{msg: result})
-}
-
 // callServer makes a control call, a grant or a release, to a server. It returns the result,
 // and for a release also the handover.
 func (r *Router) callServer(client *serverClient, h grant.Holder, req link.Request, timeout time.Duration) (grant.Result, string) {
--- a/io/process/router/mesh.go
+++ b/io/process/router/mesh.go
@@ -88,6 +88,8 @@
 		return &wire.Reply{Take: r.handleTake(ctx, kind.Take)}
 	case *wire.Call_CarryOffer:
 		return &wire.Reply{CarryOffer: &wire.CarryOfferReply{Willing: r.carriesRequests()}}
+	case *wire.Call_Release:
+		return r.handleRelease(ctx, kind.Release)
 	case *wire.Call_Carry:
 		return r.handleCarry(ctx, kind.Carry)
 	case *wire.Call_PermitEnd:
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -71,6 +71,8 @@
 	leavingChanged atomic.Bool
 	// carriedRunning is the number of requests that are served for other daemons.
 	carriedRunning atomic.Int64
+	// releaseSlots holds an element for each release that is being made for the leader.
+	releaseSlots chan struct{}
 	// tokenRelay is the daemon that asks for tokens of allowances on behalf of this one.
 	tokenRelay atomic.Pointer[tokenRelay]
 	takes      takeQueues
@@ -174,6 +176,7 @@
 	r.lender, r.pool = quota.NewLenders(r.now(), s.Name, r.self.Incarnation), quota.NewPools(r.now(), seed)
 	r.loggedLoans, r.fairness = map[int]uint64{}, fair.NewMeter()
 	r.carriers = carry.New(s.Name)
+	r.releaseSlots = make(chan struct{}, maxReleasesForOthers)
 	r.rateLimits, r.issuer = limit.NewTable(), limit.NewIssuer()
 	r.notices = notice.NewTable(seed)
 	r.clientPool.gate = func(key clientKey) link.Gate { return serverGate{r: r, key: key} }
--- a/io/process/router/servers.go
+++ b/io/process/router/servers.go
@@ -15,6 +15,8 @@
 type serverList struct {
 	listed   map[string]fleet.Server
 	retained map[string]retainedServer
+	// former holds servers that were listed until recently.
+	former map[string]formerServer
 	// outageEndedAt is when updates of the servers last resumed after an outage of the store.
 	outageEndedAt time.Time
 }
@@ -26,8 +28,18 @@
 	retainUntil time.Time
 }
 
+// formerServer says where a server was whose entry has vanished. It may still hold keys.
+type formerServer struct {
+	dataCentre string
+	until      time.Time
+}
+
+// formerRetention is how long the data centre of a server is known after its entry vanished: longer than
+// the server can hold keys, whose grants end within 35 s even if their leader is lost.
+const formerRetention = 2 * time.Minute
+
 func newServerList() *serverList {
-	return &serverList{listed: map[string]fleet.Server{}, retained: map[string]retainedServer{}}
+	return &serverList{listed: map[string]fleet.Server{}, retained: map[string]retainedServer{}, former: map[string]formerServer{}}
 }
 
 // serverChanges holds the IDs of the servers that a batch of updates changed, by the kind
@@ -90,6 +102,9 @@
 func (l *serverList) remove(now time.Time, id string) {
 	s, wasListed := l.listed[id]
 	delete(l.listed, id)
+	if wasListed {
+		l.former[id] = formerServer{dataCentre: s.DataCentre, until: now.Add(formerRetention)}
+	}
 	if retainUntil := l.outageEndedAt.Add(serverRetention); wasListed && !s.Draining && now.Before(retainUntil) {
 		l.retained[id] = retainedServer{server: s, retainUntil: retainUntil}
 	}
@@ -104,9 +119,18 @@
 	return r.server, ok
 }
 
+// dataCentreOf returns the data centre of a server that is listed or was until recently, or "".
+func (l *serverList) dataCentreOf(id string) string {
+	if s, ok := l.find(id); ok {
+		return s.DataCentre
+	}
+	return l.former[id].dataCentre
+}
+
 // dropExpired drops the retained servers whose entries did not reappear in time, and
 // returns their IDs.
 func (l *serverList) dropExpired(now time.Time) []string {
+	maps.DeleteFunc(l.former, func(_ string, f formerServer) bool { return now.After(f.until) })
 	var dropped []string
 	for id, r := range l.retained {
 		if now.After(r.retainUntil) {
--- a/io/process/router/traffic.go
+++ b/io/process/router/traffic.go
@@ -45,6 +45,8 @@
 		return "tokens"
 	case *wire.Call_Carry, *wire.Call_CarryOffer:
 		return "carried"
+	case *wire.Call_Release:
+		return "releases"
 	case *wire.Call_Permit, *wire.Call_PermitEnd:
 		return "permits"
 	}
--- a/io/process/setup/setup.go
+++ b/io/process/setup/setup.go
@@ -67,6 +67,9 @@
 	MaxGrantTTL time.Duration
 	// MaxBodyBytes limits the size of a request body if the configuration sets no limit.
 	MaxBodyBytes int64
+	// IndirectReleases lets a leader that does not reach the holder of keys ask for their release
+	// through other daemons.
+	IndirectReleases bool
 }
 
 // Check returns an error that names the first field that is missing or invalid, or nil.
