Declines at short queues set no limits and are retried at the holder

Cause: a server that declined a request while all its slots were in use counted as one with a long queue, also if nothing waited there. The declined request itself was given up as serverNotHoldingOrFull. Change: a decline with a report of fewer requests waiting than slots counts for no limit and doesn't raise the estimated load. The request may be sent again to the holder of its key, within maxAttempts and the retry budget, and is refused with the shortest Retry-After otherwise. A 421 has an outcome of its own, so that it counts as before. A decline at a short queue of a server without keys excludes that server only while there are others. Metric: declines.shortQueue. Ruled out: counting such declines as reports of a short queue (raises the limits of a server that is full as well).

--- a/core/request/spread/learn.go
+++ b/core/request/spread/learn.go
@@ -30,7 +30,8 @@
 	Responses int
 	// LoadReports counts the reports of the server's load since the stats were last taken,
 	// and LongQueueReports those of them with at least as many requests waiting as there are
-	// slots. Requests that were not run because the server was full count in both.
+	// slots. Requests that were not run because the server was full count in both. Those that it
+	// declined at a short queue count in neither.
 	LoadReports, LongQueueReports int
 }
 
--- a/core/request/spread/requirements.go
+++ b/core/request/spread/requirements.go
@@ -89,6 +89,7 @@
 	ConnectionReset           // a new connection was reset before a response
 	PermitDenied              // not sent, since requests of other daemons fill the queue
 	Declined                  // the server declined to run the request
+	Misdirected               // the server declined it, since it does not hold the request's key
 	ConnectionRefused         // the address refused the connection
 	ConnectFailed             // no connection was made in time
 	Cancelled                 // ended by this daemon; says nothing about the server
@@ -103,3 +104,8 @@
 	// speed; 0 if it is not reported.
 	Slowdown float64
 }
+
+// ShortQueue reports whether fewer requests wait than the server has slots, or not all slots are
+// in use. A server that declines a request in this state sheds load for another reason than a
+// long queue, and may accept the next request at once.
+func (r Report) ShortQueue() bool { return r.Waiting < r.Slots || r.Running < r.Slots }
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -114,7 +114,8 @@
 	if st.startMillis != server.StartMillis {
 		return // the server has restarted since, so the outcome says nothing about this instance
 	}
-	if outcome == Answered || outcome == Declined {
+	declined := outcome == Declined || outcome == Misdirected
+	if outcome == Answered || declined {
 		st.connectFailed = false
 		st.answeredAt, b.answeredAt = now, now
 	}
@@ -122,7 +123,7 @@
 		st.reportedLoad = max(0, float64(report.Running+report.Waiting-st.inFlight-1))
 		st.reportedAt = now
 		b.groupLoad(serverGroup{service: server.Service, dataCentre: server.DataCentre}).add(now, st.reportedLoad)
-		if outcome != Declined {
+		if !declined {
 			st.loadReports++
 			if report.Waiting >= report.Slots {
 				st.longQueueReports++
@@ -147,8 +148,8 @@
 		st.failureRate += outcomeWeight * (1 - st.failureRate)
 	case Failed:
 		st.failureRate += outcomeWeight * (1 - st.failureRate)
-	case Declined:
-		if report == nil || report.Running >= report.Slots {
+	case Declined, Misdirected:
+		if fullWhenDeclined(outcome, report) {
 			st.markFull(now, server.Slots)
 		}
 		st.failureRate += outcomeWeight / 3 * (1 - st.failureRate)
@@ -165,6 +166,24 @@
 	}
 }
 
+// fullWhenDeclined reports whether a server that declined a request counts as full. If its queue is
+// short it does not: limits would refuse requests that it can run.
+func fullWhenDeclined(outcome Outcome, report *Report) bool {
+	switch {
+	case report == nil:
+		return true
+	case outcome == Misdirected:
+		return report.Running >= report.Slots
+	}
+	return !report.ShortQueue()
+}
+
+// ShortestRetryAfter returns the delay after which a caller should retry if its request was refused
+// for another reason than a queue. It is randomised so that callers do not return together.
+func (b *Balancer) ShortestRetryAfter() time.Duration {
+	return time.Duration(float64(minRetryAfter) * (0.7 + 0.6*b.random.Float64()))
+}
+
 // markFull records that a request was not run because the server was full, so that its load is
 // at least the given one.
 func (st *serverState) markFull(now time.Time, load int) {
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -61,10 +61,10 @@
 	}
 }
 
-// declinedWithFreeSlots reports whether a server declined a request although it reports free
-// slots and may run the request. It is likely to accept an immediate retry.
-func declinedWithFreeSlots(resp *link.Response) bool {
-	return resp.Declined && resp.Status != http.StatusMisdirectedRequest && resp.Load != nil && resp.Load.Running < resp.Load.Slots
+// declinedAtShortQueue reports whether a server declined a request although it may run the request
+// and reports a short queue. It is likely to accept an immediate retry.
+func declinedAtShortQueue(resp *link.Response) bool {
+	return resp != nil && resp.Declined && resp.Status != http.StatusMisdirectedRequest && resp.Load != nil && loadReport(resp).ShortQueue()
 }
 
 // chooseServer chooses the server for the next attempt. The attempt begins unless the choice is
@@ -164,6 +164,8 @@
 		return spread.ConnectionReset
 	case err != nil:
 		return spread.Failed
+	case resp.Declined && resp.Status == http.StatusMisdirectedRequest:
+		return spread.Misdirected
 	case resp.Declined:
 		return spread.Declined
 	case resp.Status >= http.StatusInternalServerError:
@@ -201,9 +203,14 @@
 	case !notRun:
 		req.maybeRan = true
 	}
-	if notRun && req.key >= 0 && err == nil && !declinedWithFreeSlots(resp) {
+	shed := err == nil && declinedAtShortQueue(resp)
+	if notRun && req.key >= 0 && err == nil && !shed {
 		return r.giveUp(req, choice, reasonDeclined, r.retryAfterDeclined(req, server, resp)), false
 	}
+	if shed {
+		r.metrics.increment("declines.shortQueue")
+		choice.RetryAfter = r.shortestRetryAfter()
+	}
 	if !r.mayRetry(ctx, req, notRun) {
 		r.logFailedAttempt(req, server, choice, resp, err, "given up")
 		return r.giveUp(req, choice, reasonAttemptFailed, choice.RetryAfter), false
@@ -248,6 +255,13 @@
 		"expected", choice.ExpectedLatency.String(), "left", time.Until(req.deadline).String(), "status", status, "err", err, "then", decision)
 }
 
+// shortestRetryAfter returns the delay for a caller whose request was declined at a short queue.
+func (r *Router) shortestRetryAfter() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.balancer.ShortestRetryAfter()
+}
+
 // minRetryLatency returns the shortest time in which another attempt can be expected to
 // end: most responses take at least half of the typical time.
 func (r *Router) minRetryLatency(req *request) time.Duration {
--- a/io/process/router/request.go
+++ b/io/process/router/request.go
@@ -55,7 +55,7 @@
 	sent, ran, unsent int
 	// lostServers were lost while the same content may have been running there.
 	lostServers []string
-	// declinedBy are the servers that declined the request with free slots.
+	// declinedBy are the servers that declined the request at a short queue.
 	declinedBy []string
 	// permitsDenied is the number of servers for which a permit was denied.
 	permitsDenied int
@@ -73,13 +73,13 @@
 }
 
 // excludeFailed excludes a server from further attempts after a failed one. A server that
-// declined the request with free slots may accept the next attempt, but others are more likely
+// declined the request at a short queue may accept the next attempt, but others are more likely
 // to: it is chosen again only if no other can be. The holder of the request's key is never
 // excluded, since no other server may run the request.
 func (req *request) excludeFailed(server fleet.Server, resp *link.Response) {
 	switch {
 	case req.key >= 0:
-	case resp != nil && declinedWithFreeSlots(resp):
+	case declinedAtShortQueue(resp):
 		req.attempts.declinedBy = append(req.attempts.declinedBy, server.ID)
 	default:
 		req.requirements.Excluded = append(req.requirements.Excluded, server.ID)
