Daemons divide the limit of a bucket among the ranks of its requests

Cause: the leader's limit for an overloaded holder was applied to all requests for a bucket alike, so a most urgent one was refused as often as any other. A daemon that has seen one rank only decides as before, with the same random numbers. A deferred request has its rank's fraction times the bucket's: squared, a fraction of 1 would defer nothing. Ruled out: counting ranks at the leader (changes messages).

--- a/core/request/admit/admit_test.go
+++ b/core/request/admit/admit_test.go
@@ -37,7 +37,7 @@
 		if isHot {
 			bucket = 0
 		}
-		if _, ok := limiters[random.IntN(len(limiters))].Admit(t0.Add(at%time.Second), "s", bucket, false); !ok {
+		if _, ok := limiters[random.IntN(len(limiters))].Admit(t0.Add(at%time.Second), Request{Service: "s", Bucket: bucket}); !ok {
 			continue
 		}
 		slot := 0
@@ -85,16 +85,16 @@
 func TestLimiter(t *testing.T) {
 	Convey("Requests without a limit, for other buckets or services, or under an expired limit are admitted", t, func() {
 		l := NewLimiter(1)
-		_, ok := l.Admit(t0, "s", 1, false)
+		_, ok := l.Admit(t0, Request{Service: "s", Bucket: 1})
 		So(ok, ShouldBeTrue)
 		l.SetLimits(t0, []Limit{{Service: "s", Bucket: 1}})
-		_, ok = l.Admit(t0, "s", 2, false)
+		_, ok = l.Admit(t0, Request{Service: "s", Bucket: 2})
 		So(ok, ShouldBeTrue)
-		_, ok = l.Admit(t0, "t", 1, false)
+		_, ok = l.Admit(t0, Request{Service: "t", Bucket: 1})
 		So(ok, ShouldBeTrue)
-		_, ok = l.Admit(t0.Add(limitTTL), "s", 1, false)
+		_, ok = l.Admit(t0.Add(limitTTL), Request{Service: "s", Bucket: 1})
 		So(ok, ShouldBeTrue)
-		_, ok = l.Admit(t0, "s", 1, false)
+		_, ok = l.Admit(t0, Request{Service: "s", Bucket: 1})
 		So(ok, ShouldBeFalse)
 	})
 	Convey("Callers are asked to retry at a rate that can be served", t, func() {
@@ -102,14 +102,14 @@
 		l.SetLimits(t0, []Limit{{Service: "s", Bucket: 1, Fraction: 0.5}, {Service: "s", Bucket: 2, Fraction: 0.001}})
 		sum, refused := 0.0, 0
 		for range 1000 {
-			if retryAfter, ok := l.Admit(t0, "s", 1, false); !ok {
+			if retryAfter, ok := l.Admit(t0, Request{Service: "s", Bucket: 1}); !ok {
 				sum += retryAfter.Seconds()
 				refused++
 			}
 		}
 		So(refused, ShouldBeBetween, 400, 600)
 		So(math.Abs(sum/float64(refused)-2*minRetryAfter.Seconds()), ShouldBeLessThan, 0.02)
-		retryAfter, ok := l.Admit(t0, "s", 2, false)
+		retryAfter, ok := l.Admit(t0, Request{Service: "s", Bucket: 2})
 		So(ok, ShouldBeFalse)
 		So(retryAfter, ShouldBeBetween, maxRetryAfter/2, 2*maxRetryAfter)
 	})
@@ -123,7 +123,7 @@
 		admitted := map[bool]int{}
 		for range 1000 {
 			for _, deferred := range []bool{false, true} {
-				if _, ok := l.Admit(t0, "s", 1, deferred); ok {
+				if _, ok := l.Admit(t0, Request{Service: "s", Bucket: 1, Deferred: deferred}); ok {
 					admitted[deferred]++
 				}
 			}
@@ -132,7 +132,7 @@
 		So(admitted[true], ShouldBeBetween, 200, 300)
 	})
 	Convey("They are admitted where there is no limit", t, func() {
-		_, ok := NewLimiter(1).Admit(t0, "s", 1, true)
+		_, ok := NewLimiter(1).Admit(t0, Request{Service: "s", Bucket: 1, Deferred: true})
 		So(ok, ShouldBeTrue)
 	})
 }
--- a/core/request/admit/doc.go
+++ b/core/request/admit/doc.go
@@ -9,12 +9,16 @@
 // probability. A load lasts for seconds, so fractions that are a second old are still good
 // enough.
 //
+// Each daemon divides the fraction of a bucket among the ranks of urgency by the demand that it has
+// seen itself. Where it has seen one rank only, that rank gets the fraction of the bucket.
+//
 // # Usage
 //
 //	share := admit.FairShare(demands, capacity) // on the leader, for each server
 //	l := admit.NewLimiter(seed)                 // on each daemon
 //	l.SetLimits(sentAt, limits)
-//	if retryAfter, ok := l.Admit(now, service, bucket); !ok { refuse the request }
+//	l.Arrive(now, req, serviceTime)             // once for each request
+//	if retryAfter, ok := l.Admit(now, req); !ok { refuse the request }
 //
 // The types are not safe for concurrent use, and no function returns an error.
 package admit
--- a/core/request/admit/limiter.go
+++ b/core/request/admit/limiter.go
@@ -16,6 +16,9 @@
 	maxRetryAfter = 3 * time.Second
 	// retryJitter keeps callers that were refused together from retrying together.
 	retryJitter = 0.3
+	// mixRetention is how long the demand of a bucket is kept after its last limit. A limit that ends
+	// and begins again within seconds is one for the same load.
+	mixRetention = 10 * time.Second
 )
 
 // Limit is the fraction of the requests for a bucket of keys that may be sent.
@@ -30,36 +33,91 @@
 	bucket  int
 }
 
-// Limiter admits requests at random according to the leader's limits.
+// limitState is the limit of one bucket, and the bucket's own demand since the limit began.
+type limitState struct {
+	fraction float64
+	// update is the number of the update that set the limit last, and limitedAt when that was sent.
+	update    int
+	limitedAt time.Time
+	mix       mix
+}
+
+// Request is what the decision about a request for a key depends on.
+type Request struct {
+	Service string
+	Bucket  int
+	// Rank is 0 for the most urgent requests of the service (see package class).
+	Rank int
+	// Deferred is set if other requests go first.
+	Deferred bool
+	// ServiceTime is how long the request is expected to run.
+	ServiceTime time.Duration
+}
+
+// Limiter admits requests at random according to the leader's limits. The limits say what part of
+// all requests for a bucket may be sent; the Limiter divides it among the ranks.
 type Limiter struct {
-	random    *rand.Rand
-	fractions map[bucketKey]float64
+	random  *rand.Rand
+	buckets map[bucketKey]*limitState
+	// updates counts the calls of SetLimits.
+	updates   int
 	expiresAt time.Time
+	// mixes are the recent demands of each service.
+	mixes map[string]*mix
 }
 
 // NewLimiter returns a Limiter that admits every request.
 func NewLimiter(seed uint64) *Limiter {
-	return &Limiter{random: rand.New(rand.NewPCG(seed, 37))}
+	return &Limiter{random: rand.New(rand.NewPCG(seed, 37)), buckets: map[bucketKey]*limitState{}, mixes: map[string]*mix{}}
 }
 
 // SetLimits replaces all limits. The leader sent the new ones at sentAt.
 func (l *Limiter) SetLimits(sentAt time.Time, limits []Limit) {
-	l.fractions, l.expiresAt = make(map[bucketKey]float64, len(limits)), sentAt.Add(limitTTL)
+	l.updates, l.expiresAt = l.updates+1, sentAt.Add(limitTTL)
 	for _, limit := range limits {
-		l.fractions[bucketKey{service: limit.Service, bucket: limit.Bucket}] = limit.Fraction
+		k := bucketKey{service: limit.Service, bucket: limit.Bucket}
+		b := l.buckets[k]
+		if b == nil {
+			b = &limitState{}
+			l.buckets[k] = b
+		}
+		b.fraction, b.update, b.limitedAt = limit.Fraction, l.updates, sentAt
+	}
+	for k, b := range l.buckets {
+		if b.update != l.updates && sentAt.Sub(b.limitedAt) > mixRetention {
+			delete(l.buckets, k)
+		}
 	}
 }
 
-// Admit decides at random whether a request for a bucket may be sent, and if not, after
-// what delay its caller should retry. The smaller the admitted fraction, the longer the
-// delay, so that most retries are admitted. Fewer of the deferred requests are admitted; once that
-// leaves a holder's queue short, the leader raises the fraction for all.
-func (l *Limiter) Admit(now time.Time, service string, bucket int, deferred bool) (retryAfter time.Duration, ok bool) {
-	fraction, limited := l.fractions[bucketKey{service: service, bucket: bucket}]
-	if deferred {
-		fraction *= fraction // between 0 and 1, so that it gets smaller
+// Arrive counts a request for the mix of its service, once for each request.
+func (l *Limiter) Arrive(now time.Time, req Request) {
+	m := l.mixes[req.Service]
+	if m == nil {
+		m = &mix{}
+		l.mixes[req.Service] = m
+	}
+	m.add(now, req.Rank, req.ServiceTime)
+}
+
+// Admit decides at random whether a request may be sent, and if not, after what delay its caller
+// should retry. The smaller the admitted fraction of its rank, the longer the delay, so that most
+// retries are admitted, and more urgent requests return sooner. Fewer of the deferred requests are
+// admitted; once that leaves a holder's queue short, the leader raises the fraction for all.
+func (l *Limiter) Admit(now time.Time, req Request) (retryAfter time.Duration, ok bool) {
+	b := l.buckets[bucketKey{service: req.Service, bucket: req.Bucket}]
+	if b == nil || b.update != l.updates || !now.Before(l.expiresAt) {
+		return 0, true
+	}
+	fraction := b.mix.demands(l.mixes[req.Service]).fraction(req.Rank, b.fraction)
+	// The request counts only for later ones. At a daemon that gets few requests for the bucket, it
+	// would make its own rank seem frequent and lower its chance.
+	b.mix.add(now, req.Rank, req.ServiceTime)
+	if req.Deferred {
+		// Not squared: all requests of rank 0 may be admitted, and deferred ones are refused first all the same.
+		fraction *= b.fraction
 	}
-	if !limited || !now.Before(l.expiresAt) || l.random.Float64() < fraction {
+	if l.random.Float64() < fraction {
 		return 0, true
 	}
 	wait := time.Duration(float64(minRetryAfter) / max(fraction, float64(minRetryAfter)/float64(maxRetryAfter)))
--- a/io/process/router/limits.go
+++ b/io/process/router/limits.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"strconv"
 	"time"
 
 	"catkinstep/core/connection/wire"
@@ -89,6 +90,14 @@
 	if req.admitted {
 		return 0, true
 	}
-	retryAfter, req.admitted = r.admission.Admit(now, req.service.Name, keeper.Bucket(req.key), req.requirements.Deferred)
+	if retryAfter, req.admitted = r.admission.Admit(now, r.admitRequest(req)); !req.admitted {
+		r.metrics.increment("limits.refused.rank" + strconv.Itoa(req.requirements.Rank))
+	}
 	return retryAfter, req.admitted
 }
+
+// admitRequest returns what the limits depend on. r.mu must be held.
+func (r *Router) admitRequest(req *request) admit.Request {
+	return admit.Request{Service: req.service.Name, Bucket: keeper.Bucket(req.key), Rank: req.requirements.Rank, Deferred: req.requirements.Deferred,
+		ServiceTime: r.balancer.TypicalServiceTime(req.requirements)}
+}
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -179,14 +179,15 @@
 	r.recordArrival(req)
 }
 
-// recordArrival counts a request for its key's bucket and deposits its share into the
-// service's retry budget.
+// recordArrival counts a request for its key's bucket and for the ranks of its service, and deposits
+// its share into the service's retry budget.
 func (r *Router) recordArrival(req *request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if req.key >= 0 {
 		k := bucketKey{service: req.service.Name, bucket: uint32(keeper.Bucket(req.key))}
 		r.bucketLoads[k] = r.bucketLoads[k].with(1, r.balancer.TypicalServiceTime(req.requirements), req.route.LatencyTarget)
+		r.admission.Arrive(time.Now(), r.admitRequest(req))
 	}
 	r.budgetOf(req.service.Name).Deposit()
 }
