admit: the stated bound holds for the first seconds of a limit as well, and is red there

Cause: the test of ranks at a limited bucket held the first five seconds to 2.4 times the leader's fraction, a figure that came from what had been measured. Comments no longer tell trials. Ruled out: the bucket's counts from before the limit (30 old requests outweigh those of a key that has just become hot).

--- a/core/request/admit/mix.go
+++ b/core/request/admit/mix.go
@@ -14,9 +14,9 @@
 	// minHistory is how many requests an average covers at least, however long ago they arrived. At a
 	// daemon that gets a request per second, the average over mixTime would follow chance.
 	minHistory = 30
-	// priorRequests is the weight of the service's mix in that of a bucket, in requests. With 1,500
-	// daemons a weight of 3 let through a seventh too much of a bucket with the service's mix, since
-	// the few requests at each daemon differ by chance; a weight of 12 did so for hot keys.
+	// priorRequests is the weight of the service's mix in that of a bucket, in requests: so many that
+	// chance among the few requests of a daemon has little effect, and so few that a hot key's own
+	// requests soon outweigh them.
 	priorRequests = 8
 	// concentration is that of the Dirichlet distribution (the same for each rank) from which the mix
 	// of a bucket is taken to come if it is not the service's. It is far below 1, since a hot key is
@@ -69,8 +69,8 @@
 
 // likelihood returns how likely the bucket's counts are if its requests have the service's mix,
 // relative to any other mix, at most 1. With many daemons each of them gets few requests for a hot
-// key. A prior of constant weight would let 300 daemons send a fifth too much of a key that rank 0
-// alone requests, 5 to 10 s after its limit began.
+// key. If rank 0 alone requests it, a prior of constant weight would keep them sending too many for many
+// seconds.
 func (m *mix) likelihood(service *mix) float64 {
 	logRatio, total := 0.0, 0.0
 	for i, n := range m.counts {
--- a/core/request/admit/mix_test.go
+++ b/core/request/admit/mix_test.go
@@ -132,15 +132,13 @@
 				o := offer{daemons: daemons, bucket: tc.bucket, others: scaled(tc.perOther, float64(daemons)), fraction: tc.fraction}
 				w := newWorld(daemons)
 				w.run(offer{daemons: daemons, bucket: o.bucket, others: o.others}, 5*time.Second)
-				start := w.run(o, 5*time.Second)
+				w.run(o, 5*time.Second)
 				if daemons > 300 { // each gets a request for the bucket every five seconds
 					w.run(o, 15*time.Second)
 				}
 				out := w.run(o, 80*time.Second) // 3,200 requests of the rarest rank, of which some 280 are let through
-				t.Logf("%s, %d daemons, fraction %.2f: by rank %.3f %.3f %.3f, total %.3f of the fraction, in the first 5 s %.3f", tc.name, daemons, tc.fraction,
-					out.of(0), out.of(1), out.of(2), out.ofAll()/tc.fraction, start.ofAll()/tc.fraction)
-				// A daemon that has seen no request for a hot key takes the key's mix for the service's.
-				So(start.ofAll(), ShouldBeLessThan, 2.4*tc.fraction)
+				t.Logf("%s, %d daemons, fraction %.2f: by rank %.3f %.3f %.3f, total %.3f of the fraction", tc.name, daemons, tc.fraction,
+					out.of(0), out.of(1), out.of(2), out.ofAll()/tc.fraction)
 				So(out.ofAll(), ShouldBeBetween, 0.9*tc.fraction, 1.1*tc.fraction)
 				if o.fits() {
 					So(out.of(0), ShouldBeGreaterThanOrEqualTo, 0.95)
@@ -158,6 +156,23 @@
 	}
 }
 
+// Guards against a holder that gets more than the leader allows in the first seconds of a limit for a hot key that
+// rank 0 alone requests, since each daemon takes the key's mix for that of the service.
+func TestHotKeyAtStartOfLimit(t *testing.T) {
+	for _, fraction := range []float64{0.55, 0.2} {
+		for _, daemons := range sizes {
+			Convey(fmt.Sprintf("At %d daemons the total stays within a tenth of the fraction %.2f", daemons, fraction), t, func() {
+				o := offer{daemons: daemons, bucket: []float64{240, 0, 0}, others: scaled(perDaemon, float64(daemons)), fraction: fraction}
+				w := newWorld(daemons)
+				w.run(offer{daemons: daemons, bucket: o.bucket, others: o.others}, 5*time.Second)
+				start := w.run(o, 5*time.Second)
+				t.Logf("%d daemons, fraction %.2f: total %.3f of the fraction in the first 5 s", daemons, fraction, start.ofAll()/fraction)
+				So(start.ofAll(), ShouldBeBetween, 0.9*fraction, 1.1*fraction)
+			})
+		}
+	}
+}
+
 // Guards against daemons that start during an overload and refuse or admit by a mix that they don't
 // know.
 func TestRanksAfterStart(t *testing.T) {
