Retries: less urgent requests leave a part of the budget to more urgent ones

Cause: the retry budget of a service went to whichever request came first.

Change: TryWithdrawFor(rank) leaves r quarters of the burst, at most three, to more urgent requests. TryWithdraw is that of rank 0, and unchanged.

Ruled out: a strict reserve. The burst of a daemon is 1 where many daemons share it, and ranks above 0 would never be retried. A full budget serves any rank.

Measured: of a burst of 40 the ranks 0 to 4 get 40, 30, 20, 10 and 10 (the new test); of a burst of 1 rank 3 gets 1.

--- a/core/request/retry/budget.go
+++ b/core/request/retry/budget.go
@@ -1,5 +1,8 @@
 package retry
 
+// maxReservedQuarters is how many quarters of the burst the least urgent requests leave to others.
+const maxReservedQuarters = 3
+
 // Budget is a token bucket that limits retries to a share of the requests, so that retries do
 // not amplify a general slowdown.
 type Budget struct {
@@ -29,8 +32,15 @@
 func (b *Budget) Deposit() { b.tokens = min(b.maxTokens, b.tokens+max(0, b.share)) }
 
 // TryWithdraw takes the token for one retry, and reports whether there was one.
-func (b *Budget) TryWithdraw() bool {
-	if b.tokens < 1 || b.share < 0 {
+func (b *Budget) TryWithdraw() bool { return b.TryWithdrawFor(0) }
+
+// TryWithdrawFor takes the token for one retry of a request of a rank (see package class), and
+// reports whether it may have one. Each rank leaves a quarter of the burst more than the rank before
+// to more urgent requests, at most three quarters. A full budget may be used by any rank, since a small
+// burst shared by many daemons would otherwise never allow a less urgent request to be retried.
+func (b *Budget) TryWithdrawFor(rank int) bool {
+	reserve := b.maxTokens * float64(min(max(0, rank), maxReservedQuarters)) / 4
+	if b.tokens < 1 || b.share < 0 || b.tokens < min(b.maxTokens, 1+reserve) {
 		return false
 	}
 	b.tokens--
--- a/core/request/retry/doc.go
+++ b/core/request/retry/doc.go
@@ -5,7 +5,7 @@
 //
 //	b := retry.NewBudget(0.1, 10)
 //	b.Deposit() // for each request
-//	if state.Retryable() && (!state.UsesBudget() || b.TryWithdraw()) { ... }
+//	if state.Retryable() && (!state.UsesBudget() || b.TryWithdrawFor(rank)) { ... }
 //
 // A Budget is not safe for concurrent use, and no function returns an error.
 package retry
--- a/core/request/retry/retry_test.go
+++ b/core/request/retry/retry_test.go
@@ -65,3 +65,28 @@
 		So(b.TryWithdraw(), ShouldBeTrue)
 	})
 }
+
+// Guards against less urgent requests that use up the retry budget before more urgent ones need it.
+func TestBudgetKeepsReserve(t *testing.T) {
+	withdrawn := func(burst, rank int) (n int) {
+		for b := NewBudget(0, burst); b.TryWithdrawFor(rank); n++ {
+		}
+		return n
+	}
+	Convey("Each rank leaves a quarter of the burst more, at most three quarters", t, func() {
+		for rank, want := range []int{40, 30, 20, 10, 10} {
+			So(withdrawn(40, rank), ShouldEqual, want)
+		}
+	})
+	Convey("What one rank leaves, a more urgent one may use", t, func() {
+		b := NewBudget(0, 4)
+		So(b.TryWithdrawFor(3), ShouldBeTrue)
+		So(b.TryWithdrawFor(3), ShouldBeFalse)
+		So(b.TryWithdrawFor(1), ShouldBeTrue)
+		So(b.TryWithdraw(), ShouldBeTrue)
+	})
+	Convey("A full budget may be used by any rank, however small the burst is", t, func() {
+		So(withdrawn(1, 3), ShouldEqual, 1)
+		So(withdrawn(2, 3), ShouldEqual, 1)
+	})
+}
