Less urgent requests wait less and fill fewer places of a queue

Cause: the latency budget is a share of the route's own target, so that with targets of 0.8 and 2 s the least urgent requests wait longest. Where queues are shorter than the budgets, servers decline requests of all priorities alike (finding 1 of docs/design/hard-load.md).

Change: a rank waits at most class.WaitShare of what the rank before may, by the waits of the routes seen, and fills that share of the queue places, by the fewest that waited where a server declined as full. Promoted requests wait as long as rank 0. Permits get both bounds. Retry-After of lower ranks is the time until they are accepted. Rank 0 is unchanged, also where it is the only one.

Ruled out: a bound on places for rank 0.

--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -16,6 +16,7 @@
 // now, remote servers are not considered: large sites have hundreds of them, and a
 // remote response uses bandwidth between data centres.
 func (b *Balancer) Choose(now time.Time, req Requirements, servers []fleet.Server) Choice {
+	b.prioritiesOf(req.Service.Name).observe(now, req, b.permittedWait(req))
 	if len(req.LastResort) > 0 {
 		preferred := req
 		preferred.Excluded, preferred.LastResort = slices.Concat(req.Excluded, req.LastResort), nil
@@ -103,6 +104,7 @@
 // Evaluate decides whether to send a request to the only server that may run it. As there
 // is no alternative, a high failure rate is no reason to refuse.
 func (b *Balancer) Evaluate(now time.Time, req Requirements, server fleet.Server) Choice {
+	b.prioritiesOf(req.Service.Name).observe(now, req, b.permittedWait(req))
 	if choice, rests := b.Resting(now, server); rests {
 		return choice
 	}
@@ -132,7 +134,9 @@
 	serviceSeconds := typicalSeconds * slowdown
 	// What is ahead may be of other routes. A request of long work counts what is ahead as long as
 	// itself: in an overload it would take the slots of several others.
-	waitSeconds := max(0, (load+1-float64(max(1, server.Slots)))/float64(max(1, server.Slots))) * max(meanSeconds, typicalSeconds) * slowdown
+	slots := float64(max(1, server.Slots))
+	secondsPerPlace := max(meanSeconds, typicalSeconds) * slowdown / slots
+	waitSeconds := max(0, (load+1-slots)/slots) * max(meanSeconds, typicalSeconds) * slowdown
 	expected := seconds(serviceSeconds + waitSeconds)
 	cost := (serviceSeconds + waitSeconds) * (1 + jitter*b.random.Float64()) / (1.001 - st.failureRate)
 	choice := Choice{Server: server, ExpectedLatency: expected, canServeNow: load < float64(server.Slots) && slowdown < maxLocalSlowdown}
@@ -143,6 +147,8 @@
 	switch {
 	case choice.Reason == ServerLimited:
 		choice.RetryAfter = max(limitWait, b.retryAfter(req, expected))
+	case choice.Reason == AllBusy && req.EffectiveRank() > 0:
+		choice.RetryAfter = b.jittered(max(minRetryAfter, b.excessWait(now, req, server, expected, load, secondsPerPlace)))
 	case choice.Refused():
 		choice.RetryAfter = b.retryAfter(req, expected)
 	}
@@ -164,27 +170,22 @@
 		return ServerLimited
 	case load >= float64(server.Slots) && now.Add(expected).After(req.ReceivedAt.Add(b.latencyBudget(req))):
 		return AllBusy
+	case load+1-float64(server.Slots) > b.queuePlaces(now, req):
+		return AllBusy
 	case st.failureRate > failingThreshold && b.random.Float64() > probeShare:
 		return ServerFailing
 	}
 	return ""
 }
 
-// latencyBudget returns how long a queued request may take in total. It is less than the
-// latency target, since a late reply is of little use and its slot could have served another
-// request in time. Less urgent requests have smaller budgets, so they are refused first.
-func (b *Balancer) latencyBudget(req Requirements) time.Duration {
-	share := 0.95 - 0.1*float64(min(req.Priority, 3))
-	if req.Deferred {
-		share *= deferredBudgetShare
-	}
-	return time.Duration(share * float64(req.LatencyTarget))
-}
-
 // retryAfter returns the delay after which a refused caller should retry, by when the queue
 // has moved on. The delay is randomised so that callers do not return together.
 func (b *Balancer) retryAfter(req Requirements, expected time.Duration) time.Duration {
 	wait := max(minRetryAfter, min(expected, req.LatencyTarget)/3)
+	return b.jittered(wait)
+}
+
+func (b *Balancer) jittered(wait time.Duration) time.Duration {
 	return time.Duration(float64(wait) * (0.7 + 0.6*b.random.Float64()))
 }
 
--- a/core/request/spread/requirements.go
+++ b/core/request/spread/requirements.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"catkinstep/core/request/class"
 	"catkinstep/core/version/config"
 	"catkinstep/core/version/fleet"
 )
@@ -20,6 +21,9 @@
 	// Rank is the rank of the priority among the routes of the service; 0 is the most urgent (see
 	// package class).
 	Rank int
+	// Promoted is set if the request is treated as one of rank 0, since it is among the
+	// class.MinShare of its rank that must not be starved by more urgent requests.
+	Promoted bool
 	// BodyBytes is the size of the request's body.
 	BodyBytes int
 	// Deferred is set if other requests go first while servers are overloaded, since the request's
@@ -38,6 +42,14 @@
 	LastResort []string
 }
 
+// EffectiveRank is the rank by which the request is treated.
+func (r Requirements) EffectiveRank() int {
+	if r.Promoted {
+		return 0
+	}
+	return min(r.Rank, class.MaxRank)
+}
+
 // Reason is the reason why a request is refused; "" means that it is not.
 type Reason string
 
--- a/core/request/spread/simulation_test.go
+++ b/core/request/spread/simulation_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"catkinstep/core/request/class"
 	"catkinstep/core/request/permit"
 	"catkinstep/core/version/fleet"
 )
@@ -27,6 +28,13 @@
 	routeSeconds   map[string]float64
 	gossipInterval time.Duration
 	end            time.Time
+	// steady is set if nothing slows the servers.
+	steady bool
+	// callersRetry is set if callers send a refused request again, once and to another daemon. They wait for
+	// Retry-After, but no more than a third of the time that is left to them.
+	callersRetry bool
+	// maxAttempts is how many servers a request is sent to at most; 0 if there is no limit.
+	maxAttempts int
 	// permits issues the permits for contended servers; nil if the daemons use none.
 	permits *permit.Issuer
 	lastID  uint64
@@ -57,7 +65,11 @@
 }
 
 // origin is the indices of the daemon and the workspace that a request came from.
-type origin struct{ daemon, workspace int }
+type origin struct {
+	daemon, workspace int
+	// retried is set if the caller has sent the request again.
+	retried bool
+}
 
 // backend is a simulated server.
 type backend struct {
@@ -147,7 +159,7 @@
 
 func (sim *simulation) drawNoise(b *backend) {
 	b.noise = 1
-	if sim.random.Float64() < noiseShare {
+	if !sim.steady && sim.random.Float64() < noiseShare {
 		b.noise = noiseFactor
 	}
 	sim.schedule(noiseInterval, func() { sim.drawNoise(b) })
@@ -196,8 +208,7 @@
 	daemon := sim.daemons[from.daemon]
 	c, permitID := sim.choose(daemon, req)
 	if c.Refused() {
-		sim.refused++
-		sim.finish(from, true, false)
+		sim.refuse(from, req, c.RetryAfter)
 		return
 	}
 	for _, b := range sim.servers {
@@ -207,6 +218,30 @@
 	}
 }
 
+func (sim *simulation) refuse(from origin, req Requirements, retryAfter time.Duration) {
+	if sim.callersRetry && !from.retried {
+		sim.sendAgain(from, req, retryAfter)
+		return
+	}
+	sim.refused++
+	sim.finish(from, true, false)
+}
+
+// sendAgain simulates a caller that sends a refused request again. The other daemon cannot know that it
+// is the same request.
+func (sim *simulation) sendAgain(from origin, req Requirements, retryAfter time.Duration) {
+	from.daemon, from.retried = sim.random.IntN(len(sim.daemons)), true
+	req.Excluded = nil
+	if req.Rank > 0 {
+		req.Promoted = sim.random.Float64() < class.MinShare
+	}
+	sim.schedule(min(retryAfter, req.Deadline.Sub(sim.now)/3), func() {
+		received := req
+		received.ReceivedAt = sim.now
+		sim.send(from, received)
+	})
+}
+
 // choose returns a server and the ID of the permit for it. Up to three servers are tried if
 // permits are denied.
 func (sim *simulation) choose(daemon *Balancer, req Requirements) (Choice, uint64) {
@@ -221,7 +256,7 @@
 		}
 		sim.lastID++
 		permitRequest := permit.Request{Server: c.Server.ID, ID: sim.lastID, Slots: c.Server.Slots, ServiceTime: daemon.ServiceTime(sim.now, req, c.Server),
-			LatencyBudget: daemon.LatencyBudget(req) - sim.now.Sub(req.ReceivedAt), TTL: req.Deadline.Sub(sim.now)}
+			LatencyBudget: daemon.PermitBudget(sim.now, req, c.Server), TTL: req.Deadline.Sub(sim.now)}
 		if sim.permits.Acquire(sim.now, permitRequest).Granted {
 			c.Reason = ""
 			return c, sim.lastID
@@ -262,6 +297,10 @@
 		}
 		j.daemon.End(sim.now, b.server, j.req, j.sentAt, Declined, b.report())
 		j.req.Excluded = append(j.req.Excluded, b.server.ID)
+		if len(j.req.Excluded) == sim.maxAttempts {
+			sim.refuse(j.from, j.req, minRetryAfter)
+			return
+		}
 		sim.send(j.from, j.req)
 	}
 }
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -55,6 +55,7 @@
 	servers    map[string]*serverState
 	peers      map[string]peerLoad // by daemon
 	groupLoads map[serverGroup]*groupLoad
+	priorities map[string]*priorities // by service
 	// senderRanks caches the results of senderRank by server until the limits change.
 	senderRanks map[string]int
 	// answeredAt is when a server last responded to a request of this daemon.
@@ -79,6 +80,7 @@
 		servers:     map[string]*serverState{},
 		peers:       map[string]peerLoad{},
 		groupLoads:  map[serverGroup]*groupLoad{},
+		priorities:  map[string]*priorities{},
 		senderRanks: map[string]int{},
 		notices:     notice.NewTable(seed),
 	}
@@ -151,6 +153,9 @@
 		if report == nil || report.Running >= report.Slots {
 			st.markFull(now, server.Slots)
 		}
+		if report != nil && report.Running >= report.Slots && report.Waiting >= report.Slots {
+			b.prioritiesOf(req.Service.Name).queueBound.observe(now, report.Waiting)
+		}
 		st.failureRate += outcomeWeight / 3 * (1 - st.failureRate)
 	case PermitDenied:
 		st.returnLimited(req)
