Router: requests are promoted when they are resolved, and counted by rank

Cause: the rank of a request had no effect on its retries, and nothing kept less urgent requests from starving.

Change: class.MinShare of the requests above rank 0 are treated as rank 0. The draw is made once, in resolve. Counters: refused by rank, promoted; both are in the log line of a refusal.

Ruled out: a draw by the ID or the content of a request. Callers could choose an ID that is always promoted, and requests for a hot key would go together.

Measured: of 2,000 requests of each lower rank 600 (within 80) are promoted, none of rank 0 (the new test).

--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -256,9 +256,10 @@
 	return r.balancer.TypicalServiceTime(req.requirements) / 2
 }
 
-// tryWithdrawRetry takes one retry from the service's budget, and reports whether one was left.
+// tryWithdrawRetry takes one retry from the service's budget, and reports whether one was left that
+// is not reserved for more urgent requests.
 func (r *Router) tryWithdrawRetry(req *request) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budgetOf(req.service.Name).TryWithdraw()
+	return r.budgetOf(req.service.Name).TryWithdrawFor(req.requirements.EffectiveRank())
 }
--- a/io/process/router/permit.go
+++ b/io/process/router/permit.go
@@ -164,7 +164,7 @@
 	r.permits.lastID++
 	return permit.Request{
 		Server: fmt.Sprintf("%s %d", server.ID, server.StartMillis), ID: r.permits.lastID, Slots: server.Slots,
-		ServiceTime: serviceTime, LatencyBudget: r.balancer.LatencyBudget(req.requirements) - now.Sub(req.ReadAt), TTL: req.deadline.Sub(now) + responseMargin,
+		ServiceTime: serviceTime, LatencyBudget: r.balancer.PermitBudget(now, req.requirements, server), TTL: req.deadline.Sub(now) + responseMargin,
 	}, true
 }
 
--- /dev/null
+++ b/io/process/router/priority_test.go
@@ -0,0 +1,90 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"catkinstep/core/request/class"
+	"catkinstep/core/version/config"
+	"catkinstep/core/version/object"
+)
+
+// newRankedRouter returns a Router with the routes /first, /second and /third to one service, and
+// /other to a service of its own.
+func newRankedRouter() *Router {
+	r := newTestRouter()
+	c := config.Config{Version: 1, Services: []config.Service{{Name: "s"}, {Name: "o"}}}
+	for i, name := range []string{"first", "second", "third", "other"} {
+		service := "s"
+		if name == "other" {
+			service = "o"
+		}
+		c.Routes = append(c.Routes, config.Route{Name: name, Host: "h", Prefix: "/" + name, Priority: 2 * i, Destinations: []config.Destination{{Service: service, Weight: 1}}, Timeout: time.Second, LatencyTarget: time.Second})
+	}
+	v, _ := json.Marshal(c)
+	r.control.update(t0, deltaMsg{delta: object.Delta{Kind: object.Config, Through: 1, CurrentAt: t0, Items: []object.Item{{Name: "main", Revision: 1, Value: v}}}})
+	r.tickUntilBooted()
+	return r
+}
+
+// Guards against less urgent requests that are starved, and against services with one priority whose
+// requests are drawn.
+func TestPromotion(t *testing.T) {
+	promoted := func(r *Router, path string) (n int) {
+		for range 2000 {
+			req, rejection := r.resolve(r.current.Load(), callerRequest(path, http.Header{}), "id", nil)
+			So(rejection, ShouldBeNil)
+			if req.requirements.Promoted {
+				n++
+				So(req.requirements.EffectiveRank(), ShouldEqual, 0)
+			}
+		}
+		return n
+	}
+	Convey("A share of the less urgent requests counts as of rank 0, whatever their ID", t, func() {
+		r := newRankedRouter()
+		So(promoted(r, "/second"), ShouldAlmostEqual, 2000*class.MinShare, 80)
+		So(promoted(r, "/third"), ShouldAlmostEqual, 2000*class.MinShare, 80)
+		So(r.metrics.value(promotedRequests), ShouldBeBetween, 1040, 1360)
+	})
+	Convey("No request of rank 0 is drawn", t, func() {
+		r := newRankedRouter()
+		So(promoted(r, "/first"), ShouldEqual, 0)
+		So(promoted(r, "/other"), ShouldEqual, 0)
+	})
+}
+
+// Guards against refusals that do not show which requests are refused.
+func TestRefusedByRank(t *testing.T) {
+	Convey("Refusals are counted by rank", t, func() {
+		r := newRankedRouter()
+		for _, path := range []string{"/first", "/third", "/third", "/other"} {
+			So(r.handle(context.Background(), callerRequest(path, http.Header{})).Status, ShouldEqual, http.StatusServiceUnavailable)
+		}
+		So(r.metrics.value(refusedByRank+"0"), ShouldEqual, 2)
+		So(r.metrics.value(refusedByRank+"2"), ShouldEqual, 2)
+	})
+}
+
+// Guards against less urgent requests that use up the retries of more urgent ones.
+func TestRetriesByRank(t *testing.T) {
+	Convey("A less urgent request gets no retry once a part of the burst is used, but a more urgent one does", t, func() {
+		r := newRankedRouter()
+		r.budgetOf("s").SetBurst(4)
+		service := config.Service{Name: "s"}
+		third := &request{service: service}
+		third.requirements.Rank = 2
+		for range 200 {
+			r.budgetOf("s").Deposit()
+		}
+		So(r.tryWithdrawRetry(third), ShouldBeTrue)
+		So(r.tryWithdrawRetry(third), ShouldBeTrue)
+		So(r.tryWithdrawRetry(third), ShouldBeFalse)
+		So(r.tryWithdrawRetry(&request{service: service}), ShouldBeTrue)
+	})
+}
--- a/io/process/router/refuse.go
+++ b/io/process/router/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"catkinstep/core/request/spread"
@@ -31,7 +32,7 @@
 func (r *Router) decisionAttrs(req *request, choice spread.Choice) []any {
 	snap := r.current.Load()
 	return []any{"service", req.service.Name, "key", req.key, "server", choice.Server.ID, "expected", choice.ExpectedLatency.String(), "aim", req.route.LatencyTarget.String(),
-		"left", time.Until(req.deadline).String(), "attempts", req.attempts.count(), "deferred", req.requirements.Deferred, "config", snap.config.Version, "epoch", snap.table.Epoch, "seq", snap.table.Seq}
+		"left", time.Until(req.deadline).String(), "attempts", req.attempts.count(), "deferred", req.requirements.Deferred, "rank", req.requirements.Rank, "promoted", req.requirements.Promoted, "config", snap.config.Version, "epoch", snap.table.Epoch, "seq", snap.table.Seq}
 }
 
 // refuseRequest refuses a resolved request. If the caller sent the same ID before, that
@@ -39,6 +40,7 @@
 // caller would submit the request again under a new ID and it could run twice.
 func (r *Router) refuseRequest(req *request, reason string, retryAfter time.Duration, attrs ...any) caller.Reply {
 	r.recordBusyRefusal(reason)
+	r.metrics.increment(refusedByRank + strconv.Itoa(req.requirements.Rank))
 	refusal := caller.Refusal{ID: req.id, Status: refusalStatus(reason), Reason: reason, RetryAfter: retryAfter, MaybeRan: r.wasSentBefore(req)}
 	if refusal.MaybeRan {
 		attrs = append(attrs, "earlierTry", "mayHaveRun")
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -114,8 +114,10 @@
 			return nil, r.finalReply(id, http.StatusBadRequest, reasonNoKey)
 		}
 	}
-	req.requirements = spread.Requirements{Route: route.Name, Service: req.service, LatencyTarget: route.LatencyTarget, Priority: req.priority(), Rank: snap.ranks.Rank(req.service.Name, req.priority()), BodyBytes: len(callerReq.Body),
+	req.requirements = spread.Requirements{Route: route.Name, Service: req.service, LatencyTarget: route.LatencyTarget, BodyBytes: len(callerReq.Body),
 		ReceivedAt: callerReq.ReadAt, Deadline: req.deadline, LocalDataCentre: r.settings.DataCentre}
+	req.setPriority(snap)
+	r.drawPromotion(req)
 	return req, nil
 }
 
