Promotion follows what is served: less urgent callers who retry no longer crowd out rank 0

A refused caller retries once, at another host and perhaps with another ID, and is drawn again, so that half of the less urgent requests were promoted. With those of rank 0 they exceeded the servers.

Ruled out: a draw by ID (callers choose it, and it changes with a retry) or by content (requests for a hot key are promoted together).

Change: class.Promoter promotes MinShare of the share of all requests that is served, divided by that of rank 0. That is the minimum that class.Fractions gives, and never more than before. Outcomes are counted in each daemon, only for services with several ranks. The model's daemons know service times better (100 responses instead of 20), and spans are longer at 8 and 24 daemons and shorter at 300 and 1,500.

--- a/core/request/class/class_test.go
+++ b/core/request/class/class_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -77,3 +78,47 @@
 		So(Fractions([]float64{1, 2}, 1), ShouldResemble, []float64{1, 1})
 	})
 }
+
+// Guards against promoted requests that take the room of the most urgent ones, and against ranks that are
+// starved.
+func TestPromoter(t *testing.T) {
+	now := time.Unix(1000, 0)
+	// play records a minute with 10 requests of each rank a second, of which the given shares are served.
+	play := func(p *Promoter, urgentShare, otherShare float64) {
+		for i := range 600 {
+			now = now.Add(100 * time.Millisecond)
+			p.Record(now, 0, float64(i%10) < 10*urgentShare)
+			p.Record(now, 1, float64(i%10) < 10*otherShare)
+		}
+	}
+	Convey("Before any outcome is known, the share is MinShare", t, func() {
+		So(new(Promoter).Share(), ShouldEqual, MinShare)
+	})
+	Convey("It is lower if fewer requests are served than of rank 0, so that they are served MinShare as often as all", t, func() {
+		var p Promoter
+		play(&p, 1, 0.2)
+		So(p.Share(), ShouldAlmostEqual, MinShare*0.6, 0.05)
+	})
+	Convey("It is MinShare where all are refused alike, and again when the overload has ended", t, func() {
+		var p Promoter
+		play(&p, 0.4, 0.4)
+		So(p.Share(), ShouldAlmostEqual, MinShare, 0.02)
+		play(&p, 1, 0.2)
+		play(&p, 1, 1)
+		So(p.Share(), ShouldAlmostEqual, MinShare, 0.01)
+	})
+	Convey("It is MinShare where requests of rank 0 are rare", t, func() {
+		var p Promoter
+		for range 600 {
+			now = now.Add(10 * time.Millisecond)
+			p.Record(now, 1, false)
+		}
+		p.Record(now, 0, false)
+		So(p.Share(), ShouldAlmostEqual, MinShare, 0.001)
+	})
+	Convey("It never exceeds MinShare", t, func() {
+		var p Promoter
+		play(&p, 0.1, 1)
+		So(p.Share(), ShouldEqual, MinShare)
+	})
+}
--- a/core/request/class/doc.go
+++ b/core/request/class/doc.go
@@ -11,5 +11,8 @@
 //	rank := ranks.Rank(service, route.Priority) // 0 is the most urgent
 //	parts := class.Fractions(demands, fraction) // by rank
 //
-// Values are immutable, and no function returns an error.
+//	promoted := rank > 0 && random.Float64() < promoter.Share()
+//	promoter.Record(now, rank, served) // rank 0 if it was promoted
+//
+// Values other than a Promoter are immutable, and no function returns an error.
 package class
--- a/core/request/spread/priority_world_test.go
+++ b/core/request/spread/priority_world_test.go
@@ -59,6 +59,7 @@
 	if permit.QueueVisibility(tc.daemons, surgeSlots) < 1 {
 		s.permits = permit.NewIssuer(1)
 	}
+	s.promoters = make([]class.Promoter, len(s.daemons))
 	s.learnServiceTimes()
 	return s
 }
@@ -70,8 +71,8 @@
 		for rank := range s.rates {
 			req := s.template
 			s.arrived(origin{workspace: rank}, &req)
-			for i := range 20 {
-				server, at := s.serverList[i%len(s.serverList)], t0.Add(time.Duration(i-100)*100*time.Millisecond)
+			for i := range 100 {
+				server, at := s.serverList[i%len(s.serverList)], t0.Add(time.Duration(i-101)*100*time.Millisecond)
 				d.Begin(at, server, req)
 				d.End(at.Add(surgeWork), server, req, at, Answered, &Report{Running: 1, Slots: surgeSlots, Slowdown: 1, Bytes: 5000})
 			}
@@ -95,7 +96,7 @@
 	req.Route, req.Priority, req.Rank = []string{"first", "second", "third"}[rank], rank, rank
 	req.LatencyTarget = surgeTargets[rank]
 	req.Deadline = req.ReceivedAt.Add(5 * req.LatencyTarget / 2)
-	req.Promoted = rank > 0 && s.random.Float64() < class.MinShare
+	s.drawPromotion(from, req)
 }
 
 func (s *surge) ended(from origin, _, inTime bool) {
@@ -130,24 +131,25 @@
 // queues and the most urgent ones are refused.
 func TestSurge(t *testing.T) {
 	for _, tc := range []surgeCase{
-		{"all priorities, 8 daemons", 8, 1, 1, surgeOfAll, 20 * time.Second, false},
-		{"all priorities, 24 daemons at the same servers", 24, 1, 1, surgeOfAll, 20 * time.Second, false},
+		{"all priorities, 8 daemons", 8, 1, 1, surgeOfAll, 60 * time.Second, false},
+		{"all priorities, 24 daemons at the same servers", 24, 1, 1, surgeOfAll, 60 * time.Second, false},
 		{"all priorities, 90 daemons", 90, 3, 12, surgeOfAll, 6 * time.Second, false},
-		{"all priorities, 300 daemons", 300, 3, 36, surgeOfAll, 3 * time.Second, false},
-		{"all priorities, 1500 daemons", 1500, 6, 192, surgeOfAll, 2 * time.Second, false},
-		{"the third alone, 8 daemons", 8, 1, 1, surgeOfThird, 20 * time.Second, false},
-		{"the third alone, 24 daemons at the same servers", 24, 1, 1, surgeOfThird, 20 * time.Second, false},
+		{"all priorities, 300 daemons", 300, 3, 36, surgeOfAll, 2 * time.Second, false},
+		{"all priorities, 1500 daemons", 1500, 6, 192, surgeOfAll, 1500 * time.Millisecond, false},
+		{"the third alone, 8 daemons", 8, 1, 1, surgeOfThird, 60 * time.Second, false},
+		{"the third alone, 24 daemons at the same servers", 24, 1, 1, surgeOfThird, 60 * time.Second, false},
 		{"the third alone, 90 daemons", 90, 3, 12, surgeOfThird, 6 * time.Second, false},
 	} {
 		checkSurge(t, tc)
 	}
 }
 
-// Guards against callers who retry after a refusal: each of their requests may be promoted twice.
+// Guards against promoted requests that take the room of the most urgent ones where callers retry, since each
+// of their requests may be promoted twice.
 func TestSurgeWithRetries(t *testing.T) {
 	for _, tc := range []surgeCase{
-		{"callers who retry, 8 daemons", 8, 1, 1, surgeOfAll, 20 * time.Second, true},
-		{"callers who retry, 24 daemons at the same servers", 24, 1, 1, surgeOfAll, 20 * time.Second, true},
+		{"callers who retry, 8 daemons", 8, 1, 1, surgeOfAll, 60 * time.Second, true},
+		{"callers who retry, 24 daemons at the same servers", 24, 1, 1, surgeOfAll, 60 * time.Second, true},
 		{"callers who retry, 90 daemons", 90, 3, 12, surgeOfAll, 6 * time.Second, true},
 	} {
 		checkSurge(t, tc)
@@ -170,11 +172,11 @@
 // themselves.
 func TestSurgeOfTheMostUrgent(t *testing.T) {
 	for _, tc := range []surgeCase{
-		{"8 daemons", 8, 1, 1, surgeOfFirst, 20 * time.Second, false},
-		{"24 daemons at the same servers", 24, 1, 1, surgeOfFirst, 20 * time.Second, false},
+		{"8 daemons", 8, 1, 1, surgeOfFirst, 60 * time.Second, false},
+		{"24 daemons at the same servers", 24, 1, 1, surgeOfFirst, 60 * time.Second, false},
 		{"90 daemons", 90, 3, 12, surgeOfFirst, 6 * time.Second, false},
-		{"300 daemons", 300, 3, 36, surgeOfFirst, 3 * time.Second, false},
-		{"1500 daemons", 1500, 6, 192, surgeOfFirst, 2 * time.Second, false},
+		{"300 daemons", 300, 3, 36, surgeOfFirst, 2 * time.Second, false},
+		{"1500 daemons", 1500, 6, 192, surgeOfFirst, 1500 * time.Millisecond, false},
 	} {
 		Convey("With "+tc.name+", they are served no less than others, and the least urgent a quarter as often as all", t, func() {
 			s := newSurge(tc)
--- a/core/request/spread/simulation_test.go
+++ b/core/request/spread/simulation_test.go
@@ -33,6 +33,8 @@
 	// callersRetry is set if callers send a refused request again, once and to another daemon. They wait for
 	// Retry-After, but no more than a third of the time that is left to them.
 	callersRetry bool
+	// promoters are those of the daemons; nil if all requests have rank 0.
+	promoters []class.Promoter
 	// maxAttempts is how many servers a request is sent to at most; 0 if there is no limit.
 	maxAttempts int
 	// permits issues the permits for contended servers; nil if the daemons use none.
@@ -219,6 +221,7 @@
 }
 
 func (sim *simulation) refuse(from origin, req Requirements, retryAfter time.Duration) {
+	sim.recordOutcome(from, req, false)
 	if sim.callersRetry && !from.retried {
 		sim.sendAgain(from, req, retryAfter)
 		return
@@ -227,18 +230,26 @@
 	sim.finish(from, true, false)
 }
 
+func (sim *simulation) recordOutcome(from origin, req Requirements, served bool) {
+	if sim.promoters != nil {
+		sim.promoters[from.daemon].Record(sim.now, req.EffectiveRank(), served)
+	}
+}
+
+func (sim *simulation) drawPromotion(from origin, req *Requirements) {
+	req.Promoted = req.Rank > 0 && sim.random.Float64() < sim.promoters[from.daemon].Share()
+}
+
 // sendAgain simulates a caller that sends a refused request again. The other daemon cannot know that it
 // is the same request.
 func (sim *simulation) sendAgain(from origin, req Requirements, retryAfter time.Duration) {
 	from.daemon, from.retried = sim.random.IntN(len(sim.daemons)), true
 	req.Excluded = nil
-	if req.Rank > 0 {
-		req.Promoted = sim.random.Float64() < class.MinShare
-	}
 	sim.schedule(min(retryAfter, req.Deadline.Sub(sim.now)/3), func() {
-		received := req
-		received.ReceivedAt = sim.now
-		sim.send(from, received)
+		again := req
+		again.ReceivedAt = sim.now
+		sim.drawPromotion(from, &again)
+		sim.send(from, again)
 	})
 }
 
@@ -328,6 +339,7 @@
 		} else {
 			sim.late++
 		}
+		sim.recordOutcome(j.from, j.req, true)
 		sim.finish(j.from, false, inTime)
 		if len(b.queue) > 0 {
 			next := b.queue[0]
--- a/io/process/router/priority.go
+++ b/io/process/router/priority.go
@@ -18,9 +18,27 @@
 // request, so that attempts do not raise the chance. The draw is random, since a caller could choose an
 // ID that is always promoted, and requests for the same content would be promoted together.
 func (r *Router) drawPromotion(req *request) {
-	if req.requirements.Rank == 0 || r.randomFloat() >= class.MinShare {
+	if req.requirements.Rank == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	promoter := r.promoters[req.service.Name]
+	if promoter == nil {
+		promoter = &class.Promoter{}
+		r.promoters[req.service.Name] = promoter
+	}
+	if r.random.Float64() >= promoter.Share() {
 		return
 	}
 	req.requirements.Promoted = true
 	r.metrics.increment(promotedRequests)
 }
+
+// recordPriorityOutcome counts whether a request was served, if its service has requests of several
+// ranks. r.mu must be held.
+func (r *Router) recordPriorityOutcome(req *request, served bool) {
+	if promoter := r.promoters[req.service.Name]; promoter != nil {
+		promoter.Record(r.now(), req.requirements.EffectiveRank(), served)
+	}
+}
--- a/io/process/router/priority_test.go
+++ b/io/process/router/priority_test.go
@@ -12,6 +12,7 @@
 	"catkinstep/core/request/class"
 	"catkinstep/core/version/config"
 	"catkinstep/core/version/object"
+	"catkinstep/io/connection/caller"
 )
 
 // newRankedRouter returns a Router with the routes /first, /second and /third to one service, and
@@ -52,6 +53,18 @@
 		So(promoted(r, "/third"), ShouldAlmostEqual, 2000*class.MinShare, 80)
 		So(r.metrics.value(promotedRequests), ShouldBeBetween, 1040, 1360)
 	})
+	Convey("The share falls while more of them are refused than of rank 0", t, func() {
+		r := newRankedRouter()
+		So(promoted(r, "/third"), ShouldBeGreaterThan, 500)
+		for range 300 {
+			for rank, status := range []int{http.StatusOK, http.StatusServiceUnavailable, http.StatusServiceUnavailable} {
+				req, _ := r.resolve(r.current.Load(), callerRequest("/third", http.Header{}), "id", nil)
+				req.requirements.Rank, req.requirements.Promoted = rank, false
+				r.recordServiceLevel(req, caller.Reply{Status: status})
+			}
+		}
+		So(promoted(r, "/third"), ShouldAlmostEqual, 200, 60)
+	})
 	Convey("No request of rank 0 is drawn", t, func() {
 		r := newRankedRouter()
 		So(promoted(r, "/first"), ShouldEqual, 0)
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -54,6 +54,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.burnMeter.Count(r.now(), req.service.Name, outcome)
+	r.recordPriorityOutcome(req, outcome != burn.Refused)
 }
 
 func (r *Router) handle(ctx context.Context, callerReq caller.Request) caller.Reply {
