Less urgent requests for keys count an unreported holder as loaded as others

Cause: Evaluate takes a holder without a recent report for idle. Among many daemons few have one, so that less urgent requests fill the queues of holders, which decline the most urgent ones.

Ruled out: the same for rank 0, whose behaviour stays as it was.

Change: for ranks above 0 the load expected of the group counts, as in Choose. The model gets requests with keys: one server, one attempt, and no permits, as while no leader says which holders are contended.

--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -102,13 +102,19 @@
 }
 
 // Evaluate decides whether to send a request to the only server that may run it. As there
-// is no alternative, a high failure rate is no reason to refuse.
+// is no alternative, a high failure rate is no reason to refuse. A server without a recent report
+// counts as idle for requests of rank 0, and as loaded as others of its group for less urgent ones:
+// among hundreds of daemons, few of them have a recent report of a given server.
 func (b *Balancer) Evaluate(now time.Time, req Requirements, server fleet.Server) Choice {
 	b.prioritiesOf(req.Service.Name).observe(now, req, b.permittedWait(req))
 	if choice, rests := b.Resting(now, server); rests {
 		return choice
 	}
-	c := b.assess(now, req, server, 0)
+	expectedLoad := 0.0
+	if req.EffectiveRank() > 0 {
+		expectedLoad = b.expectedLoad(now, req, server.DataCentre)
+	}
+	c := b.assess(now, req, server, expectedLoad)
 	if c.Reason == ServerFailing {
 		c.Reason = ""
 	}
--- a/core/request/spread/priority_test.go
+++ b/core/request/spread/priority_test.go
@@ -153,6 +153,22 @@
 	})
 }
 
+// Guards against less urgent requests that fill the queues of holders of which their daemons have no recent
+// report.
+func TestUnreportedHolderByRank(t *testing.T) {
+	Convey("A holder counts as loaded as others, except for requests of rank 0", t, func() {
+		b, now := newRankedBalancer(), t0.Add(31*time.Second)
+		list := servers(2)
+		for range 30 {
+			b.Begin(now, list[0], rankedRequirements(now, 0))
+			b.End(now, list[0], rankedRequirements(now, 0), now, Declined, &Report{Running: 4, Waiting: 12, Slots: 4, Slowdown: 1})
+		}
+		for rank, refused := range []bool{false, true, true} {
+			So(b.Evaluate(now, rankedRequirements(now, rank), list[1]).Refused(), ShouldEqual, refused)
+		}
+	})
+}
+
 // Guards against less urgent callers who come back before the queue has room for them, or before more
 // urgent ones.
 func TestRetryAfterByRank(t *testing.T) {
--- a/core/request/spread/priority_world_test.go
+++ b/core/request/spread/priority_world_test.go
@@ -43,6 +43,7 @@
 	rates        surgeRates
 	span         time.Duration
 	callersRetry bool
+	keyed        bool
 }
 
 func newSurge(tc surgeCase) *surge {
@@ -59,6 +60,10 @@
 	if permit.QueueVisibility(tc.daemons, surgeSlots) < 1 {
 		s.permits = permit.NewIssuer(1)
 	}
+	if tc.keyed {
+		// A holder's decline ends the request, and only the leader says which holders need permits.
+		s.template.Service.Keyed, s.maxAttempts, s.permits = true, 1, nil
+	}
 	s.promoters = make([]class.Promoter, len(s.daemons))
 	s.learnServiceTimes()
 	return s
@@ -131,14 +136,14 @@
 // queues and the most urgent ones are refused.
 func TestSurge(t *testing.T) {
 	for _, tc := range []surgeCase{
-		{"all priorities, 8 daemons", 8, 1, 1, surgeOfAll, 60 * time.Second, false},
-		{"all priorities, 24 daemons at the same servers", 24, 1, 1, surgeOfAll, 60 * time.Second, false},
-		{"all priorities, 90 daemons", 90, 3, 12, surgeOfAll, 6 * time.Second, false},
-		{"all priorities, 300 daemons", 300, 3, 36, surgeOfAll, 2 * time.Second, false},
-		{"all priorities, 1500 daemons", 1500, 6, 192, surgeOfAll, 1500 * time.Millisecond, false},
-		{"the third alone, 8 daemons", 8, 1, 1, surgeOfThird, 60 * time.Second, false},
-		{"the third alone, 24 daemons at the same servers", 24, 1, 1, surgeOfThird, 60 * time.Second, false},
-		{"the third alone, 90 daemons", 90, 3, 12, surgeOfThird, 6 * time.Second, false},
+		{"all priorities, 8 daemons", 8, 1, 1, surgeOfAll, 60 * time.Second, false, false},
+		{"all priorities, 24 daemons at the same servers", 24, 1, 1, surgeOfAll, 60 * time.Second, false, false},
+		{"all priorities, 90 daemons", 90, 3, 12, surgeOfAll, 6 * time.Second, false, false},
+		{"all priorities, 300 daemons", 300, 3, 36, surgeOfAll, 2 * time.Second, false, false},
+		{"all priorities, 1500 daemons", 1500, 6, 192, surgeOfAll, 1500 * time.Millisecond, false, false},
+		{"the third alone, 8 daemons", 8, 1, 1, surgeOfThird, 60 * time.Second, false, false},
+		{"the third alone, 24 daemons at the same servers", 24, 1, 1, surgeOfThird, 60 * time.Second, false, false},
+		{"the third alone, 90 daemons", 90, 3, 12, surgeOfThird, 6 * time.Second, false, false},
 	} {
 		checkSurge(t, tc)
 	}
@@ -148,9 +153,33 @@
 // of their requests may be promoted twice.
 func TestSurgeWithRetries(t *testing.T) {
 	for _, tc := range []surgeCase{
-		{"callers who retry, 8 daemons", 8, 1, 1, surgeOfAll, 60 * time.Second, true},
-		{"callers who retry, 24 daemons at the same servers", 24, 1, 1, surgeOfAll, 60 * time.Second, true},
-		{"callers who retry, 90 daemons", 90, 3, 12, surgeOfAll, 6 * time.Second, true},
+		{"callers who retry, 8 daemons", 8, 1, 1, surgeOfAll, 60 * time.Second, true, false},
+		{"callers who retry, 24 daemons at the same servers", 24, 1, 1, surgeOfAll, 60 * time.Second, true, false},
+		{"callers who retry, 90 daemons", 90, 3, 12, surgeOfAll, 6 * time.Second, true, false},
+	} {
+		checkSurge(t, tc)
+	}
+}
+
+// Guards against the most urgent requests for keys that are refused like others while no leader says how
+// many requests to send to a key's holder.
+func TestSurgeWithKeys(t *testing.T) {
+	for _, tc := range []surgeCase{
+		{"requests with keys, 8 daemons", 8, 1, 1, surgeOfAll, 60 * time.Second, false, true},
+		{"requests with keys, 24 daemons at the same servers", 24, 1, 1, surgeOfAll, 60 * time.Second, false, true},
+		{"requests with keys, 90 daemons", 90, 3, 12, surgeOfAll, 6 * time.Second, false, true},
+		{"requests with keys and callers who retry, 8 daemons", 8, 1, 1, surgeOfAll, 60 * time.Second, true, true},
+	} {
+		checkSurge(t, tc)
+	}
+}
+
+// Guards against the same where each daemon sends so few requests to a holder that it knows little of its
+// queue.
+func TestSurgeWithKeysAtManyDaemons(t *testing.T) {
+	for _, tc := range []surgeCase{
+		{"requests with keys, 300 daemons", 300, 3, 36, surgeOfAll, 2 * time.Second, false, true},
+		{"requests with keys, 1500 daemons", 1500, 6, 192, surgeOfAll, 1500 * time.Millisecond, false, true},
 	} {
 		checkSurge(t, tc)
 	}
@@ -172,11 +201,11 @@
 // themselves.
 func TestSurgeOfTheMostUrgent(t *testing.T) {
 	for _, tc := range []surgeCase{
-		{"8 daemons", 8, 1, 1, surgeOfFirst, 60 * time.Second, false},
-		{"24 daemons at the same servers", 24, 1, 1, surgeOfFirst, 60 * time.Second, false},
-		{"90 daemons", 90, 3, 12, surgeOfFirst, 6 * time.Second, false},
-		{"300 daemons", 300, 3, 36, surgeOfFirst, 2 * time.Second, false},
-		{"1500 daemons", 1500, 6, 192, surgeOfFirst, 1500 * time.Millisecond, false},
+		{"8 daemons", 8, 1, 1, surgeOfFirst, 60 * time.Second, false, false},
+		{"24 daemons at the same servers", 24, 1, 1, surgeOfFirst, 60 * time.Second, false, false},
+		{"90 daemons", 90, 3, 12, surgeOfFirst, 6 * time.Second, false, false},
+		{"300 daemons", 300, 3, 36, surgeOfFirst, 2 * time.Second, false, false},
+		{"1500 daemons", 1500, 6, 192, surgeOfFirst, 1500 * time.Millisecond, false, false},
 	} {
 		Convey("With "+tc.name+", they are served no less than others, and the least urgent a quarter as often as all", t, func() {
 			s := newSurge(tc)
--- a/core/request/spread/simulation_test.go
+++ b/core/request/spread/simulation_test.go
@@ -220,44 +220,11 @@
 	}
 }
 
-func (sim *simulation) refuse(from origin, req Requirements, retryAfter time.Duration) {
-	sim.recordOutcome(from, req, false)
-	if sim.callersRetry && !from.retried {
-		sim.sendAgain(from, req, retryAfter)
-		return
-	}
-	sim.refused++
-	sim.finish(from, true, false)
-}
-
-func (sim *simulation) recordOutcome(from origin, req Requirements, served bool) {
-	if sim.promoters != nil {
-		sim.promoters[from.daemon].Record(sim.now, req.EffectiveRank(), served)
-	}
-}
-
-func (sim *simulation) drawPromotion(from origin, req *Requirements) {
-	req.Promoted = req.Rank > 0 && sim.random.Float64() < sim.promoters[from.daemon].Share()
-}
-
-// sendAgain simulates a caller that sends a refused request again. The other daemon cannot know that it
-// is the same request.
-func (sim *simulation) sendAgain(from origin, req Requirements, retryAfter time.Duration) {
-	from.daemon, from.retried = sim.random.IntN(len(sim.daemons)), true
-	req.Excluded = nil
-	sim.schedule(min(retryAfter, req.Deadline.Sub(sim.now)/3), func() {
-		again := req
-		again.ReceivedAt = sim.now
-		sim.drawPromotion(from, &again)
-		sim.send(from, again)
-	})
-}
-
 // choose returns a server and the ID of the permit for it. Up to three servers are tried if
 // permits are denied.
 func (sim *simulation) choose(daemon *Balancer, req Requirements) (Choice, uint64) {
 	for range 3 {
-		c := daemon.Choose(sim.now, req, sim.serverList)
+		c := sim.chooseOnce(daemon, req)
 		if c.Refused() && (sim.permits == nil || !c.RefusalUncertain()) {
 			return c, 0
 		}
@@ -278,6 +245,15 @@
 	return Choice{Reason: AllBusy}, 0
 }
 
+// chooseOnce returns the holder of the request's key if the service is keyed, else the server that the
+// daemon prefers.
+func (sim *simulation) chooseOnce(daemon *Balancer, req Requirements) Choice {
+	if !req.Service.Keyed {
+		return daemon.Choose(sim.now, req, sim.serverList)
+	}
+	return daemon.Evaluate(sim.now, req, sim.serverList[sim.random.IntN(len(sim.serverList))])
+}
+
 func (sim *simulation) endPermit(b *backend, j job) {
 	if j.permitID > 0 {
 		sim.permits.Release(b.server.ID, j.permitID)
