--- a/core/request/spread/simulation_test.go
+++ b/core/request/spread/simulation_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"catkinstep/core/request/class"
 	"catkinstep/core/request/permit"
 	"catkinstep/core/version/fleet"
 )
@@ -27,6 +28,15 @@
 	routeSeconds   map[string]float64
 	gossipInterval time.Duration
 	end            time.Time
+	// steady is set if nothing slows the servers.
+	steady bool
+	// callersRetry is set if callers send a refused request again, once and to another daemon. They wait for
+	// Retry-After, but no more than a third of the time that is left to them.
+	callersRetry bool
+	// promoters are those of the daemons; nil if all requests have rank 0.
+	promoters []class.Promoter
+	// maxAttempts is how many servers a request is sent to at most; 0 if there is no limit.
+	maxAttempts int
 	// permits issues the permits for contended servers; nil if the daemons use none.
 	permits *permit.Issuer
 	lastID  uint64
@@ -57,7 +67,11 @@
 }
 
 // origin is the indices of the daemon and the workspace that a request came from.
-type origin struct{ daemon, workspace int }
+type origin struct {
+	daemon, workspace int
+	// retried is set if the caller has sent the request again.
+	retried bool
+}
 
 // backend is a simulated server.
 type backend struct {
@@ -147,7 +161,7 @@
 
 func (sim *simulation) drawNoise(b *backend) {
 	b.noise = 1
-	if sim.random.Float64() < noiseShare {
+	if !sim.steady && sim.random.Float64() < noiseShare {
 		b.noise = noiseFactor
 	}
 	sim.schedule(noiseInterval, func() { sim.drawNoise(b) })
@@ -196,8 +210,7 @@
 	daemon := sim.daemons[from.daemon]
 	c, permitID := sim.choose(daemon, req)
 	if c.Refused() {
-		sim.refused++
-		sim.finish(from, true, false)
+		sim.refuse(from, req, c.RetryAfter)
 		return
 	}
 	for _, b := range sim.servers {
@@ -211,7 +224,7 @@
 // permits are denied.
 func (sim *simulation) choose(daemon *Balancer, req Requirements) (Choice, uint64) {
 	for range 3 {
-		c := daemon.Choose(sim.now, req, sim.serverList)
+		c := sim.chooseOnce(daemon, req)
 		if c.Refused() && (sim.permits == nil || !c.RefusalUncertain()) {
 			return c, 0
 		}
@@ -221,7 +234,7 @@
 		}
 		sim.lastID++
 		permitRequest := permit.Request{Server: c.Server.ID, ID: sim.lastID, Slots: c.Server.Slots, ServiceTime: daemon.ServiceTime(sim.now, req, c.Server),
-			LatencyBudget: daemon.LatencyBudget(req) - sim.now.Sub(req.ReceivedAt), TTL: req.Deadline.Sub(sim.now)}
+			LatencyBudget: daemon.PermitBudget(sim.now, req, c.Server), TTL: req.Deadline.Sub(sim.now)}
 		if sim.permits.Acquire(sim.now, permitRequest).Granted {
 			c.Reason = ""
 			return c, sim.lastID
@@ -232,6 +245,15 @@
 	return Choice{Reason: AllBusy}, 0
 }
 
+// chooseOnce returns the holder of the request's key if the service is keyed, else the server that the
+// daemon prefers.
+func (sim *simulation) chooseOnce(daemon *Balancer, req Requirements) Choice {
+	if !req.Service.Keyed {
+		return daemon.Choose(sim.now, req, sim.serverList)
+	}
+	return daemon.Evaluate(sim.now, req, sim.serverList[sim.random.IntN(len(sim.serverList))])
+}
+
 func (sim *simulation) endPermit(b *backend, j job) {
 	if j.permitID > 0 {
 		sim.permits.Release(b.server.ID, j.permitID)
@@ -262,6 +284,10 @@
 		}
 		j.daemon.End(sim.now, b.server, j.req, j.sentAt, Declined, b.report())
 		j.req.Excluded = append(j.req.Excluded, b.server.ID)
+		if len(j.req.Excluded) == sim.maxAttempts {
+			sim.refuse(j.from, j.req, minRetryAfter)
+			return
+		}
 		sim.send(j.from, j.req)
 	}
 }
@@ -289,6 +315,7 @@
 		} else {
 			sim.late++
 		}
+		sim.recordOutcome(j.from, j.req, true)
 		sim.finish(j.from, false, inTime)
 		if len(b.queue) > 0 {
 			next := b.queue[0]
