--- a/core/version/grant/change.go
+++ b/core/version/grant/change.go
@@ -23,7 +23,7 @@
 		return Change{}, false
 	}
 	c := Change{BaseSeq: old.Seq, Table: t}
-	c.Services = nil
+	c.Services, c.Witnesses, c.Earlier = nil, nil, nil // only the stored table needs them
 	for i, s := range t.Services {
 		if s.Service != old.Services[i].Service {
 			return Change{}, false
--- a/core/version/grant/table.go
+++ b/core/version/grant/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 )
 
@@ -55,14 +56,53 @@
 	Incarnation uint64 `json:"incarnation"`
 }
 
+// Witness is a daemon whose support lets a leader go on granting, see package lease.
+type Witness struct {
+	Name string `json:"name"`
+	// Incarnation distinguishes the runs of the daemon's process. A restarted daemon does not
+	// know which epochs it has seen, so it is no longer the same witness.
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Term is the term of one leader. In a Term without a Leader, nothing is known of when it ends.
+type Term struct {
+	Epoch     uint64    `json:"epoch"`
+	Leader    Leader    `json:"leader"`
+	Witnesses []Witness `json:"witnesses,omitempty"`
+}
+
 // Table is the assignment of the keys of all services.
 type Table struct {
-	Epoch    uint64          `json:"epoch"`
-	Seq      uint64          `json:"seq"`
-	Leader   Leader          `json:"leader"`
+	Epoch  uint64 `json:"epoch"`
+	Seq    uint64 `json:"seq"`
+	Leader Leader `json:"leader"`
+	// Witnesses bound the term of Leader. Only the stored table has them; there are none if the
+	// leader does not depend on any.
+	Witnesses []Witness `json:"witnesses,omitempty"`
+	// Earlier are the terms before that of Leader that may not have ended. Only the stored table
+	// has them. Without them, a successor that knows the last leader to have stopped would
+	// overlook one before it that is cut off and goes on.
+	Earlier  []Term          `json:"earlier,omitempty"`
 	Services []ServiceRanges `json:"shares"`
 }
 
+// maxEarlierTerms limits the number of earlier terms in a table. If there are more, the oldest are
+// replaced by one of which nothing is known, so that a successor assumes the full leader lease.
+const maxEarlierTerms = 8
+
+// EarlierTerms returns the terms that may not have ended when another daemon replaces the leader
+// of t.
+func (t Table) EarlierTerms() []Term {
+	if t.Leader.Daemon == "" {
+		return t.Earlier
+	}
+	out := append(slices.Clone(t.Earlier), Term{Epoch: t.Epoch, Leader: t.Leader, Witnesses: t.Witnesses})
+	if n := len(out); n > maxEarlierTerms {
+		out = append([]Term{{}}, out[n-maxEarlierTerms+1:]...)
+	}
+	return out
+}
+
 // Newer reports whether t replaces o.
 func (t Table) Newer(o Table) bool {
 	if t.Epoch != o.Epoch {
@@ -118,12 +158,14 @@
 // UnmarshalHeader decodes the stored form without the ranges, which are most of it.
 func UnmarshalHeader(data []byte) (Table, error) {
 	var header struct {
-		Epoch  uint64 `json:"epoch"`
-		Seq    uint64 `json:"seq"`
-		Leader Leader `json:"leader"`
+		Epoch     uint64    `json:"epoch"`
+		Seq       uint64    `json:"seq"`
+		Leader    Leader    `json:"leader"`
+		Witnesses []Witness `json:"witnesses"`
+		Earlier   []Term    `json:"earlier"`
 	}
 	err := json.Unmarshal(data, &header)
-	return Table{Epoch: header.Epoch, Seq: header.Seq, Leader: header.Leader}, err
+	return Table{Epoch: header.Epoch, Seq: header.Seq, Leader: header.Leader, Witnesses: header.Witnesses, Earlier: header.Earlier}, err
 }
 
 // Unmarshal decodes the stored form.
--- a/core/version/grant/table_test.go
+++ b/core/version/grant/table_test.go
@@ -93,3 +93,44 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+// Guards against a successor that overlooks the witnesses of the leader before it, or an earlier
+// leader that may still grant.
+func TestTableKeepsItsTerms(t *testing.T) {
+	witnesses := []Witness{{Name: "b", Incarnation: 3}, {Name: "c", Incarnation: 4}}
+	stored := Table{Epoch: 4, Seq: 7, Leader: Leader{Daemon: "a", Incarnation: 2}, Witnesses: witnesses, Earlier: []Term{{Epoch: 3, Leader: Leader{Daemon: "z"}}}}
+	Convey("The stored form, its header and completed moves keep the witnesses and the earlier terms", t, func() {
+		data, err := stored.Marshal()
+		So(err, ShouldBeNil)
+		whole, err := Unmarshal(data)
+		So(err, ShouldBeNil)
+		header, err := UnmarshalHeader(data)
+		So(err, ShouldBeNil)
+		for _, o := range []Table{whole, header, stored.WithCompletedMoves(Table{Epoch: 4, Seq: 9})} {
+			So(o.Witnesses, ShouldResemble, witnesses)
+			So(o.Earlier, ShouldResemble, stored.Earlier)
+		}
+	})
+	Convey("A table of an older daemon, which drops both fields, has neither", t, func() {
+		o, err := Unmarshal([]byte(`{"epoch":5,"seq":8,"leader":{"daemon":"a","incarnation":2},"shares":[]}`))
+		So(err, ShouldBeNil)
+		So(o.EarlierTerms(), ShouldResemble, []Term{{Epoch: 5, Leader: Leader{Daemon: "a", Incarnation: 2}}})
+	})
+	Convey("The replaced leader's term is added; beyond a limit the oldest become unknown", t, func() {
+		So(stored.EarlierTerms(), ShouldResemble, []Term{stored.Earlier[0], {Epoch: 4, Leader: stored.Leader, Witnesses: witnesses}})
+		So(Table{}.EarlierTerms(), ShouldBeEmpty)
+		for range 20 {
+			stored.Earlier = stored.EarlierTerms()
+		}
+		So(stored.Earlier, ShouldHaveLength, maxEarlierTerms)
+		So(stored.Earlier[0], ShouldResemble, Term{})
+	})
+	Convey("A change to a published table has neither", t, func() {
+		old := stored
+		old.Seq = 6
+		change, ok := stored.ChangeSince(old)
+		So(ok, ShouldBeTrue)
+		So(change.Witnesses, ShouldBeEmpty)
+		So(change.Earlier, ShouldBeEmpty)
+	})
+}
