Keeper: calls to servers need the support of the witnesses or of the store

Change: a leader with witnesses grants, renews and releases only if a majority supported it, or the store confirmed its epoch, within 2 s, in addition to the leader lease. It reads the store twice a second while support is lacking. News by gossip is no confirmation by the store, since its time lacks the delay of the message. While another set is being stored, both must support the leader, until no save with either can succeed any more. PreviousLeaderStoppedMsg may name a time in the future and a smaller one later; a time in the past counts as the present, since the bound would otherwise shorten this leader's own grants. Earlier terms leave the stored table once they have ended.

A leader without witnesses sends the same commands as before.

--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"catkinstep/core/process/lease"
 	"catkinstep/core/request/admit"
 	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/grant"
@@ -79,15 +80,14 @@
 
 // term is the leader's term, and what is known of its validity.
 type term struct {
-	epoch                 uint64
-	leader                grant.Leader
-	seq                   uint64
-	fencesIssued          uint64
-	revision              uint64
-	startedAt             time.Time
-	epochConfirmedAt      time.Time // when the epoch was last known to be current
-	tickedAt              time.Time
-	previousLeaderStopped bool
+	epoch            uint64
+	leader           grant.Leader
+	seq              uint64
+	fencesIssued     uint64
+	revision         uint64
+	startedAt        time.Time
+	epochConfirmedAt time.Time // when the epoch was last known to be current
+	tickedAt         time.Time
 }
 
 // siteView is what the keeper last learnt of the site.
@@ -119,6 +119,7 @@
 	grantTTL, leaderLease time.Duration
 
 	term
+	leaseState
 	siteView
 	services []*serviceState
 	records  serverRecords
@@ -135,6 +136,7 @@
 	k := &Keeper{
 		grantTTL: DefaultGrantTTL, leaderLease: defaultLeaderLease,
 		term:       term{epoch: t.Epoch, leader: t.Leader, seq: t.Seq, revision: revision, startedAt: now, epochConfirmedAt: now, tickedAt: now},
+		leaseState: leaseState{support: lease.NewSupport(t.Witnesses), earlier: t.Earlier, storeConfirmedAt: now},
 		siteView:   siteView{fleet: fleet.New(nil)},
 		records:    serverRecords{ended: map[grant.Holder]bool{}, unansweredAt: map[grant.Holder]time.Time{}, firstKeysWhileCold: map[grant.Holder]bool{}},
 		storeState: storeState{savedAt: now},
@@ -190,7 +192,11 @@
 	case EpochSeenMsg:
 		k.handleEpochSeen(m)
 	case PreviousLeaderStoppedMsg:
-		k.boundPreviousGrants(m.At)
+		k.boundPreviousGrants(now, m.At)
+	case SupportMsg:
+		k.support.Record(m.Witness, m.At)
+	case WitnessesMsg:
+		k.changeWitnesses(m)
 	}
 	k.publish(now)
 	return k.cmds
@@ -205,6 +211,9 @@
 // form contains the intent only while the range is closed to callers.
 func (k *Keeper) table(stored bool) grant.Table {
 	t := grant.Table{Epoch: k.epoch, Seq: k.seq, Leader: k.leader}
+	if stored {
+		t.Witnesses, t.Earlier = k.support.Latest(), k.earlier
+	}
 	for _, s := range k.services {
 		out := grant.ServiceRanges{Service: s.service, Ranges: make([]grant.Range, 0, len(s.ranges))}
 		for _, rs := range s.ranges {
@@ -231,8 +240,10 @@
 		k.epochConfirmedAt = now.Add(-k.leaderLease) // nothing is granted until the epoch is confirmed
 	}
 	k.storeState.readPending = k.storeState.readPending || now.Sub(k.epochConfirmedAt) > k.leaderLease/checksPerLease
+	k.checkSupport(now)
+	k.dropEarlierTerms(now)
 	k.syncStore(now)
-	if now.Sub(k.epochConfirmedAt) >= k.leaderLease {
+	if !k.mayCall(now) {
 		return // another leader may have been elected: call no server until the epoch is confirmed
 	}
 	k.placeNewServices(now)
@@ -299,27 +310,14 @@
 	if m.Epoch == k.epoch && m.At.After(k.epochConfirmedAt) {
 		k.epochConfirmedAt = m.At
 	}
+	if m.Epoch == k.epoch && m.Stored {
+		k.storeConfirmedAt = later(k.storeConfirmedAt, m.At)
+	}
 	if m.Epoch > k.epoch {
 		k.requestStepDown("another daemon leads with a newer epoch")
 	}
 }
 
-// boundPreviousGrants shortens the expiry times of the previous leader's grants, now that it is
-// known to have stopped by the given time.
-func (k *Keeper) boundPreviousGrants(at time.Time) {
-	if k.previousLeaderStopped {
-		return
-	}
-	k.previousLeaderStopped = true
-	bound := k.grantExpiry(at.Add(maxGrantDelay)) // when the last of these grants has certainly expired
-	for _, s := range k.services {
-		for _, rs := range s.ranges {
-			rs.expiresAt = earlier(rs.expiresAt, bound)
-			rs.nextExpiresAt = earlier(rs.nextExpiresAt, bound)
-		}
-	}
-}
-
 func (k *Keeper) publish(now time.Time) {
 	if !k.publishState.pending || now.Sub(k.publishState.publishedAt) < publishInterval {
 		return // a later tick publishes it
--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -86,11 +86,26 @@
 type EpochSeenMsg struct {
 	Epoch uint64
 	At    time.Time
+	// Stored is set if the store itself is known to have had the epoch at At. In other messages At
+	// is later than that by the time that the message of another daemon took.
+	Stored bool
 }
 
-// PreviousLeaderStoppedMsg reports that by At the previous leader had ended or stepped down.
+// PreviousLeaderStoppedMsg reports that all earlier leaders have ended or stepped down, or can no
+// longer call servers, by At, which may be in the future.
 type PreviousLeaderStoppedMsg struct{ At time.Time }
 
+// SupportMsg reports that a witness supported this leader's epoch: it replied, without naming a
+// newer epoch, to a call that was sent at At.
+type SupportMsg struct {
+	Witness grant.Witness
+	At      time.Time
+}
+
+// WitnessesMsg names the witnesses that the leader is to have from now on. It is ignored while an
+// earlier change is being stored.
+type WitnessesMsg struct{ Witnesses []grant.Witness }
+
 func (TickMsg) msg()                  {}
 func (FleetMsg) msg()                 {}
 func (LoadMsg) msg()                  {}
@@ -100,6 +115,8 @@
 func (StoreFailedMsg) msg()           {}
 func (EpochSeenMsg) msg()             {}
 func (PreviousLeaderStoppedMsg) msg() {}
+func (SupportMsg) msg()               {}
+func (WitnessesMsg) msg()             {}
 
 // Cmd is an action for the caller of Update to carry out.
 type Cmd interface{ cmd() }
--- a/core/process/keeper/save.go
+++ b/core/process/keeper/save.go
@@ -33,6 +33,9 @@
 		k.seq++
 		k.storeState.savedAt, k.storeState.savedSeq = now, k.seq
 		k.cmds = append(k.cmds, SaveCmd{Table: k.table(true), Revision: k.revision})
+		if k.support.Changing() {
+			k.changeRevision = k.revision
+		}
 		k.storeState.savePending, k.storeState.lazySavePending = false, false
 	}
 }
@@ -48,7 +51,8 @@
 		return
 	}
 	k.revision = m.Revision
-	k.epochConfirmedAt = later(k.epochConfirmedAt, m.RequestedAt)
+	k.epochConfirmedAt, k.storeConfirmedAt = later(k.epochConfirmedAt, m.RequestedAt), later(k.storeConfirmedAt, m.RequestedAt)
+	k.settleWitnesses(m)
 	k.storeState.lazySavePending = k.storeState.lazySavePending || m.Table.Seq < k.storeState.savedSeq
 	for _, s := range k.services {
 		for _, rs := range s.ranges {
