Router: a leader gossips with its witnesses, its successor with those of earlier leaders

Change: with leaderWitnesses set, a daemon that takes the lead stores witnesses of its own data centre (relays first) and the earlier terms that may not have ended, in the same conditional update. It gossips with them every 0.5 s; a reply counts as support from the sending of the call, and one with a newer epoch ends the term. It counts the witnesses of earlier leaders by their gossip, itself included, and passes the derived end to the keeper. Witnesses without a reply for 3 s are replaced. Only reads of the store by this daemon confirm the epoch for the witness rule. The messages between daemons are unchanged, so older daemons can be witnesses.

Without the setting the stored table is byte for byte as before, and PreviousLeaderStoppedMsg follows from the last leader's own word only.

Measured: tests of io/process/router pass, with the race detector too.

--- a/core/process/keeper/lease.go
+++ b/core/process/keeper/lease.go
@@ -132,6 +132,9 @@
 	}
 }
 
+// Epoch returns the epoch of this leader's term.
+func (k *Keeper) Epoch() uint64 { return k.epoch }
+
 // Witnesses returns the daemons that this leader has to call, including those of a set that is
 // being stored.
 func (k *Keeper) Witnesses() []grant.Witness { return k.support.All() }
@@ -148,3 +151,6 @@
 // SupportedAt is the time up to which a majority of the witnesses supported this leader; zero if
 // there is none.
 func (k *Keeper) SupportedAt() time.Time { return k.support.SupportedAt() }
+
+// StoreConfirmedAt is when the store is last known to have had this leader's epoch.
+func (k *Keeper) StoreConfirmedAt() time.Time { return k.storeConfirmedAt }
--- a/core/process/lease/support.go
+++ b/core/process/lease/support.go
@@ -9,7 +9,8 @@
 
 const (
 	// SupportTTL is how long the support of a majority lasts, from the sending of the calls. The
-	// leader calls each witness every 0.5 s, so that two calls to all of them may be lost.
+	// leader calls each witness every 0.5 s and waits up to 0.7 s for the reply, so that one call to
+	// all of them may be lost.
 	SupportTTL = 2 * time.Second
 	// StoreTTL is how long a confirmation of the epoch by the store replaces the support, from
 	// the sending of the read or save.
--- a/io/process/router/apply.go
+++ b/io/process/router/apply.go
@@ -26,6 +26,9 @@
 	hadList := !cache.CurrentAt().IsZero()
 	changed := c.merge(now, cache, m.delta)
 	defer c.recordLoaded(now, m.delta.Kind)
+	if m.fromStore && m.delta.Kind == object.Tables {
+		defer c.confirmEpoch(now, m.delta.CurrentAt) // after the changes, which may name a newer epoch
+	}
 	if len(changed) == 0 {
 		return
 	}
--- a/io/process/router/control.go
+++ b/io/process/router/control.go
@@ -30,6 +30,8 @@
 	gossipMsg struct {
 		gossip *wire.Gossip
 		reply  chan *wire.Gossip
+		// sentAt is when the call was sent to which the gossip is the reply; zero if it is a call.
+		sentAt time.Time
 	}
 	// tableMsg carries a published table.
 	tableMsg struct{ table grant.Table }
@@ -61,6 +63,7 @@
 	leadershipAcquiredMsg struct {
 		table, previous grant.Table
 		revision        uint64
+		requestedAt     time.Time // when the save was sent
 	}
 	// leadershipNotAcquiredMsg reports that an attempt to become the leader failed.
 	leadershipNotAcquiredMsg struct{}
@@ -188,6 +191,9 @@
 	if c.keeper != nil {
 		c.runKeeper(now)
 	}
+	if c.keeper != nil {
+		c.callWitnesses(now)
+	}
 	c.gossip(now)
 	c.recordLoaded(now, "")
 	c.refreshIssuers(now)
--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -45,7 +45,7 @@
 }
 
 // lastRuns holds when each periodic task last ran.
-type lastRuns struct{ localGossip, leaderGossip, remoteGossip, seedGossip, issuerList, standbyCheck, storedTableFetch, reachCheck, carryOffer, usageReport time.Time }
+type lastRuns struct{ localGossip, leaderGossip, remoteGossip, seedGossip, issuerList, standbyCheck, storedTableFetch, reachCheck, carryOffer, usageReport, witnessGossip time.Time }
 
 // due reports whether a task that last ran at *last is due again. If so, it sets *last to now.
 func (c *control) due(now time.Time, last *time.Time, interval time.Duration) bool {
@@ -171,6 +171,7 @@
 func (r *Router) sendGossip(address string, g *wire.Gossip) {
 	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), meshTimeout)
 	defer cancel()
+	sentAt := r.now()
 	reply, err := r.call(ctx, address, &wire.Call{Kind: &wire.Call_Gossip{Gossip: g}})
 	r.post(gossipEndedMsg{address: address})
 	if err != nil {
@@ -182,7 +183,7 @@
 		return
 	}
 	if reply.GetGossip() != nil {
-		r.post(gossipMsg{gossip: reply.GetGossip()})
+		r.post(gossipMsg{gossip: reply.GetGossip(), sentAt: sentAt})
 	}
 }
 
@@ -194,6 +195,7 @@
 		m.reply <- c.replyTo(now, g)
 	}
 	c.recordSender(now, g)
+	c.recordWitness(now, m)
 	c.applyPeerLoad(now, g)
 	c.r.mergeUnanswered(g.Sent)
 	c.r.mergeRateLimits(g.ServerLimits)
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"catkinstep/core/process/keeper"
+	"catkinstep/core/process/lease"
 	"catkinstep/core/version/grant"
 	"catkinstep/core/version/object"
 	"catkinstep/io/connection/link"
@@ -31,6 +32,7 @@
 	next := stored.WithCompletedMoves(c.r.current.Load().table)
 	next.Epoch, next.Seq = stored.Epoch+1, stored.Seq+1
 	next.Leader = grant.Leader{Daemon: c.r.self.Name, Incarnation: c.r.self.Incarnation}
+	next = c.withWitnesses(now, next, stored)
 	go c.r.acquireLeadership(next, stored, c.stored.revision)
 }
 
@@ -44,9 +46,10 @@
 // acquireLeadership makes this daemon the leader: it stores the table under a new epoch,
 // provided that the stored table is still the one that the decision was based on.
 func (r *Router) acquireLeadership(next, previous grant.Table, revision uint64) {
+	requestedAt := r.now()
 	item, err := r.saveTable(next, revision)
 	if err == nil {
-		r.post(leadershipAcquiredMsg{table: next, previous: previous, revision: item.Revision})
+		r.post(leadershipAcquiredMsg{table: next, previous: previous, revision: item.Revision, requestedAt: requestedAt})
 		return
 	}
 	r.log.Info("keys: could not become leader", "epoch", next.Epoch, "err", err)
@@ -65,6 +68,10 @@
 type leaderState struct {
 	// previous is the leader that this daemon replaced.
 	previous grant.Leader
+	// earlier is what is known of the end of the terms before, that of previous included.
+	earlier []*lease.Ending
+	// witnessSince is since when the present witnesses have been chosen.
+	witnessSince map[grant.Witness]time.Time
 	// since is when this daemon last became the leader.
 	since time.Time
 	// acquiring is set during an attempt to become the leader.
@@ -77,11 +84,14 @@
 // startLeading makes this daemon act as the leader.
 func (c *control) startLeading(now time.Time, m leadershipAcquiredMsg) {
 	c.leadership = leaderState{previous: m.previous.Leader, hasLed: true, since: now}
+	for _, term := range m.previous.EarlierTerms() {
+		c.leadership.earlier = append(c.leadership.earlier, lease.NewEnding(now, term))
+	}
 	c.members.RecordStoreResponse(now)
-	c.keeper = keeper.New(now, m.table, m.revision, keeper.WithGrantTTL(c.r.grantTTL))
+	c.keeper = keeper.New(now, m.table, m.revision, keeper.WithGrantTTL(c.r.grantTTL), keeper.WithAcquiredAt(m.requestedAt))
 	c.clusterCounts = newClusterCounts()
 	c.r.resetIssuer()
-	c.r.log.Info("keys: leading", "epoch", m.table.Epoch, "before", c.leadership.previous.Daemon, "revision", m.revision)
+	c.r.log.Info("keys: leading", "epoch", m.table.Epoch, "before", c.leadership.previous.Daemon, "revision", m.revision, "witnesses", len(m.table.Witnesses))
 	c.updateKeeperFleet(now)
 	c.runKeeper(now)
 }
@@ -90,9 +100,7 @@
 func (c *control) runKeeper(now time.Time) {
 	c.updateKeeperFleet(now)
 	c.updateKeeper(now, keeper.EpochSeenMsg{Epoch: c.stored.header.Epoch, At: c.caches[object.Tables].CurrentAt()})
-	if c.keeper != nil && c.members.HasSteppedDown(c.leadership.previous, c.keeper.Table().Epoch) {
-		c.updateKeeper(now, keeper.PreviousLeaderStoppedMsg{At: now})
-	}
+	c.checkEarlierLeaders(now)
 	if now.Sub(c.clusterCounts.meter.WindowStart()) < countReportInterval {
 		c.updateKeeper(now, keeper.TickMsg{})
 		return
@@ -152,6 +160,7 @@
 	case keeper.StepDownCmd:
 		c.r.log.Info("keys: no longer leading", "reason", cmd.Reason)
 		c.keeper = nil
+		c.reportWitnesses(now)
 	case keeper.LogCmd:
 		c.r.log.Info("keys: "+cmd.Text, "service", cmd.Service, "from", cmd.From, "to", cmd.To, "holder", cmd.Holder.Server,
 			"born", cmd.Holder.StartMillis, "next", cmd.Next.Server, "fence", cmd.Fence, "reason", cmd.Reason)
