--- a/io/process/native/daemon.go
+++ b/io/process/native/daemon.go
@@ -65,7 +65,7 @@
 	return setup.Settings{
 		Name: p.MeshAddress, DataCentre: p.DataCentre, CallerAddress: p.CallerAddress, MeshAddress: p.MeshAddress, Seeds: p.Peers,
 		GracePeriod: gracePeriod, ColdFactor: coldFactor, ColdSlack: coldSlack, RetryShare: retryShare, RetryBurst: retryBurst, MaxGrantTTL: maxGrantTTL,
-		MaxBodyBytes: int64(p.MaxBodyBytes),
+		LeaderWitnesses: p.LeaderWitnesses, MaxBodyBytes: int64(p.MaxBodyBytes),
 	}
 }
 
--- a/io/process/prefs/prefs.go
+++ b/io/process/prefs/prefs.go
@@ -53,6 +53,9 @@
 	PlatformAddress string `yaml:"platform"`
 	// Peers are the mesh addresses of other daemons to join through.
 	Peers []string `yaml:"peers,omitempty"`
+	// LeaderWitnesses is the number of daemons, the leader included, a majority of which must
+	// support a leader that goes on without the store: odd and at least 3; default 0, none.
+	LeaderWitnesses int `yaml:"leaderWitnesses,omitempty"`
 	// MaxBodyBytes is the size limit of a request body; default 1 MiB.
 	MaxBodyBytes int `yaml:"maxBody,omitempty"`
 }
@@ -94,6 +97,9 @@
 	if p.MaxBodyBytes < 0 || p.MaxBodyBytes > maxBodyBytesLimit {
 		c.Add("maxBody", "must be between 1 and %d bytes", maxBodyBytesLimit)
 	}
+	if n := p.LeaderWitnesses; n != 0 && (n < 3 || n%2 == 0) {
+		c.Add("leaderWitnesses", "must be 0, or odd and at least 3")
+	}
 	if a, err := netip.ParseAddrPort(p.OperatorAddress); err == nil && !a.Addr().IsLoopback() && p.OperatorToken == "" {
 		c.Add("operatorToken", "missing: the operator interface does not listen on a loopback address")
 	}
--- a/io/process/prefs/prefs_test.go
+++ b/io/process/prefs/prefs_test.go
@@ -13,6 +13,15 @@
 		So(err, ShouldBeNil)
 		So(p.MaxBodyBytes, ShouldEqual, defaultMaxBodyBytes)
 	})
+	Convey("The number of leader witnesses is 0, or odd and at least 3", t, func() {
+		p, err := Parse("host.yaml", []byte(valid+"leaderWitnesses: 5\n"))
+		So(err, ShouldBeNil)
+		So(p.LeaderWitnesses, ShouldEqual, 5)
+		for _, n := range []string{"1", "4", "-3"} {
+			_, err := Parse("host.yaml", []byte(valid+"leaderWitnesses: "+n+"\n"))
+			So(err.Error(), ShouldContainSubstring, "leaderWitnesses: must be 0, or odd and at least 3")
+		}
+	})
 	Convey("An operator interface on a non-loopback address requires a token", t, func() {
 		_, err := Parse("host.yaml", []byte("dataCentre: d\ncallers: 127.0.0.1:1\nmesh: 127.0.0.1:2\noperator: 10.0.0.1:3\nplatform: 127.0.0.1:4\n"))
 		So(err.Error(), ShouldEqual, "host.yaml:1: operatorToken: missing: the operator interface does not listen on a loopback address")
--- a/io/process/setup/setup.go
+++ b/io/process/setup/setup.go
@@ -65,6 +65,10 @@
 	RetryBurst float64
 	// MaxGrantTTL is the longest time for which a grant is valid.
 	MaxGrantTTL time.Duration
+	// LeaderWitnesses is the number of daemons, the leader included, a majority of which must
+	// support a leader that goes on without the store; 0 if it depends on no other daemon. A
+	// leader in a data centre with fewer live daemons depends on none.
+	LeaderWitnesses int
 	// MaxBodyBytes limits the size of a request body if the configuration sets no limit.
 	MaxBodyBytes int64
 }
@@ -82,5 +86,8 @@
 	if s.GracePeriod <= 0 || s.MaxGrantTTL <= 0 {
 		return &Error{Op: "check", Kind: Incomplete, Err: fmt.Errorf("the grace period %v and the maximum grant TTL %v must be positive", s.GracePeriod, s.MaxGrantTTL)}
 	}
+	if n := s.LeaderWitnesses; n != 0 && (n < 3 || n%2 == 0) {
+		return &Error{Op: "check", Kind: Incomplete, Err: fmt.Errorf("the number of leader witnesses %d must be 0, or odd and at least 3", n)}
+	}
 	return nil
 }
