Model of leaders with witnesses: an earlier leader never grants after the derived end

Change: TestFuzzDerivedEndHolds lets leaders replace each other over a store, six witnesses and messages that are lost, delayed and reordered, with clocks that differ by 2 percent. The simulation with servers and a network has a mode in which the other daemons are witnesses, a leader is cut off together with a server, and the leader lease is longer than what bounds the term. Without that mode it draws the same random numbers as before.

--- a/core/process/keeper/fuzz_test.go
+++ b/core/process/keeper/fuzz_test.go
@@ -19,7 +19,10 @@
 // runSeed runs a simulation with faults for 60 s and without faults for 30 s more. At the end
 // all keys must have a holder.
 func runSeed(t fataler, seed uint64) {
-	s := newSimulation(seed)
+	runSimulation(t, seed, newSimulation(seed))
+}
+
+func runSimulation(t fataler, seed uint64, s *simulation) {
 	s.run(60 * time.Second)
 	s.faultFree = true
 	for _, d := range s.daemons {
@@ -73,5 +76,6 @@
 	seed := uint64(time.Now().UnixNano())
 	for end := time.Now().Add(*newSeedsDuration); time.Now().Before(end); seed++ {
 		runSeed(t, seed)
+		runWitnessedSeed(t, seed)
 	}
 }
--- a/core/process/keeper/lease_fuzz_test.go
+++ b/core/process/keeper/lease_fuzz_test.go
@@ -30,7 +30,8 @@
 
 type modelWitness struct {
 	grant.Witness
-	epoch uint64
+	epoch  uint64
+	cutOff bool // learns of no newer epoch
 }
 
 type modelLeader struct {
@@ -88,7 +89,7 @@
 		m.later(f)
 		return
 	}
-	if m.rng.IntN(4) == 0 {
+	if m.rng.IntN(8) == 0 {
 		m.pending = append(m.pending, f)
 	}
 	m.update(l, StoreFailedMsg{})
@@ -113,6 +114,12 @@
 	for _, term := range next.Earlier {
 		l.endings = append(l.endings, lease.NewEnding(l.local(m.now), term))
 	}
+	for _, other := range m.leaders {
+		other.storeLost = m.rng.IntN(4) > 0
+	}
+	for _, w := range m.witnesses {
+		w.cutOff = m.rng.IntN(2) == 0
+	}
 	m.leaders = append(m.leaders, l)
 }
 
@@ -146,13 +153,14 @@
 }
 
 func (m *leaseModel) receive(l *modelLeader, from grant.Witness, epoch uint64, sentAt time.Time) {
-	if l.ended || epoch > l.epoch && m.rng.IntN(20) > 0 { // a leader that learns of its successor is of no interest
+	if l.ended || epoch > l.epoch && m.rng.IntN(500) > 0 { // a leader that learns of its successor is of no interest
 		return
 	}
 	if epoch > l.epoch {
 		m.update(l, EpochSeenMsg{Epoch: epoch, At: l.local(m.now)})
 		return
 	}
+	m.update(l, EpochSeenMsg{Epoch: l.epoch, At: l.local(m.now)}) // news by gossip, which lacks its delay
 	m.update(l, SupportMsg{Witness: from, At: sentAt})
 	for _, e := range l.endings {
 		e.Record(l.local(m.now), from, epoch)
@@ -215,18 +223,22 @@
 	case n < 850:
 		m.deliver()
 	case n < 870:
-		w.epoch = max(w.epoch, m.table.Epoch)
+		if !w.cutOff {
+			w.epoch = max(w.epoch, m.table.Epoch)
+		}
 	case n < 875:
 		w.Incarnation, w.epoch = w.Incarnation+1, 0
+	case n < 876:
+		w.cutOff = !w.cutOff
 	case n < 890:
 		m.update(l, StoreFailedMsg{})
-	case n < 910:
+	case n < 895:
 		l.storeLost = !l.storeLost
 	case n < 950:
 		m.update(l, WitnessesMsg{Witnesses: m.chooseWitnesses()})
-	case n < 994 && len(m.leaders) < 5:
+	case n == 990 && len(m.leaders) < 4:
 		m.takeLead()
-	case n < 995:
+	case n == 991 && m.rng.IntN(4) == 0:
 		m.restart(l)
 	}
 }
@@ -282,6 +294,10 @@
 // leader must not grant after the time that a successor derived.
 func TestFuzzDerivedEndHolds(t *testing.T) {
 	mayCalls, derived := 0, 0
+	for seed := range uint64(1000) {
+		m := runLeaseSeed(t, seed)
+		mayCalls, derived = mayCalls+m.mayCalls, derived+m.derived
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		m := runLeaseSeed(t, rapid.Uint64().Draw(t, "seed"))
 		mayCalls, derived = mayCalls+m.mayCalls, derived+m.derived
--- a/core/process/keeper/simulation_network_test.go
+++ b/core/process/keeper/simulation_network_test.go
@@ -178,13 +178,17 @@
 	}
 	next.Epoch, next.Seq = next.Epoch+1, next.Seq+1
 	next.Leader = grant.Leader{Daemon: d.name, Incarnation: d.incarnation}
+	if s.witnessed {
+		next.Witnesses, next.Earlier = s.witnessesOf(d), s.table.EarlierTerms()
+	}
 	previousLeader := s.table.Leader
 	if !s.write(next, s.storeRevision) {
 		return
 	}
 	s.logf("%s leads with epoch %d", d.name, next.Epoch)
 	d.previousLeader = previousLeader
-	d.keeper = New(s.now, next, s.storeRevision, WithGrantTTL(simGrantTTL), WithLeaderLease(simLeaderLease))
+	s.recordTakeover(d, next)
+	d.keeper = New(s.now, next, s.storeRevision, WithGrantTTL(simGrantTTL), WithLeaderLease(s.leaderLease()))
 }
 
 // injectFaults starts at most one random fault, with a small probability in each step.
@@ -201,6 +205,7 @@
 	case n < 4:
 		s.logf("%s is restarted", d.name)
 		d.incarnation++
+		d.epoch = 0
 		d.keeper, d.inbox = nil, nil
 	case n < 10:
 		d.unreachableUntil[srv.Address] = s.now.Add(s.randomDuration(time.Second, 6*time.Second))
--- a/core/process/keeper/simulation_test.go
+++ b/core/process/keeper/simulation_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"catkinstep/core/process/lease"
 	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/grant"
 )
@@ -27,6 +28,8 @@
 	events    []event
 	trace     []string
 	violation string
+	// witnessed makes the other daemons the witnesses of each leader, see witness_simulation_test.go.
+	witnessed bool
 }
 
 type event struct {
@@ -52,6 +55,9 @@
 	suspendedUntil        time.Time
 	inbox                 []Msg
 	previousLeader        grant.Leader
+	epoch                 uint64          // the newest that it knows, with witnesses
+	endings               []*lease.Ending // of the terms before its own, with witnesses
+	cutOffUntil           time.Time       // reaches no other daemon
 	storeUnreachableUntil time.Time
 	unreachableUntil      map[string]time.Time // by address of the server
 }
@@ -158,6 +164,9 @@
 	}
 	if d.keeper == nil {
 		d.inbox = nil
+		if s.witnessed {
+			s.learnEpoch(d)
+		}
 		if s.mayTakeLead(d) {
 			s.takeLead(d)
 		}
@@ -171,8 +180,11 @@
 	if d.keeper == nil || s.now.UnixMilli()%50 != 0 {
 		return
 	}
+	if s.witnessed {
+		s.callWitnesses(d)
+	}
 	s.update(d, FleetMsg{Fleet: s.fleet(), KeyedServices: []string{testService}})
-	if d.keeper != nil && s.previousLeaderStopped(d) {
+	if d.keeper != nil && !s.witnessed && s.previousLeaderStopped(d) {
 		s.update(d, PreviousLeaderStoppedMsg{At: s.now})
 	}
 	if d.keeper != nil {
