--- a/core/process/keeper/fuzz_test.go
+++ b/core/process/keeper/fuzz_test.go
@@ -89,5 +89,6 @@
 	for end := time.Now().Add(*newSeedsDuration); time.Now().Before(end); seed++ {
 		runSeed(t, seed)
 		runIndirectSeed(t, seed)
+		runWitnessedSeed(t, seed)
 	}
 }
