The first division of keys counts known slowdowns

Cause: keys were divided by slots only, so a slow server got as many as a fast one and lost requests until single moves had corrected it; with keepKeys nothing corrects it.

Ruled out: a message of its own, or LoadMsg for services without ranges: the leader already has the slowdowns of all servers.

Change: FleetMsg carries the slowdowns of the last counting window, which are computed anyway. A server whose share is less than a bucket gets no range (its range would have ended before its start). Where no slowdown is known the division is the same as before.

--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -97,6 +97,7 @@
 	excludedDataCentres       map[string]bool
 	rebalancingDisabled       bool // no moves to balance load
 	daemonCount               int  // daemons that each change is published to
+	slowdowns                 map[string]float64
 	serverCountUnchangedSince time.Time
 	serverCount               int
 }
@@ -251,7 +252,7 @@
 	if len(m.Fleet.All()) != k.serverCount || k.serverCountUnchangedSince.IsZero() {
 		k.serverCountUnchangedSince, k.serverCount = now, len(m.Fleet.All())
 	}
-	k.fleet, k.keyedServices, k.excludedDataCentres, k.rebalancingDisabled, k.daemonCount = m.Fleet, m.KeyedServices, m.ExcludedDataCentres, m.RebalancingDisabled, m.DaemonCount
+	k.fleet, k.keyedServices, k.excludedDataCentres, k.rebalancingDisabled, k.daemonCount, k.slowdowns = m.Fleet, m.KeyedServices, m.ExcludedDataCentres, m.RebalancingDisabled, m.DaemonCount, m.Slowdowns
 	for h := range k.records.ended {
 		if s, ok := k.fleet.Find(h.Server); (!ok || s.StartMillis != h.StartMillis) && !k.isReferenced(h) {
 			delete(k.records.ended, h)
--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -24,6 +24,9 @@
 	RebalancingDisabled bool
 	// DaemonCount is the number of daemons that each change of the table is published to.
 	DaemonCount int
+	// Slowdowns are the slowdowns of servers, by server ID, where daemons have measured them. The
+	// first division of a service's keys uses them; LoadMsg has them once it has ranges.
+	Slowdowns map[string]float64
 }
 
 // LoadMsg reports the load of a service's keys, summed over all daemons, and the speed of
--- a/core/process/keeper/place.go
+++ b/core/process/keeper/place.go
@@ -24,22 +24,26 @@
 	}
 }
 
-// divideKeys gives each eligible server a range in proportion to its slots.
+// divideKeys gives each eligible server a range in proportion to its slots, divided by its
+// slowdown where that is known. With keepKeys no later move would correct a division by slots only.
 func (k *Keeper) divideKeys(now time.Time, service string) *serviceState {
 	eligible := k.eligibleServers(service)
-	slots := 0
+	s := &serviceState{service: service, balancedAt: now, firstKeysRoundAt: now, moveDuration: initialMoveDuration, slowdowns: k.slowdowns}
+	total := 0.0
 	for _, srv := range eligible {
-		slots += srv.Slots
+		total += s.divisionWeight(srv)
 	}
-	if slots == 0 {
+	if total == 0 {
 		return nil
 	}
-	s := &serviceState{service: service, balancedAt: now, firstKeysRoundAt: now, moveDuration: initialMoveDuration}
-	from, sum := 0, 0
+	from, sum := 0, 0.0
 	k.seq++
 	for _, srv := range eligible {
-		sum += srv.Slots
-		to := Buckets*sum/slots*keysPerBucket - 1 // whole buckets, as load is counted per bucket
+		sum += s.divisionWeight(srv)
+		to := int(Buckets*sum/total)*keysPerBucket - 1 // whole buckets, as load is counted per bucket
+		if to < from {
+			continue // the server's share is less than a bucket
+		}
 		s.ranges = append(s.ranges, &rangeState{
 			Range: grant.Range{From: from, To: to, Next: holderOf(srv)},
 			step:  saving, intentSeq: k.seq, origin: grant.First,
@@ -49,6 +53,12 @@
 	return s
 }
 
+// divisionWeight returns a server's weight in the first division of the keys. A server without
+// slots gets none.
+func (s *serviceState) divisionWeight(srv fleet.Server) float64 {
+	return float64(srv.Slots) / s.slowdown(srv)
+}
+
 // countMoving returns the number of ranges that are moving.
 func (k *Keeper) countMoving(s *serviceState) int {
 	n := 0
--- a/io/process/router/clustercounts.go
+++ b/io/process/router/clustercounts.go
@@ -15,6 +15,8 @@
 type clusterCounts struct {
 	meter     *rate.Meter
 	slowdowns *speed.Estimator
+	// latestSlowdowns are the slowdowns at the end of the last window.
+	latestSlowdowns map[string]float64
 	// queueReports are the reports on the servers' queues since the last window was closed.
 	queueReports []keeper.QueueReport
 }
@@ -66,6 +68,7 @@
 func (c *clusterCounts) closeWindow(now time.Time, cfg config.Config, servers *fleet.Fleet, rateLimits map[string]float64) []keeper.LoadMsg {
 	c.slowdowns.Retain(func(server string) bool { _, ok := servers.Find(server); return ok })
 	slowdowns := c.slowdowns.Slowdowns()
+	c.latestSlowdowns = slowdowns
 	var out []keeper.LoadMsg
 	for _, l := range c.meter.CloseWindow(now) {
 		service, _ := cfg.Service(l.Service)
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -117,7 +117,8 @@
 
 func (c *control) updateKeeperFleet(now time.Time) {
 	s := c.r.current.Load()
-	c.updateKeeper(now, keeper.FleetMsg{Fleet: s.fleet, KeyedServices: s.keyedServices(), ExcludedDataCentres: s.excludedDataCentres, RebalancingDisabled: s.config.DisableRebalancing, DaemonCount: c.members.Count()})
+	c.updateKeeper(now, keeper.FleetMsg{Fleet: s.fleet, KeyedServices: s.keyedServices(), ExcludedDataCentres: s.excludedDataCentres, RebalancingDisabled: s.config.DisableRebalancing, DaemonCount: c.members.Count(),
+		Slowdowns: c.clusterCounts.latestSlowdowns})
 }
 
 // updateKeeper passes a message to the keeper and executes the commands that it returns.
