Hot keys change places with other keys of a faster server

Cause: single moves end at states that none of them improves: a hot key alone on a slow server which it overloads, and a fast server that the other keys fill. Also, a hot key left an overloaded fast server for a slow one, as its largest piece.

Ruled out: the hot key first (the fast server's keys suffer meanwhile), moves at once (most of a server's keys closed), a stored plan (pieces chosen under an old load).

Change: the leader evaluates the move of a hot bucket together with up to four moves that make room at the target. If they pay as a whole by the costs of single moves, the moves that make room are started first. The plan names only the bucket and the two servers, is evaluated again before each step, and is not stored. Queue models are computed once a round, and candidates sorted by index.

--- a/core/process/keeper/balance.go
+++ b/core/process/keeper/balance.go
@@ -97,27 +97,49 @@
 // a time. As a result a hot key moves to a fast server, other keys move away from that
 // server, and a slow server keeps only as many keys as it can serve in time. At longer
 // intervals, a round begins with moves to servers without keys. A server takes part in one
-// move at a time.
+// move at a time. Where no single move gains much, an exchange of pieces may.
 func (k *Keeper) balance(now time.Time, s *serviceState) {
-	if k.rebalancingDisabled || now.Sub(s.balancedAt) < balanceInterval {
+	if k.rebalancingDisabled {
+		s.exchange = nil
+		return
+	}
+	if s.exchange != nil {
+		k.advanceExchange(now, s, k.eligibleServers(s.service))
+	}
+	if now.Sub(s.balancedAt) < balanceInterval {
 		return
 	}
 	s.balancedAt = now
 	k.mergeRanges(now, s)
 	eligible := k.eligibleServers(s.service)
-	maxMoves := max(minMoveLimit, len(eligible)/serversPerMove)
+	maxMoves := moveLimit(eligible)
 	firstKeys := now.Sub(s.firstKeysRoundAt) >= firstKeysInterval
 	if firstKeys {
 		s.firstKeysRoundAt = now
 	}
+	seekExchange, models := true, map[string]queue.Server{} // the models stay the same for a round
 	for n := k.countMoving(s); n < maxMoves; n++ {
-		available := k.withoutMovingServers(s, eligible)
+		available := s.withoutExchange(k.withoutMovingServers(s, eligible))
 		if firstKeys && k.giveFirstKeys(s, available) {
 			continue
 		}
-		if !k.moveBestPiece(s, available) {
+		if len(available) < 2 || s.serviceTimeSeconds <= 0 {
+			return // no target, or no request counted yet
+		}
+		est := k.newLossEstimate(s)
+		est.queueModels = models
+		c := est.candidates(available)
+		best := k.bestPiece(s, est, c)
+		if seekExchange && k.startExchange(now, s, est, c, best.benefit) {
+			k.advanceExchange(now, s, eligible)
+			continue
+		}
+		seekExchange = false // once a round, which bounds its processor time
+		if best.index < 0 {
 			return
 		}
+		best, reason := k.keepHotBucket(s, est, c, best)
+		k.startMove(s, s.splitOff(best), holderOf(best.target), reason)
 	}
 }
 
@@ -153,27 +175,25 @@
 	return slices.DeleteFunc(slices.Clone(eligible), func(srv fleet.Server) bool { return moving[holderOf(srv)] })
 }
 
-// moveBestPiece starts the move with the largest benefit, if there is one.
-func (k *Keeper) moveBestPiece(s *serviceState, available []fleet.Server) bool {
-	if len(available) < 2 || s.serviceTimeSeconds <= 0 {
-		return false // no target, or no request counted yet
-	}
-	est := k.newLossEstimate(s)
+// candidates are the servers that are considered for the moves of a round.
+type candidates struct{ available, sources, targets []fleet.Server }
+
+func (est lossEstimate) candidates(available []fleet.Server) candidates {
+	return candidates{available: available, sources: est.worstSources(available), targets: est.cheapestTargets(available)}
+}
+
+// bestPiece returns the move with the largest benefit, or noPiece if none pays.
+func (k *Keeper) bestPiece(s *serviceState, est lossEstimate, c candidates) piece {
 	best := noPiece
-	targets := est.cheapestTargets(available)
-	for _, from := range est.worstSources(available) {
+	for _, from := range c.sources {
 		if est.lostPerSecond(from, 0)*loadHorizon.Seconds() <= est.moveCost {
 			break // too few requests are lost at this server and the rest for a move to pay off
 		}
 		for _, p := range k.pieces(s, from, est.loads[holderOf(from)]) {
-			best = est.bestTarget(from, targets, p, best)
+			best = est.bestTarget(from, c.targets, p, best)
 		}
 	}
-	if best.index < 0 {
-		return false
-	}
-	k.startMove(s, s.splitOff(best), holderOf(best.target), "balance")
-	return true
+	return best
 }
 
 // bestTarget returns piece p with the target that gives the largest benefit, or best if the
@@ -220,17 +240,17 @@
 // lowestBy returns up to maxCandidates servers with the lowest values, in stable order.
 func lowestBy(servers []fleet.Server, value func(fleet.Server) float64) []fleet.Server {
 	type valued struct {
-		fleet.Server
+		index int
 		value float64
 	}
 	all := make([]valued, 0, len(servers))
-	for _, srv := range servers {
-		all = append(all, valued{srv, value(srv)})
+	for i, srv := range servers {
+		all = append(all, valued{i, value(srv)})
 	}
-	slices.SortStableFunc(all, func(a, b valued) int { return cmp.Compare(a.value, b.value) })
+	slices.SortFunc(all, func(a, b valued) int { return cmp.Or(cmp.Compare(a.value, b.value), a.index-b.index) })
 	out := make([]fleet.Server, 0, maxCandidates)
-	for _, srv := range all[:min(maxCandidates, len(all))] {
-		out = append(out, srv.Server)
+	for _, v := range all[:min(maxCandidates, len(all))] {
+		out = append(out, servers[v.index])
 	}
 	return out
 }
--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -68,6 +68,7 @@
 	rateLimits         map[string]float64
 	// moveDuration is the average time for which a move closes a range.
 	moveDuration time.Duration
+	exchangeState
 }
 
 // publishState is the state of publishing the table to all daemons.
