--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -73,6 +73,7 @@
 	limited bool
 	// moveDuration is the average time for which a move closes a range.
 	moveDuration time.Duration
+	exchangeState
 }
 
 // publishState is the state of publishing the table to all daemons.
@@ -102,6 +103,7 @@
 	rebalancingDisabled       bool // no moves to balance load
 	daemonCount               int  // daemons that each change is published to
 	indirectReleases          bool // releases may go through other daemons
+	slowdowns                 map[string]float64
 	serverCountUnchangedSince time.Time
 	serverCount               int
 }
@@ -267,7 +269,7 @@
 	if len(m.Fleet.All()) != k.serverCount || k.serverCountUnchangedSince.IsZero() {
 		k.serverCountUnchangedSince, k.serverCount = now, len(m.Fleet.All())
 	}
-	k.fleet, k.keyedServices, k.excludedDataCentres, k.rebalancingDisabled, k.daemonCount = m.Fleet, m.KeyedServices, m.ExcludedDataCentres, m.RebalancingDisabled, m.DaemonCount
+	k.fleet, k.keyedServices, k.excludedDataCentres, k.rebalancingDisabled, k.daemonCount, k.slowdowns = m.Fleet, m.KeyedServices, m.ExcludedDataCentres, m.RebalancingDisabled, m.DaemonCount, m.Slowdowns
 	k.indirectReleases = m.IndirectReleases
 	for h := range k.records.ended {
 		if s, ok := k.fleet.Find(h.Server); (!ok || s.StartMillis != h.StartMillis) && !k.isReferenced(h) {
--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -26,6 +26,9 @@
 	DaemonCount int
 	// IndirectReleases lets releases go through other daemons if the holder does not answer this one.
 	IndirectReleases bool
+	// Slowdowns are the slowdowns of servers, by server ID, where daemons have measured them. The
+	// first division of a service's keys uses them; LoadMsg has them once it has ranges.
+	Slowdowns map[string]float64
 }
 
 // LoadMsg reports the load of a service's keys, summed over all daemons, and the speed of
