Waits of a rank without requests bound no other rank after 30 s

Cause: the shortest wait of a rank was determined only when a request of the same rank arrived. If rank 0 fell silent, its last wait bounded all lower ranks for ever, although routeWaitRetention is 30 s.

Ruled out: filtering the routes where the waits are used. latencyBudget runs several times for each candidate server, and would walk a map each time.

Change: each request looks at the oldest entry of every rank, and determines the shortest wait again where that has expired.

--- a/core/request/spread/priority.go
+++ b/core/request/spread/priority.go
@@ -28,6 +28,8 @@
 // have different targets; the shortest wait bounds the waits of less urgent ranks.
 type rankWaits struct {
 	routes map[string]routeWait
+	// oldestAt is when the route that was not requested for longest was last requested.
+	oldestAt time.Time
 	// shortest is the shortest positive wait of the routes, 0 if there is none. A route without
 	// time to wait never queues, and would otherwise close the queue to all less urgent ones.
 	shortest time.Duration
@@ -68,21 +70,36 @@
 	return p
 }
 
-// observe records how long a request's route may wait in its rank.
+// observe records how long a request's route may wait in its rank. It expires the waits of the other
+// ranks as well: a rank without requests would otherwise bound the less urgent ones for ever.
 func (p *priorities) observe(now time.Time, req Requirements, wait time.Duration) {
 	r := &p.ranks[min(req.Rank, class.MaxRank)]
 	if r.routes == nil {
 		r.routes = map[string]routeWait{}
 	}
 	r.routes[req.Route] = routeWait{wait: wait, seenAt: now}
-	r.shortest = 0
+	r.update(now)
+	for i := range p.ranks {
+		if other := &p.ranks[i]; len(other.routes) > 0 && now.Sub(other.oldestAt) > routeWaitRetention {
+			other.update(now)
+		}
+	}
+}
+
+// update removes routes that were not requested for long, and determines the shortest wait of the others.
+func (r *rankWaits) update(now time.Time) {
+	r.shortest, r.oldestAt = 0, now
 	for route, w := range r.routes {
-		switch {
-		case now.Sub(w.seenAt) > routeWaitRetention:
+		if now.Sub(w.seenAt) > routeWaitRetention {
 			delete(r.routes, route)
-		case w.wait > 0 && (r.shortest == 0 || w.wait < r.shortest):
+			continue
+		}
+		if w.wait > 0 && (r.shortest == 0 || w.wait < r.shortest) {
 			r.shortest = w.wait
 		}
+		if w.seenAt.Before(r.oldestAt) {
+			r.oldestAt = w.seenAt
+		}
 	}
 }
 
@@ -156,7 +173,9 @@
 // accepts.
 func (b *Balancer) excessWait(now time.Time, req Requirements, server fleet.Server, expected time.Duration, load, secondsPerPlace float64) time.Duration {
 	excess := now.Add(expected).Sub(req.ReceivedAt.Add(b.latencyBudget(req)))
-	return max(excess, seconds((load+1-float64(server.Slots)-b.queuePlaces(now, req))*secondsPerPlace))
+	// Without a bound, or with one learnt long ago, the difference may be -Inf or too large for a duration.
+	waitingAhead := max(0, load+1-float64(server.Slots)-b.queuePlaces(now, req))
+	return max(excess, seconds(waitingAhead*secondsPerPlace))
 }
 
 // PermitBudget returns how long a request may take at a server if it has to queue, by its latency
--- a/core/request/spread/priority_test.go
+++ b/core/request/spread/priority_test.go
@@ -128,6 +128,13 @@
 		decline(b, now, 3)
 		So(math.IsInf(b.queuePlaces(now, rankedRequirements(now, 2)), 1), ShouldBeTrue)
 	})
+	Convey("Neither is one of a request for a key that the server does not hold", t, func() {
+		b := newRankedBalancer()
+		server, req := servers(1)[0], rankedRequirements(now, 0)
+		b.Begin(now, server, req)
+		b.End(now, server, req, now, Misdirected, &Report{Running: 4, Waiting: 12, Slots: 4, Slowdown: 1})
+		So(math.IsInf(b.queuePlaces(now, rankedRequirements(now, 2)), 1), ShouldBeTrue)
+	})
 	Convey("The fewest places count, and the bound rises while no server declines", t, func() {
 		b := newRankedBalancer()
 		decline(b, now, 12)
