A 421 teaches no bound of the queue

Cause: a server that declined a request because it does not hold the key (Misdirected) set the learnt queue bound if its queue was long. That decline is due to the key, so the queue may be far below its limit.

Ruled out: ignoring all reports of a 421; the load that it reports is true.

Change: only Declined with a long queue sets the bound.

--- a/core/request/spread/priority_test.go
+++ b/core/request/spread/priority_test.go
@@ -195,6 +195,15 @@
 		So(retryAfter(b, 1).Seconds(), ShouldAlmostEqual, (20-7.2)*0.05/4, 0.01)
 		So(retryAfter(b, 2).Seconds(), ShouldAlmostEqual, (20-4.32)*0.05/4, 0.01)
 	})
+	Convey("Without a bound for the queue, or with one learnt long ago, only the wait counts", t, func() {
+		b := newRankedBalancer()
+		server, req := servers(1)[0], rankedRequirements(now, 1)
+		So(b.excessWait(now, req, server, 0, 0, 0.0125), ShouldEqual, 0)
+		queueOf(b, now, 69)
+		So(retryAfter(b, 1).Seconds(), ShouldAlmostEqual, 0.875-0.426, 0.02)
+		decline(b, now.Add(-1000*queueBoundDoubling), 12)
+		So(b.excessWait(now, req, server, 0, 0, 0.0125), ShouldEqual, 0)
+	})
 	Convey("It is the time in which the wait falls to that of the rank, and never before a more urgent one", t, func() {
 		b := newRankedBalancer()
 		queueOf(b, now, 69) // a wait of 0.875 s
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -154,7 +154,7 @@
 		if fullWhenDeclined(outcome, report) {
 			st.markFull(now, server.Slots)
 		}
-		if report != nil && report.Running >= report.Slots && report.Waiting >= report.Slots {
+		if outcome == Declined && report != nil && !report.ShortQueue() {
 			b.prioritiesOf(req.Service.Name).queueBound.observe(now, report.Waiting)
 		}
 		st.failureRate += outcomeWeight / 3 * (1 - st.failureRate)
