--- a/core/request/spread/priority_test.go
+++ b/core/request/spread/priority_test.go
@@ -92,6 +92,23 @@
 	})
 }
 
+// Guards against a rank whose requests have ended, and whose last wait still bounds the less urgent ranks.
+func TestRankWithoutRequests(t *testing.T) {
+	now := t0.Add(31 * time.Second)
+	Convey("A rank without requests for long bounds no other", t, func() {
+		b := newRankedBalancer()
+		later := now.Add(routeWaitRetention + time.Second)
+		for _, rank := range []int{1, 2} {
+			b.Evaluate(later, rankedRequirements(later, rank), servers(1)[0])
+		}
+		So(b.LatencyBudget(rankedRequirements(later, 1)), ShouldEqual, 850*time.Millisecond)
+		So(b.wait(rankedRequirements(later, 2)).Seconds(), ShouldAlmostEqual, class.WaitShare*0.8, 0.001)
+		promoted := rankedRequirements(later, 2)
+		promoted.Promoted = true
+		So(b.LatencyBudget(promoted), ShouldEqual, 1500*time.Millisecond)
+	})
+}
+
 // decline records that a full server declined a request of rank 0.
 func decline(b *Balancer, now time.Time, waiting int) {
 	server, req := servers(1)[0], rankedRequirements(now, 0)
