A limit that begins after a long pause starts with an empty mix

Cause: buckets were pruned only after an update had been applied, and no limits are sent while nothing is limited. A limit that began an hour later found the mix of ranks of the earlier load.

Ruled out: pruning before the update for all buckets. Those that the update renews are replaced anyway, and the others are pruned after it.

Change: SetLimits replaces a bucket whose last limit is older than mixRetention. limitState is renamed to bucketState.

--- a/core/request/admit/limiter.go
+++ b/core/request/admit/limiter.go
@@ -33,8 +33,8 @@
 	bucket  int
 }
 
-// limitState is the limit of one bucket, and the bucket's own demand since the limit began.
-type limitState struct {
+// bucketState is the limit of one bucket, and the bucket's own demand since the limit began.
+type bucketState struct {
 	fraction float64
 	// update is the number of the update that set the limit last, and limitedAt when that was sent.
 	update    int
@@ -58,7 +58,7 @@
 // all requests for a bucket may be sent; the Limiter divides it among the ranks.
 type Limiter struct {
 	random  *rand.Rand
-	buckets map[bucketKey]*limitState
+	buckets map[bucketKey]*bucketState
 	// updates counts the calls of SetLimits.
 	updates   int
 	expiresAt time.Time
@@ -68,7 +68,7 @@
 
 // NewLimiter returns a Limiter that admits every request.
 func NewLimiter(seed uint64) *Limiter {
-	return &Limiter{random: rand.New(rand.NewPCG(seed, 37)), buckets: map[bucketKey]*limitState{}, mixes: map[string]*mix{}}
+	return &Limiter{random: rand.New(rand.NewPCG(seed, 37)), buckets: map[bucketKey]*bucketState{}, mixes: map[string]*mix{}}
 }
 
 // SetLimits replaces all limits. The leader sent the new ones at sentAt.
@@ -77,8 +77,9 @@
 	for _, limit := range limits {
 		k := bucketKey{service: limit.Service, bucket: limit.Bucket}
 		b := l.buckets[k]
-		if b == nil {
-			b = &limitState{}
+		// Without limits no update comes that would prune the bucket.
+		if b == nil || sentAt.Sub(b.limitedAt) > mixRetention {
+			b = &bucketState{}
 			l.buckets[k] = b
 		}
 		b.fraction, b.update, b.limitedAt = limit.Fraction, l.updates, sentAt
@@ -114,7 +115,8 @@
 	// would make its own rank seem frequent and lower its chance.
 	b.mix.add(now, req.Rank, req.ServiceTime)
 	if req.Deferred {
-		// Not squared: all requests of rank 0 may be admitted, and deferred ones are refused first all the same.
+		// Deferred requests are admitted less often than others of their rank, also where that rank's
+		// fraction is 1.
 		fraction *= b.fraction
 	}
 	if l.random.Float64() < fraction {
--- a/core/request/admit/mix_test.go
+++ b/core/request/admit/mix_test.go
@@ -231,6 +231,21 @@
 	})
 }
 
+// Guards against ranks that are divided by a mix of an earlier load: no limits arrive while nothing is limited.
+func TestLimitAfterLongPause(t *testing.T) {
+	Convey("A limit that begins again after a long pause starts with an empty mix, and one after a short pause does not", t, func() {
+		for pause, kept := range map[time.Duration]bool{mixRetention: true, time.Hour: false} {
+			l, limits := NewLimiter(1), []Limit{{Service: "s", Bucket: 1, Fraction: 0.5}}
+			l.SetLimits(t0, limits)
+			for range 50 {
+				l.Admit(t0, Request{Service: "s", Bucket: 1, Rank: 2, ServiceTime: time.Second})
+			}
+			l.SetLimits(t0.Add(pause), limits)
+			So(l.buckets[bucketKey{service: "s", bucket: 1}].mix.requests > 0, ShouldEqual, kept)
+		}
+	})
+}
+
 // Guards against a change for services whose routes have one priority.
 func TestOneRankIsAdmittedAsWithoutRanks(t *testing.T) {
 	Convey("Decisions and delays are those of the fraction alone", t, func() {
