Priorities of workspaces make no ranks where all routes have one priority

Cause: a workspace with a priority of its own could get rank 1 of a service whose routes all have one priority. That changes deployments that were made before there were ranks, and nothing in the routes asks for it.

Ruled out: ignoring the priorities of workspaces altogether. Where routes have several priorities they are comparable.

Change: Rank returns 0 unless the routes of the service have at least two priorities.

Measured: TestRanks: priority 3 of a workspace had rank 1 beside routes of priority 2, and has rank 0.

--- a/core/request/class/class_test.go
+++ b/core/request/class/class_test.go
@@ -34,6 +34,10 @@
 		So(ranks.Rank("unknown", 7), ShouldEqual, 0)
 		So(Ranks{}.Rank("a", 2), ShouldEqual, 0)
 	})
+	Convey("Where all routes of a service have one priority, those of workspaces make no ranks", t, func() {
+		So(ranks.Rank("a", 3), ShouldEqual, 0)
+		So(ranks.Rank("c", 9), ShouldEqual, 0)
+	})
 }
 
 // Guards against a surge in which the less urgent requests take what the more urgent ones need, and
--- a/core/request/class/rank.go
+++ b/core/request/class/rank.go
@@ -6,7 +6,7 @@
 	"catkinstep/core/version/config"
 )
 
-// MaxRank is the highest rank that is told apart. Requests of higher ranks count as of this one.
+// MaxRank is the highest rank; higher ones are reduced to it.
 const MaxRank = 3
 
 // Ranks are the priorities of the routes of each service, in ascending order. The zero Ranks
@@ -30,8 +30,12 @@
 }
 
 // Rank returns how many priorities of the service's routes are more urgent than the given one, at
-// most MaxRank. A workspace may have a priority that no route has.
+// most MaxRank. A workspace may have a priority that no route has. If all routes of the service have
+// the same priority, every rank is 0, also for workspaces with a priority of their own.
 func (r Ranks) Rank(service string, priority int) int {
+	if len(r.priorities[service]) < 2 {
+		return 0
+	}
 	rank, _ := slices.BinarySearch(r.priorities[service], priority)
 	return min(rank, MaxRank)
 }
