An expired list of contended holders does not end the start period

Cause: setContended ended the start period for every list, also for one whose TTL had passed when it arrived, as gossip passes it on. A restarted daemon then counted all holders as idle.

Ruled out: dropping expired lists in applyLimits. Their epoch and number must still order later ones.

Change: only a list that is still valid ends the period. Three comments say what the period covers.

Measured: TestReturnOfAllHosts: after a list of 2 s ago no permit was requested, and one is.

--- a/io/process/router/permit.go
+++ b/io/process/router/permit.go
@@ -21,9 +21,10 @@
 	// contendedTTL is how long the leader's list of contended holders is valid. The leader
 	// sends a new one twice a second.
 	contendedTTL = 2 * time.Second
-	// startPermitPeriod is how long after its start a daemon asks for permits for all requests for keys,
-	// unless it gets a list of contended holders before. After a loss of all hosts, a new leader needs
-	// a few seconds to find out which holders are contended.
+	// startPermitPeriod is how long after its start a daemon asks for permits for all requests for keys of
+	// holders whose queue it does not see, unless it gets a list of contended holders before. After a loss
+	// of all hosts, a new leader needs a few seconds to find out which holders are contended. While nothing
+	// is overloaded, no list is sent and the period lasts in full.
 	startPermitPeriod = 5 * time.Second
 	// issuerAbsence is how long no permits are requested from an issuer that did not answer.
 	issuerAbsence = 5 * time.Second
@@ -46,8 +47,8 @@
 	// valid until contendedUntil.
 	contended      map[string]bool
 	contendedUntil time.Time
-	// loadUnknownUntil is the end of the time after the start in which it is not known which holders are
-	// contended.
+	// loadUnknownUntil is when this daemon stops assuming, after its start, that holders whose queue it
+	// does not see are contended.
 	loadUnknownUntil time.Time
 	// issuers are the addresses of the live daemons, by data centre.
 	issuers atomic.Pointer[map[string][]string]
@@ -66,17 +67,20 @@
 }
 
 func (p *permits) setContended(issuedAt time.Time, contended []string) {
-	p.loadUnknownUntil = time.Time{}
 	p.contendedUntil, p.contended = issuedAt.Add(contendedTTL), make(map[string]bool, len(contended))
+	// After a list that has expired, all holders would count as idle.
+	if time.Now().Before(p.contendedUntil) {
+		p.loadUnknownUntil = time.Time{}
+	}
 	for _, server := range contended {
 		p.contended[server] = true
 	}
 }
 
 // isContended reports whether requests for keys of a holder require a permit. Just after the start it
-// is not known which holders are contended, and all of them count as contended if this daemon does not see their
-// queues. Otherwise, when all hosts return at once, each daemon would send all that its callers ask for to
-// holders that it takes for idle.
+// is not known which holders are contended, and all of them count as contended if this daemon does not
+// see their queues. Otherwise, after a restart of all hosts, each daemon would send all requests at once
+// to holders without known load.
 func (r *Router) isContended(now time.Time, holder fleet.Server) bool {
 	if now.Before(r.permits.loadUnknownUntil) {
 		return !r.balancer.SeesQueue(holder)
--- a/io/process/router/permit_test.go
+++ b/io/process/router/permit_test.go
@@ -227,6 +227,12 @@
 			So(sent[0].permit.issuer, ShouldBeEmpty)
 		}
 	})
+	Convey("They are still required after a list that has expired", t, func() {
+		r := startedRouter(permit.NewIssuer(1))
+		r.control.applyLimits(r.now(), holderLimits{epoch: 1, seq: 1, issuedAt: r.now().Add(-contendedTTL)}, false)
+		sent, _ := startRequests(r, 1)
+		So(sent[0].permit.issuer, ShouldEqual, "me")
+	})
 	Convey("A daemon that sees the holder's queue itself requires none", t, func() {
 		r := startedRouter(permit.NewIssuer(1))
 		r.control.members = member.New(r.self, atSecond(1))
