A request that loses rank 0 while it waits is drawn for promotion

Cause: the draw was made once, when the request was resolved. A new configuration may give its workspace another priority before an attempt, and the rank rises from 0 after the draw. Such a request was never promoted.

Ruled out: a draw for each attempt, which raises the chance with the number of attempts.

Change: setPriority draws when the rank is above 0 for the first time, once.

--- a/io/process/router/priority.go
+++ b/io/process/router/priority.go
@@ -8,19 +8,21 @@
 	promotedRequests = "priority.promoted"
 )
 
-// setPriority sets the priority and the rank of a request by its workspace or route.
-func (req *request) setPriority(snap *snapshot) {
+// setPriority sets the priority and the rank of a request by its workspace or route. Both may change
+// while the request waits, with its workspace.
+func (r *Router) setPriority(snap *snapshot, req *request) {
 	req.requirements.Priority = req.priority()
 	req.requirements.Rank = snap.ranks.Rank(req.service.Name, req.priority())
+	if req.requirements.Rank > 0 && !req.promotionDrawn {
+		r.drawPromotion(req)
+	}
 }
 
 // drawPromotion decides whether a request is treated as one of rank 0. It is called once for each
 // request, so that attempts do not raise the chance. The draw is random, since a caller could choose an
 // ID that is always promoted, and requests for the same content would be promoted together.
 func (r *Router) drawPromotion(req *request) {
-	if req.requirements.Rank == 0 {
-		return
-	}
+	req.promotionDrawn = true
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	promoter := r.promoters[req.service.Name]
--- a/io/process/router/priority_test.go
+++ b/io/process/router/priority_test.go
@@ -12,6 +12,7 @@
 	"catkinstep/core/request/class"
 	"catkinstep/core/version/config"
 	"catkinstep/core/version/object"
+	"catkinstep/core/version/space"
 	"catkinstep/io/connection/caller"
 )
 
@@ -19,7 +20,13 @@
 // /other to a service of its own.
 func newRankedRouter() *Router {
 	r := newTestRouter()
-	c := config.Config{Version: 1, Services: []config.Service{{Name: "s"}, {Name: "o"}}}
+	r.configure(rankedConfig(1))
+	r.tickUntilBooted()
+	return r
+}
+
+func rankedConfig(version uint64) config.Config {
+	c := config.Config{Version: version, Services: []config.Service{{Name: "s"}, {Name: "o"}}}
 	for i, name := range []string{"first", "second", "third", "other"} {
 		service := "s"
 		if name == "other" {
@@ -27,10 +34,12 @@
 		}
 		c.Routes = append(c.Routes, config.Route{Name: name, Host: "h", Prefix: "/" + name, Priority: 2 * i, Destinations: []config.Destination{{Service: service, Weight: 1}}, Timeout: time.Second, LatencyTarget: time.Second})
 	}
+	return c
+}
+
+func (r *Router) configure(c config.Config) {
 	v, _ := json.Marshal(c)
-	r.control.update(t0, deltaMsg{delta: object.Delta{Kind: object.Config, Through: 1, CurrentAt: t0, Items: []object.Item{{Name: "main", Revision: 1, Value: v}}}})
-	r.tickUntilBooted()
-	return r
+	r.control.update(t0, deltaMsg{delta: object.Delta{Kind: object.Config, Through: c.Version, CurrentAt: t0, Items: []object.Item{{Name: "main", Revision: c.Version, Value: v}}}})
 }
 
 // Guards against less urgent requests that are starved, and against services with one priority whose
@@ -72,6 +81,33 @@
 	})
 }
 
+// Guards against requests that are never drawn, since they have rank 0 when they arrive.
+func TestPromotionOfWaitingRequest(t *testing.T) {
+	Convey("A request whose workspace becomes less urgent while it waits is drawn then, and once", t, func() {
+		r, keyed := newRankedRouter(), rankedConfig(2)
+		keyed.KeysRequired, keyed.Workspaces = true, []space.Workspace{{Name: "w", KeyHashes: []space.KeyHash{space.HashKey("k1")}}}
+		r.configure(keyed)
+		before := r.current.Load()
+		keyed.Version, keyed.Workspaces = 3, []space.Workspace{{Name: "w", KeyHashes: keyed.Workspaces[0].KeyHashes, OwnPriority: true, Priority: 2}}
+		r.configure(keyed)
+		after, n := r.current.Load(), 0
+		for range 2000 {
+			req, rejection := r.resolve(before, callerRequest("/first", keyHeader("k1")), "id", nil)
+			So(rejection, ShouldBeNil)
+			So(req.requirements.EffectiveRank(), ShouldEqual, 0)
+			for range 3 {
+				req.identity.knownIn = 0 // as for an attempt after each of several changes
+				So(r.updateWorkspace(after, req), ShouldBeNil)
+			}
+			So(req.requirements.Rank, ShouldEqual, 1)
+			if req.requirements.Promoted {
+				n++
+			}
+		}
+		So(n, ShouldAlmostEqual, 2000*class.MinShare, 80)
+	})
+}
+
 // Guards against refusals that do not show which requests are refused.
 func TestRefusedByRank(t *testing.T) {
 	Convey("Refusals are counted by rank", t, func() {
--- a/io/process/router/request.go
+++ b/io/process/router/request.go
@@ -25,6 +25,8 @@
 	// the request again.
 	fingerprint  uint64
 	requirements spread.Requirements
+	// promotionDrawn is set once it is decided whether the request is promoted.
+	promotionDrawn bool
 	// carried is set if another daemon, whose host reaches no servers, has sent the request. It is not
 	// sent on to a third.
 	carried bool
--- a/io/process/router/workspace.go
+++ b/io/process/router/workspace.go
@@ -74,7 +74,7 @@
 		return r.rejectAPIKey(snap, req)
 	}
 	req.identity.workspace, req.identity.knownIn, req.identity.hasWorkspace = workspace, snap.config.Version, true
-	req.setPriority(snap)
+	r.setPriority(snap, req)
 	return nil
 }
 
