Only replies in time count as served for the promoted share

Cause: the share of less urgent requests that are promoted follows from how often requests are served. Every reply but 503 counted as served, also 502, 504, other errors and late replies, so that a rank with late replies alone seemed to be served in full and too many requests were promoted. Requests that are carried for other daemons were drawn at the daemon that carries them, and counted at the one that sent them, with the rank by its own draw.

Ruled out: counting carried requests at both daemons. The draw of the sender has no effect, and would count under the wrong rank.

Change: only burn.Good counts as served. The daemon that carries a request counts its outcome, and the one that sent it does not.

--- a/core/request/class/promoter.go
+++ b/core/request/class/promoter.go
@@ -37,7 +37,7 @@
 	return (o.served + assumedRequests*assumed) / (o.ended + assumedRequests)
 }
 
-// Record counts the end of a request, which was served or refused. A promoted request has rank 0.
+// Record counts the end of a request, which was served in time or not. A promoted request has rank 0.
 func (p *Promoter) Record(now time.Time, rank int, served bool) {
 	p.all.add(now, served)
 	if rank == 0 {
--- a/io/process/router/carried.go
+++ b/io/process/router/carried.go
@@ -35,7 +35,7 @@
 }
 
 // handleCarry serves a request for another daemon. It counts neither for the demand nor the retry
-// budget of its service: the other daemon has counted it. Its tokens of an allowance are taken here, where
+// budget of its service: the other daemon has counted it. Its outcome counts for the priorities here. Its tokens of an allowance are taken here, where
 // it is sent to a server.
 func (r *Router) handleCarry(ctx context.Context, m *wire.Carry) *wire.Reply {
 	r.carriedRunning.Add(1)
@@ -54,6 +54,7 @@
 	sentBefore := req.attempts.sent
 	reply := r.sendWithRetries(ctx, req)
 	r.returnToken(req)
+	r.recordCarriedPriority(req, reply)
 	req.attempts.sent -= sentBefore // the other daemon counts those itself
 	return carryReply(reply, req)
 }
--- a/io/process/router/carry.go
+++ b/io/process/router/carry.go
@@ -38,6 +38,7 @@
 // sendByOthers sends a request by way of another daemon, since this host reaches no servers. A request
 // that may have run is sent again only as it would be to a server.
 func (r *Router) sendByOthers(ctx context.Context, req *request) caller.Reply {
+	req.sentToPeer = true
 	var tried []string
 	for len(tried) < maxCarriers && ctx.Err() == nil {
 		peer, ok := r.beginCarry(tried)
--- a/io/process/router/carry_test.go
+++ b/io/process/router/carry_test.go
@@ -19,6 +19,7 @@
 	"catkinstep/core/connection/wire"
 	"catkinstep/core/process/reach"
 	"catkinstep/core/request/carry"
+	"catkinstep/core/request/class"
 	"catkinstep/core/version/config"
 	"catkinstep/core/version/object"
 	"catkinstep/core/version/space"
@@ -143,6 +144,15 @@
 		So(r.useUp(), ShouldEqual, 10)
 		So(m.daemons[m.calls[0]].useUp(), ShouldEqual, 9)
 	})
+	Convey("Its outcome counts for the priorities at the daemon that chose its server", t, func() {
+		r, m, _ := newCutOffRouter()
+		for _, d := range append([]*Router{r}, m.daemons["b:1"], m.daemons["c:1"]) {
+			d.promoters["s"] = &class.Promoter{}
+		}
+		So(r.handle(context.Background(), lookupOf("/x")).Status, ShouldEqual, http.StatusOK)
+		So(*m.daemons[m.calls[0]].promoters["s"], ShouldNotResemble, class.Promoter{})
+		So(*r.promoters["s"], ShouldResemble, class.Promoter{})
+	})
 	Convey("A server's failure is passed on after the retries of one daemon", t, func() {
 		r, m, s := newCutOffRouter()
 		s.status = http.StatusInternalServerError
--- a/io/process/router/priority.go
+++ b/io/process/router/priority.go
@@ -1,6 +1,12 @@
 package router
 
-import "catkinstep/core/request/class"
+import (
+	"net/http"
+
+	"catkinstep/core/process/burn"
+	"catkinstep/core/request/class"
+	"catkinstep/io/connection/caller"
+)
 
 // Counters of requests by their rank (see package class).
 const (
@@ -37,10 +43,21 @@
 	r.metrics.increment(promotedRequests)
 }
 
-// recordPriorityOutcome counts whether a request was served, if its service has requests of several
-// ranks. r.mu must be held.
-func (r *Router) recordPriorityOutcome(req *request, served bool) {
-	if promoter := r.promoters[req.service.Name]; promoter != nil {
-		promoter.Record(r.now(), req.requirements.EffectiveRank(), served)
+// recordPriorityOutcome counts whether a request was served in time, if its service has requests of
+// several ranks. A request that was sent to another daemon counts there, since that daemon draws its
+// promotion and chooses its server. r.mu must be held.
+func (r *Router) recordPriorityOutcome(req *request, outcome burn.Outcome) {
+	if promoter := r.promoters[req.service.Name]; promoter != nil && !req.sentToPeer {
+		promoter.Record(r.now(), req.requirements.EffectiveRank(), outcome == burn.Good)
+	}
+}
+
+// recordCarriedPriority counts the outcome of a request that was served for another daemon.
+func (r *Router) recordCarriedPriority(req *request, reply caller.Reply) {
+	if reply.Status == http.StatusTooManyRequests { // beyond its allowance, whatever its rank
+		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recordPriorityOutcome(req, serviceOutcome(req, reply))
 }
--- a/io/process/router/priority_test.go
+++ b/io/process/router/priority_test.go
@@ -74,6 +74,27 @@
 		}
 		So(promoted(r, "/third"), ShouldAlmostEqual, 200, 60)
 	})
+	Convey("Late and failed replies count as not served", t, func() {
+		for _, late := range []bool{true, false} {
+			r := newRankedRouter()
+			for range 300 {
+				for rank := range 3 {
+					req, _ := r.resolve(r.current.Load(), callerRequest("/third", http.Header{}), "id", nil)
+					req.requirements.Rank, req.requirements.Promoted = rank, false
+					req.ReadAt = time.Now()
+					reply := caller.Reply{Status: http.StatusOK}
+					switch {
+					case rank > 0 && late:
+						req.ReadAt = req.ReadAt.Add(-2 * req.route.LatencyTarget)
+					case rank > 0:
+						reply.Status = http.StatusGatewayTimeout
+					}
+					r.recordServiceLevel(req, reply)
+				}
+			}
+			So(promoted(r, "/third"), ShouldAlmostEqual, 200, 60)
+		}
+	})
 	Convey("No request of rank 0 is drawn", t, func() {
 		r := newRankedRouter()
 		So(promoted(r, "/first"), ShouldEqual, 0)
--- a/io/process/router/request.go
+++ b/io/process/router/request.go
@@ -30,6 +30,8 @@
 	// carried is set if another daemon, whose host reaches no servers, has sent the request. It is not
 	// sent on to a third.
 	carried bool
+	// sentToPeer is set if this host reaches no servers and sends the request by way of another daemon.
+	sentToPeer bool
 	// token is what it has of the allowance of its workspace, for the next attempt.
 	token allowanceToken
 	// waited is set if its first token had ended before it could be sent.
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -42,19 +42,23 @@
 
 // recordServiceLevel counts the outcome of a request for its service level objective.
 func (r *Router) recordServiceLevel(req *request, reply caller.Reply) {
-	outcome := burn.Good
+	outcome := serviceOutcome(req, reply)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.burnMeter.Count(r.now(), req.service.Name, outcome)
+	r.recordPriorityOutcome(req, outcome)
+}
+
+func serviceOutcome(req *request, reply caller.Reply) burn.Outcome {
 	switch elapsed := time.Since(req.ReadAt); {
 	case reply.Status == http.StatusServiceUnavailable:
-		outcome = burn.Refused
+		return burn.Refused
 	case reply.Status >= http.StatusInternalServerError:
-		outcome = burn.Unknown
+		return burn.Unknown
 	case elapsed > req.route.LatencyTarget:
-		outcome = burn.Slow
+		return burn.Slow
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.burnMeter.Count(r.now(), req.service.Name, outcome)
-	r.recordPriorityOutcome(req, outcome != burn.Refused)
+	return burn.Good
 }
 
 func (r *Router) handle(ctx context.Context, callerReq caller.Request) caller.Reply {
