State by rank of services that left the configuration is removed

Cause: Balancer.priorities, Limiter.mixes and Router.promoters kept an entry for each service that any configuration had.

Ruled out: an expiry by time. A service without requests for some minutes keeps what is known of its ranks, as before.

Change: where a configuration is applied, next to pruneWorkspaces, entries of services that it does not have are removed, and their limited buckets.

Measured: TestServicesArePruned in router and admit: 2 promoters were left after a service left the configuration, and 1 is.

--- a/core/request/admit/limiter.go
+++ b/core/request/admit/limiter.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 )
@@ -91,6 +92,12 @@
 	}
 }
 
+// PruneServices removes the state of services that no longer exist.
+func (l *Limiter) PruneServices(exists func(service string) bool) {
+	maps.DeleteFunc(l.mixes, func(service string, _ *mix) bool { return !exists(service) })
+	maps.DeleteFunc(l.buckets, func(k bucketKey, _ *bucketState) bool { return !exists(k.service) })
+}
+
 // Arrive counts a request for the mix of its service, once for each request.
 func (l *Limiter) Arrive(now time.Time, req Request) {
 	m := l.mixes[req.Service]
--- a/core/request/admit/mix_test.go
+++ b/core/request/admit/mix_test.go
@@ -246,6 +246,21 @@
 	})
 }
 
+// Guards against mixes that grow in number with each service that a configuration ever had.
+func TestServicesArePruned(t *testing.T) {
+	Convey("The mixes of a service that leaves the configuration are removed", t, func() {
+		l := NewLimiter(1)
+		l.SetLimits(t0, []Limit{{Service: "s", Bucket: 1, Fraction: 0.5}, {Service: "gone", Bucket: 1, Fraction: 0.5}})
+		l.Arrive(t0, Request{Service: "s"})
+		l.Arrive(t0, Request{Service: "gone"})
+		l.PruneServices(func(service string) bool { return service == "s" })
+		So(l.mixes, ShouldHaveLength, 1)
+		So(l.mixes["s"], ShouldNotBeNil)
+		So(l.buckets, ShouldHaveLength, 1)
+		So(l.buckets[bucketKey{service: "s", bucket: 1}], ShouldNotBeNil)
+	})
+}
+
 // Guards against a change for services whose routes have one priority.
 func TestOneRankIsAdmittedAsWithoutRanks(t *testing.T) {
 	Convey("Decisions and delays are those of the fraction alone", t, func() {
--- a/core/request/spread/priority.go
+++ b/core/request/spread/priority.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -70,6 +71,11 @@
 	return p
 }
 
+// PruneServices removes what is known of the ranks of services that no longer exist.
+func (b *Balancer) PruneServices(exists func(service string) bool) {
+	maps.DeleteFunc(b.priorities, func(service string, _ *priorities) bool { return !exists(service) })
+}
+
 // observe records how long a request's route may wait in its rank. It expires the waits of the other
 // ranks as well: a rank without requests would otherwise bound the less urgent ones for ever.
 func (p *priorities) observe(now time.Time, req Requirements, wait time.Duration) {
--- a/io/process/router/apply.go
+++ b/io/process/router/apply.go
@@ -96,6 +96,7 @@
 		c.r.current.Store(s.withConfig(next.WithIndex()))
 		c.updateShares()
 		c.r.pruneWorkspaces()
+		c.r.pruneServices()
 		c.r.metrics.setGauge("config.version", next.Version)
 		c.r.log.Info("config: in force", "version", next.Version, "revision", it.Revision, "routes", len(next.Routes))
 	}
--- a/io/process/router/priority.go
+++ b/io/process/router/priority.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"net/http"
 
 	"catkinstep/core/process/burn"
@@ -61,3 +62,17 @@
 	defer r.mu.Unlock()
 	r.recordPriorityOutcome(req, serviceOutcome(req, reply))
 }
+
+// pruneServices removes the state by rank of services that a new configuration no longer has.
+func (r *Router) pruneServices() {
+	cfg := r.current.Load().config
+	exists := func(name string) bool {
+		_, ok := cfg.Service(name)
+		return ok
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.PruneServices(exists)
+	r.admission.PruneServices(exists)
+	maps.DeleteFunc(r.promoters, func(name string, _ *class.Promoter) bool { return !exists(name) })
+}
--- a/io/process/router/priority_test.go
+++ b/io/process/router/priority_test.go
@@ -10,7 +10,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"catkinstep/core/request/class"
+	"catkinstep/core/request/spread"
 	"catkinstep/core/version/config"
+	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/object"
 	"catkinstep/core/version/space"
 	"catkinstep/io/connection/caller"
@@ -129,6 +131,29 @@
 	})
 }
 
+// Guards against maps that grow with each service that a configuration ever had.
+func TestServicesArePruned(t *testing.T) {
+	Convey("The state of a service that leaves the configuration is removed", t, func() {
+		r, now := newRankedRouter(), time.Now()
+		budget := func(service string, rank int) time.Duration {
+			return r.balancer.LatencyBudget(spread.Requirements{Service: config.Service{Name: service}, Rank: rank, LatencyTarget: 2 * time.Second})
+		}
+		unbounded := budget("s", 1)
+		for _, service := range []string{"s", "o"} {
+			r.promoters[service] = &class.Promoter{}
+			r.balancer.Evaluate(now, spread.Requirements{Service: config.Service{Name: service}, LatencyTarget: time.Second}, fleet.Server{ID: service})
+			So(budget(service, 1), ShouldBeLessThan, unbounded)
+		}
+		c := rankedConfig(2)
+		c.Services, c.Routes = c.Services[:1], c.Routes[:3]
+		r.configure(c)
+		So(r.promoters, ShouldHaveLength, 1)
+		So(r.promoters["s"], ShouldNotBeNil)
+		So(budget("s", 1), ShouldBeLessThan, unbounded)
+		So(budget("o", 1), ShouldEqual, unbounded)
+	})
+}
+
 // Guards against refusals that do not show which requests are refused.
 func TestRefusedByRank(t *testing.T) {
 	Convey("Refusals are counted by rank", t, func() {
