Metrics of refusals by rank have names of one form

Cause: priority.refused.0 and limits.refused.rank0 count by the same ranks.

Ruled out: the plain form for both; a bare number does not say what it is.

Nothing in the repository reads the old name.

Measured: TestRefusedByRank.

--- a/io/process/router/priority.go
+++ b/io/process/router/priority.go
@@ -11,7 +11,7 @@
 
 // Counters of requests by their rank (see package class).
 const (
-	refusedByRank    = "priority.refused."
+	refusedByRank    = "priority.refused.rank"
 	promotedRequests = "priority.promoted"
 )
 
