spread: wait and jitter are computed in one place each

Ruled out: splitting End by outcome; its switch is short without the reports and declines.

Change: both are used from one place; recordReport and recordDecline are split off. The doc comment of fullWhenDeclined names the 421.

--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -142,7 +142,7 @@
 	// itself: in an overload it would take the slots of several others.
 	slots := float64(max(1, server.Slots))
 	secondsPerPlace := max(meanSeconds, typicalSeconds) * slowdown / slots
-	waitSeconds := max(0, (load+1-slots)/slots) * max(meanSeconds, typicalSeconds) * slowdown
+	waitSeconds := max(0, load+1-slots) * secondsPerPlace
 	expected := seconds(serviceSeconds + waitSeconds)
 	cost := (serviceSeconds + waitSeconds) * (1 + jitter*b.random.Float64()) / (1.001 - st.failureRate)
 	choice := Choice{Server: server, ExpectedLatency: expected, canServeNow: load < float64(server.Slots) && slowdown < maxLocalSlowdown}
--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -122,20 +122,7 @@
 		st.answeredAt, b.answeredAt = now, now
 	}
 	if report != nil {
-		st.reportedLoad = max(0, float64(report.Running+report.Waiting-st.inFlight-1))
-		st.reportedAt = now
-		b.groupLoad(serverGroup{service: server.Service, dataCentre: server.DataCentre}).add(now, st.reportedLoad)
-		if !declined {
-			st.loadReports++
-			if report.Waiting >= report.Slots {
-				st.longQueueReports++
-			}
-		}
-		if report.Slowdown > 0 {
-			st.slowdownFromReports.add(now, report.Slowdown)
-			st.slowdown = st.slowdownFromReports.longTerm
-			st.addSlowdown(report.Slowdown)
-		}
+		b.recordReport(now, server, st, declined, *report)
 	}
 	switch outcome {
 	case Answered:
@@ -151,13 +138,7 @@
 	case Failed:
 		st.failureRate += outcomeWeight * (1 - st.failureRate)
 	case Declined, Misdirected:
-		if fullWhenDeclined(outcome, report) {
-			st.markFull(now, server.Slots)
-		}
-		if outcome == Declined && report != nil && !report.ShortQueue() {
-			b.prioritiesOf(req.Service.Name).queueBound.observe(now, report.Waiting)
-		}
-		st.failureRate += outcomeWeight / 3 * (1 - st.failureRate)
+		b.recordDecline(now, server, st, req, outcome, report)
 	case PermitDenied:
 		st.returnLimited(req)
 		st.markFull(now, 2*server.Slots)
@@ -171,8 +152,39 @@
 	}
 }
 
+// recordReport records the load and the slowdown that a server reported with a response.
+func (b *Balancer) recordReport(now time.Time, server fleet.Server, st *serverState, declined bool, report Report) {
+	st.reportedLoad = max(0, float64(report.Running+report.Waiting-st.inFlight-1))
+	st.reportedAt = now
+	b.groupLoad(serverGroup{service: server.Service, dataCentre: server.DataCentre}).add(now, st.reportedLoad)
+	if !declined {
+		st.loadReports++
+		if report.Waiting >= report.Slots {
+			st.longQueueReports++
+		}
+	}
+	if report.Slowdown > 0 {
+		st.slowdownFromReports.add(now, report.Slowdown)
+		st.slowdown = st.slowdownFromReports.longTerm
+		st.addSlowdown(report.Slowdown)
+	}
+}
+
+// recordDecline records that a server declined a request. A 421 is due to the request's key, so it does
+// not show how many requests may wait.
+func (b *Balancer) recordDecline(now time.Time, server fleet.Server, st *serverState, req Requirements, outcome Outcome, report *Report) {
+	if fullWhenDeclined(outcome, report) {
+		st.markFull(now, server.Slots)
+	}
+	if outcome == Declined && report != nil && !report.ShortQueue() {
+		b.prioritiesOf(req.Service.Name).queueBound.observe(now, report.Waiting)
+	}
+	st.failureRate += outcomeWeight / 3 * (1 - st.failureRate)
+}
+
 // fullWhenDeclined reports whether a server that declined a request counts as full. If its queue is
-// short it does not: limits would refuse requests that it can run.
+// short it does not: limits would refuse requests that it can run. A 421 counts as full only if all
+// slots are taken, as before.
 func fullWhenDeclined(outcome Outcome, report *Report) bool {
 	switch {
 	case report == nil:
@@ -186,7 +198,7 @@
 // ShortestRetryAfter returns the delay after which a caller should retry if its request was refused
 // for another reason than a queue. It is randomised so that callers do not return together.
 func (b *Balancer) ShortestRetryAfter() time.Duration {
-	return time.Duration(float64(minRetryAfter) * (0.7 + 0.6*b.random.Float64()))
+	return b.jittered(minRetryAfter)
 }
 
 // markFull records that a request was not run because the server was full, so that its load is
