--- a/core/request/spread/priority.go
+++ b/core/request/spread/priority.go
@@ -25,8 +25,8 @@
 	queueBound queueBound
 }
 
-// rankWaits holds how long the requests of one rank may wait for a slot, by route. Routes of one rank may
-// have different targets; the shortest wait bounds the waits of less urgent ranks.
+// rankWaits holds how long the requests of one rank may wait for a slot, by route. Routes of one rank
+// may have different targets; the shortest wait bounds the waits of less urgent ranks.
 type rankWaits struct {
 	routes map[string]routeWait
 	// oldestAt is when the route that was not requested for longest was last requested.
@@ -92,7 +92,8 @@
 	}
 }
 
-// update removes routes that were not requested for long, and determines the shortest wait of the others.
+// update removes routes that were not requested for long, and determines the shortest wait of the
+// others.
 func (r *rankWaits) update(now time.Time) {
 	r.shortest, r.oldestAt = 0, now
 	for route, w := range r.routes {
@@ -159,9 +160,9 @@
 	return p.maxWait(req.EffectiveRank())
 }
 
-// queuePlaces returns how many requests may wait at a server after this one has joined the queue. Servers
-// whose queue is shorter than the latency budget would otherwise decline requests of all ranks
-// alike. Rank 0 has no bound: where many daemons share the servers, estimates of the queue are so
+// queuePlaces returns how many requests may wait at a server after this one has joined the queue.
+// Servers whose queue is shorter than the latency budget would otherwise decline requests of all
+// ranks alike. Rank 0 has no bound: where many daemons share the servers, estimates of the queue are so
 // rough that its requests would be refused although there is room for them.
 func (b *Balancer) queuePlaces(now time.Time, req Requirements) float64 {
 	rank := req.EffectiveRank()
--- a/core/request/spread/requirements.go
+++ b/core/request/spread/requirements.go
@@ -21,8 +21,8 @@
 	// Rank is the rank of the priority among the routes of the service; 0 is the most urgent (see
 	// package class).
 	Rank int
-	// Promoted is set if the request is treated as one of rank 0, since it is among the
-	// class.MinShare of its rank that must not be starved by more urgent requests.
+	// Promoted is set if the request is treated as one of rank 0, so that its rank is not starved (see
+	// class.Promoter).
 	Promoted bool
 	// BodyBytes is the size of the request's body.
 	BodyBytes int
--- a/io/process/router/carried.go
+++ b/io/process/router/carried.go
@@ -35,8 +35,8 @@
 }
 
 // handleCarry serves a request for another daemon. It counts neither for the demand nor the retry
-// budget of its service: the other daemon has counted it. Its outcome counts for the priorities here. Its tokens of an allowance are taken here, where
-// it is sent to a server.
+// budget of its service: the other daemon has counted it. Its outcome counts for the priorities here.
+// Its tokens of an allowance are taken here, where it is sent to a server.
 func (r *Router) handleCarry(ctx context.Context, m *wire.Carry) *wire.Reply {
 	r.carriedRunning.Add(1)
 	defer r.carriedRunning.Add(-1)
--- a/io/process/router/limits.go
+++ b/io/process/router/limits.go
@@ -96,7 +96,8 @@
 	return retryAfter, req.admitted
 }
 
-// admitRequest returns what the limits depend on. r.mu must be held.
+// admitRequest returns what the limits depend on: the rank without promotion, since class.Fractions
+// gives each rank its minimum. r.mu must be held.
 func (r *Router) admitRequest(req *request) admit.Request {
 	return admit.Request{Service: req.service.Name, Bucket: keeper.Bucket(req.key), Rank: req.requirements.Rank, Deferred: req.requirements.Deferred,
 		ServiceTime: r.balancer.TypicalServiceTime(req.requirements)}
--- a/io/process/router/permit.go
+++ b/io/process/router/permit.go
@@ -39,8 +39,8 @@
 // since their queues are too long.
 const reasonServerContended spread.Reason = "serverContended"
 
-// permits is the state of a daemon that issues permits and requests them from other daemons. Router.mu guards all
-// fields but issuers.
+// permits is the state of a daemon that issues permits and requests them from other daemons.
+// Router.mu guards all fields but issuers.
 type permits struct {
 	issuer *permit.Issuer
 	// contended is the leader's list of holders that require a permit, by server ID. It is
