The model of spread counts only replies in time for the promoted share

Cause: the router counts late replies as not served since "Only replies in time count as served for the promoted share"; the model still counted them as served.

Ruled out: keeping both; the figures of priorities.md come from the model.

Change: the model records what the router does. No bound is changed.

--- a/core/request/spread/simulation_test.go
+++ b/core/request/spread/simulation_test.go
@@ -315,7 +315,7 @@
 		} else {
 			sim.late++
 		}
-		sim.recordOutcome(j.from, j.req, true)
+		sim.recordOutcome(j.from, j.req, inTime)
 		sim.finish(j.from, false, inTime)
 		if len(b.queue) > 0 {
 			next := b.queue[0]
