--- a/core/request/spread/priority_test.go
+++ b/core/request/spread/priority_test.go
@@ -92,6 +92,23 @@
 	})
 }
 
+// Guards against a rank whose requests have ended, and whose last wait still bounds the less urgent ranks.
+func TestRankWithoutRequests(t *testing.T) {
+	now := t0.Add(31 * time.Second)
+	Convey("A rank without requests for long bounds no other", t, func() {
+		b := newRankedBalancer()
+		later := now.Add(routeWaitRetention + time.Second)
+		for _, rank := range []int{1, 2} {
+			b.Evaluate(later, rankedRequirements(later, rank), servers(1)[0])
+		}
+		So(b.LatencyBudget(rankedRequirements(later, 1)), ShouldEqual, 850*time.Millisecond)
+		So(b.wait(rankedRequirements(later, 2)).Seconds(), ShouldAlmostEqual, class.WaitShare*0.8, 0.001)
+		promoted := rankedRequirements(later, 2)
+		promoted.Promoted = true
+		So(b.LatencyBudget(promoted), ShouldEqual, 1500*time.Millisecond)
+	})
+}
+
 // decline records that a full server declined a request of rank 0.
 func decline(b *Balancer, now time.Time, waiting int) {
 	server, req := servers(1)[0], rankedRequirements(now, 0)
@@ -128,6 +145,13 @@
 		decline(b, now, 3)
 		So(math.IsInf(b.queuePlaces(now, rankedRequirements(now, 2)), 1), ShouldBeTrue)
 	})
+	Convey("Neither is one of a request for a key that the server does not hold", t, func() {
+		b := newRankedBalancer()
+		server, req := servers(1)[0], rankedRequirements(now, 0)
+		b.Begin(now, server, req)
+		b.End(now, server, req, now, Misdirected, &Report{Running: 4, Waiting: 12, Slots: 4, Slowdown: 1})
+		So(math.IsInf(b.queuePlaces(now, rankedRequirements(now, 2)), 1), ShouldBeTrue)
+	})
 	Convey("The fewest places count, and the bound rises while no server declines", t, func() {
 		b := newRankedBalancer()
 		decline(b, now, 12)
@@ -188,6 +212,15 @@
 		So(retryAfter(b, 1).Seconds(), ShouldAlmostEqual, (20-7.2)*0.05/4, 0.01)
 		So(retryAfter(b, 2).Seconds(), ShouldAlmostEqual, (20-4.32)*0.05/4, 0.01)
 	})
+	Convey("Without a bound for the queue, or with one learnt long ago, only the wait counts", t, func() {
+		b := newRankedBalancer()
+		server, req := servers(1)[0], rankedRequirements(now, 1)
+		So(b.excessWait(now, req, server, 0, 0, 0.0125), ShouldEqual, 0)
+		queueOf(b, now, 69)
+		So(retryAfter(b, 1).Seconds(), ShouldAlmostEqual, 0.875-0.426, 0.02)
+		decline(b, now.Add(-1000*queueBoundDoubling), 12)
+		So(b.excessWait(now, req, server, 0, 0, 0.0125), ShouldEqual, 0)
+	})
 	Convey("It is the time in which the wait falls to that of the rank, and never before a more urgent one", t, func() {
 		b := newRankedBalancer()
 		queueOf(b, now, 69) // a wait of 0.875 s
--- a/io/process/router/priority.go
+++ b/io/process/router/priority.go
@@ -1,26 +1,35 @@
 package router
 
-import "catkinstep/core/request/class"
+import (
+	"maps"
+	"net/http"
+
+	"catkinstep/core/process/burn"
+	"catkinstep/core/request/class"
+	"catkinstep/io/connection/caller"
+)
 
 // Counters of requests by their rank (see package class).
 const (
-	refusedByRank    = "priority.refused."
+	refusedByRank    = "priority.refused.rank"
 	promotedRequests = "priority.promoted"
 )
 
-// setPriority sets the priority and the rank of a request by its workspace or route.
-func (req *request) setPriority(snap *snapshot) {
+// setPriority sets the priority and the rank of a request by its workspace or route. Both may change
+// while the request waits, with its workspace.
+func (r *Router) setPriority(snap *snapshot, req *request) {
 	req.requirements.Priority = req.priority()
 	req.requirements.Rank = snap.ranks.Rank(req.service.Name, req.priority())
+	if req.requirements.Rank > 0 && !req.promotionDrawn {
+		r.drawPromotion(req)
+	}
 }
 
 // drawPromotion decides whether a request is treated as one of rank 0. It is called once for each
 // request, so that attempts do not raise the chance. The draw is random, since a caller could choose an
 // ID that is always promoted, and requests for the same content would be promoted together.
 func (r *Router) drawPromotion(req *request) {
-	if req.requirements.Rank == 0 {
-		return
-	}
+	req.promotionDrawn = true
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	promoter := r.promoters[req.service.Name]
@@ -35,10 +44,35 @@
 	r.metrics.increment(promotedRequests)
 }
 
-// recordPriorityOutcome counts whether a request was served, if its service has requests of several
-// ranks. r.mu must be held.
-func (r *Router) recordPriorityOutcome(req *request, served bool) {
-	if promoter := r.promoters[req.service.Name]; promoter != nil {
-		promoter.Record(r.now(), req.requirements.EffectiveRank(), served)
+// recordPriorityOutcome counts whether a request was served in time, if its service has requests of
+// several ranks. A request that was sent to another daemon counts there, since that daemon draws its
+// promotion and chooses its server. r.mu must be held.
+func (r *Router) recordPriorityOutcome(req *request, outcome burn.Outcome) {
+	if promoter := r.promoters[req.service.Name]; promoter != nil && !req.sentToPeer {
+		promoter.Record(r.now(), req.requirements.EffectiveRank(), outcome == burn.Good)
+	}
+}
+
+// recordCarriedPriority counts the outcome of a request that was served for another daemon.
+func (r *Router) recordCarriedPriority(req *request, reply caller.Reply) {
+	if reply.Status == http.StatusTooManyRequests { // beyond its allowance, whatever its rank
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recordPriorityOutcome(req, serviceOutcome(req, reply))
+}
+
+// pruneServices removes the state by rank of services that a new configuration no longer has.
+func (r *Router) pruneServices() {
+	cfg := r.current.Load().config
+	exists := func(name string) bool {
+		_, ok := cfg.Service(name)
+		return ok
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.PruneServices(exists)
+	r.admission.PruneServices(exists)
+	maps.DeleteFunc(r.promoters, func(name string, _ *class.Promoter) bool { return !exists(name) })
 }
