Results of an earlier term's calls do not change a range

Cause: results of grants and releases were matched by service, range and holder only. A daemon that loses the lead and regains it within seconds has a new keeper, which took the results of its old term's calls for its own: a release that was done set the range free although the leader in between may have granted it to the holder again, and a grant that was done shortened the time for which the range counts as held. Both cleared the mark of the new term's call. Ruled out: dropping such results in the router (it does not know the term of a call, only its fence), and a further field in the commands (the fence names the epoch). Whether the server answered is still recorded: that does not depend on the term. An ended instance is not; the new term's own call finds it. Change: both handlers return early unless the fence is of the keeper's epoch. TestMoveDurationIsLearned made up a result whose call had fence 0, which no keeper sends, and failed; it now answers the release that the keeper made. Its assertions are unchanged, one is added.

--- a/core/process/keeper/limits_test.go
+++ b/core/process/keeper/limits_test.go
@@ -112,7 +112,14 @@
 		h.keeper.startMove(h.keeper.services[0], rs, holderOf(testServer("b", false)), "balance")
 		h.advance(200*time.Millisecond, alwaysResult(grant.Done), alwaysResult(grant.OutcomeUnknown)) // a request still runs there
 		h.now = h.now.Add(3 * time.Second)
-		h.update(ReleaseResultMsg{Cmd: ReleaseCmd{Service: testService, Holder: rs.Holder, Call: grant.Call{From: rs.From, To: rs.To}}, Result: grant.Done, Handover: "handover"})
+		var release ReleaseCmd
+		for _, c := range h.cmds {
+			if r, ok := c.(ReleaseCmd); ok {
+				release = r
+			}
+		}
+		So(release.Holder, ShouldResemble, rs.Holder)
+		h.update(ReleaseResultMsg{Cmd: release, Result: grant.Done, Handover: "handover"})
 		h.advance(time.Second, alwaysResult(grant.Done), alwaysResult(grant.Done))
 		So(rs.Holder.Server, ShouldEqual, "b")
 		So(h.keeper.services[0].moveDuration, ShouldBeGreaterThan, before+200*time.Millisecond)
--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -170,7 +170,7 @@
 func (k *Keeper) handleGrantResult(now time.Time, m GrantResultMsg) {
 	k.recordCallResult(now, m.Cmd.Holder, m.Result, m.Cmd.Renewal)
 	rs := k.findRange(m.Cmd.Service, m.Cmd.From, m.Cmd.To)
-	if rs == nil || rs.Holder != m.Cmd.Holder {
+	if rs == nil || rs.Holder != m.Cmd.Holder || !k.isOwnFence(m.Cmd.Fence) {
 		return
 	}
 	rs.callInFlight = false
@@ -200,6 +200,11 @@
 	rs.fenceConfirmed = m.Result == grant.Done
 }
 
+// isOwnFence reports whether a call was made in this leader's term. A daemon that loses the lead and
+// regains it may still get results of its earlier term's calls. The leader in between may have granted
+// the range again, so they say nothing about it.
+func (k *Keeper) isOwnFence(fence uint64) bool { return EpochOf(fence) == k.epoch }
+
 func (k *Keeper) confirmGrant(now time.Time, rs *rangeState, m GrantResultMsg) {
 	// From now on the server refuses grants with a lower fence, both this leader's unanswered
 	// ones and the previous leader's. They no longer count, so the expiry may become earlier.
@@ -240,7 +245,7 @@
 		k.recordCallResult(now, m.Cmd.Holder, m.Result, false)
 	}
 	rs := k.findRange(m.Cmd.Service, m.Cmd.From, m.Cmd.To)
-	if rs == nil || rs.Holder != m.Cmd.Holder || rs.step != releasing {
+	if rs == nil || rs.Holder != m.Cmd.Holder || rs.step != releasing || !k.isOwnFence(m.Cmd.Fence) {
 		return
 	}
 	rs.callInFlight = false
