A delayed watch of the stored table does not confirm the epoch

Cause: each watch of the stored table confirmed the leader's epoch as of its start, also one whose revision is below what this daemon had learned by gossip meanwhile. Cache.Merge takes such a delta as no proof that the cache is current; the leader's lease was less strict. Ruled out: comparing with the cache after the merge, whose revision depends on the delta itself. Change: the delta's Through must not be below that of the cache before the merge. The addresses of the witnesses go to gossipTo in one call. Measured: TestOnlyTheStoreConfirmsTheEpoch fails without the change (confirmed as of second 3) and passes with it; the router's tests pass.

--- a/io/process/router/apply.go
+++ b/io/process/router/apply.go
@@ -23,10 +23,10 @@
 	if cache == nil {
 		return
 	}
-	hadList := !cache.CurrentAt().IsZero()
+	hadList, knownThrough := !cache.CurrentAt().IsZero(), cache.Through()
 	changed := c.merge(now, cache, m.delta)
 	defer c.recordLoaded(now, m.delta.Kind)
-	if m.fromStore && m.delta.Kind == object.Tables {
+	if m.fromStore && m.delta.Kind == object.Tables && m.delta.Through >= knownThrough {
 		defer c.confirmEpoch(now, m.delta.CurrentAt) // after the changes, which may name a newer epoch
 	}
 	if len(changed) == 0 {
--- a/io/process/router/witness.go
+++ b/io/process/router/witness.go
@@ -93,11 +93,13 @@
 	for _, e := range c.leadership.earlier {
 		witnesses = append(witnesses, e.Missing()...)
 	}
+	var addresses []string
 	for _, w := range witnesses {
 		if address := c.members.AddressOf(w.Name); address != "" {
-			c.gossipTo(now, []string{address}, false)
+			addresses = append(addresses, address)
 		}
 	}
+	c.gossipTo(now, addresses, false)
 	c.reportWitnesses(now)
 }
 
--- a/io/process/router/witness_test.go
+++ b/io/process/router/witness_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -169,19 +170,33 @@
 	})
 }
 
+// storedDelta returns the stored table of epoch 5 as a daemon learns of it.
+func storedDelta(r *Router, revision uint64, currentAt time.Time) object.Delta {
+	table := grant.Table{Epoch: 5, Seq: 2, Leader: grant.Leader{Daemon: "d", Incarnation: r.self.Incarnation}, Witnesses: namedWitnesses("a b")}
+	value, err := table.Marshal()
+	So(err, ShouldBeNil)
+	return object.Delta{Kind: object.Tables, Items: []object.Item{{Name: tableName, Revision: revision, Value: value}}, Through: revision, CurrentAt: currentAt}
+}
+
 // Guards against a daemon whose news of the stored table by gossip counts as a confirmation by the
 // store: its age lacks the time that the message took.
 func TestOnlyTheStoreConfirmsTheEpoch(t *testing.T) {
 	Convey("A watch of the stored table confirms the epoch as of its start", t, func() {
 		r := newTestRouter()
 		leadWith(r, grant.Table{}, namedWitnesses("a b"))
-		table := grant.Table{Epoch: 5, Seq: 2, Leader: grant.Leader{Daemon: "d", Incarnation: r.self.Incarnation}, Witnesses: namedWitnesses("a b")}
-		value, err := table.Marshal()
-		So(err, ShouldBeNil)
-		delta := object.Delta{Kind: object.Tables, Items: []object.Item{{Name: tableName, Revision: 9, Value: value}}, Through: 9, CurrentAt: atSecond(3)}
+		delta := storedDelta(r, 9, atSecond(3))
 		r.control.update(atSecond(4), deltaMsg{delta: delta})
 		So(r.control.keeper.StoreConfirmedAt(), ShouldEqual, atSecond(0))
 		r.control.update(atSecond(4), deltaMsg{delta: delta, fromStore: true})
 		So(r.control.keeper.StoreConfirmedAt(), ShouldEqual, atSecond(3))
 	})
+	Convey("A watch that began before newer changes arrived by gossip does not", t, func() {
+		r := newTestRouter()
+		leadWith(r, grant.Table{}, namedWitnesses("a b"))
+		r.control.update(atSecond(2), deltaMsg{delta: storedDelta(r, 10, atSecond(1))})
+		r.control.update(atSecond(4), deltaMsg{delta: object.Delta{Kind: object.Tables, Through: 9, CurrentAt: atSecond(3)}, fromStore: true})
+		So(r.control.keeper.StoreConfirmedAt(), ShouldEqual, atSecond(0))
+		r.control.update(atSecond(5), deltaMsg{delta: object.Delta{Kind: object.Tables, Through: 10, CurrentAt: atSecond(4)}, fromStore: true})
+		So(r.control.keeper.StoreConfirmedAt(), ShouldEqual, atSecond(4))
+	})
 }
