A reply to an indirect release that cannot be decoded counts as unknown

Cause: mesh.Remote stands both for an error that the other daemon returned and for a reply that cannot be decoded. Releases counted both as "not sent", although in the second case the release may have been made. Ruled out: a kind of error of its own for replies that cannot be decoded: the keeper goes on in the same way after "not sent" and "unknown", so the weaker claim costs nothing. Change: only errors which prove that no call was sent count as "not sent". The test's expectation for mesh.Remote was wrong and is now stricter: it no longer allows the claim that nothing was sent.

--- a/io/process/router/indirect.go
+++ b/io/process/router/indirect.go
@@ -55,10 +55,12 @@
 	reply, err := r.call(ctx, peer, &wire.Call{Kind: &wire.Call_Release{Release: &wire.Release{
 		Server: cmd.Holder.Server, StartMillis: cmd.Holder.StartMillis, Address: cmd.Address, From: uint32(cmd.From), To: uint32(cmd.To), Fence: cmd.Fence, LeftMillis: millisOf(left)}}})
 	switch {
-	case mesh.IsKind(err, mesh.ConnectionRefused), mesh.IsKind(err, mesh.NotSent), mesh.IsKind(err, mesh.Remote):
+	case mesh.IsKind(err, mesh.ConnectionRefused), mesh.IsKind(err, mesh.NotSent):
 		return grant.NotSent, ""
 	case err != nil:
-		return grant.OutcomeUnknown, "" // the daemon may have called the server, or may do so yet
+		// The daemon may have called the server, or may do so yet. mesh.Remote is one of these errors: it
+		// also stands for a reply that cannot be decoded.
+		return grant.OutcomeUnknown, ""
 	}
 	result := resultFromWire(reply.GetRelease().GetResult())
 	if result == grant.Done {
--- a/io/process/router/indirect_test.go
+++ b/io/process/router/indirect_test.go
@@ -162,9 +162,9 @@
 			So(releaseResult(leader).Result, ShouldEqual, grant.OutcomeUnknown)
 		}
 	})
-	Convey("A daemon that does not know the call answers an error, and the release counts as not sent", t, func() {
+	Convey("Only errors which prove that no call was sent count as not sent; an unknown call is answered by an error", t, func() {
 		So(newReleaseRouter("b", refusingDialer{}, clockAtT0).handleMeshCall(context.Background(), &wire.Call{}).Error, ShouldNotBeEmpty)
-		for kind, want := range map[mesh.Kind]grant.Result{mesh.Remote: grant.NotSent, mesh.ConnectionRefused: grant.NotSent, mesh.NotSent: grant.NotSent, mesh.OutcomeUnknown: grant.OutcomeUnknown} {
+		for kind, want := range map[mesh.Kind]grant.Result{mesh.Remote: grant.OutcomeUnknown, mesh.ConnectionRefused: grant.NotSent, mesh.NotSent: grant.NotSent, mesh.OutcomeUnknown: grant.OutcomeUnknown} {
 			leader := newReleaseRouter("l", refusingDialer{}, clockAtT0)
 			leader.mesh = &releaseMesh{err: &mesh.Error{Op: "call", Kind: kind, Err: errors.New("no")}}
 			leader.sendRelease(releaseCmd(), "b:1")
