A handover that is no UTF-8 crosses the mesh

Cause: the handover of an indirect release was a proto3 string. It comes from an HTTP header, which may hold bytes that are no UTF-8, and proto3 fails to marshal those: the reply was lost after the release had been made, at each try. Ruled out: replacing the invalid bytes, since the next holder needs the state as it was. Change: ReleaseReply.handover is bytes. The wire format of valid strings is the same, so older daemons read it. Measured: the new part of TestIndirectRelease fails without the change ("string field contains invalid UTF-8") and passes with it; the tests of router and wire pass.

--- a/io/process/router/indirect.go
+++ b/io/process/router/indirect.go
@@ -67,7 +67,7 @@
 		r.log.Info("keys: released through another daemon", "service", cmd.Service, "from", cmd.From, "to", cmd.To, "holder", cmd.Holder.Server,
 			"born", cmd.Holder.StartMillis, "through", peer, "try", cmd.Indirect, "fence", cmd.Fence)
 	}
-	return result, reply.GetRelease().GetHandover()
+	return result, string(reply.GetRelease().GetHandover())
 }
 
 // maxReleasesForOthers is how many releases are made for leaders at a time. Each takes a connection, and
@@ -95,7 +95,7 @@
 }
 
 func releaseReply(result grant.Result, handover string) *wire.Reply {
-	return &wire.Reply{Release: &wire.ReleaseReply{Result: resultToWire(result), Handover: handover}}
+	return &wire.Reply{Release: &wire.ReleaseReply{Result: resultToWire(result), Handover: []byte(handover)}}
 }
 
 func resultToWire(result grant.Result) wire.ReleaseResult {
--- a/io/process/router/indirect_test.go
+++ b/io/process/router/indirect_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
 
 	"catkinstep/core/connection/wire"
 	"catkinstep/core/process/keeper"
@@ -63,7 +64,7 @@
 		r := newReleaseRouter("b", s, clockAtT0)
 		reply := release(r, releaseMessage(500))
 		So(reply.Result, ShouldEqual, wire.ReleaseResult_RELEASE_RESULT_DONE)
-		So(reply.Handover, ShouldEqual, "hi")
+		So(string(reply.Handover), ShouldEqual, "hi")
 		So(s.runs, ShouldResemble, []string{fmt.Sprintf("POST /release/10-20/%d", testFence)})
 		So(r.metrics.value("releases.forOthers"), ShouldEqual, 1)
 		s.status = http.StatusConflict
@@ -149,6 +150,17 @@
 		So(leader.metrics.value("releases.indirect.done"), ShouldEqual, 1)
 		So(leader.metrics.value("releases.done"), ShouldEqual, 0)
 	})
+	Convey("A handover that is no UTF-8 arrives as it was", t, func() {
+		handover := "caf\xe9 \xff\x80"
+		data, err := proto.Marshal(releaseReply(grant.Done, handover))
+		So(err, ShouldBeNil)
+		reply := &wire.Reply{}
+		So(proto.Unmarshal(data, reply), ShouldBeNil)
+		leader := newReleaseRouter("l", refusingDialer{}, clockAtT0)
+		leader.mesh = &releaseMesh{reply: reply}
+		leader.sendRelease(releaseCmd(), "b:1")
+		So(releaseResult(leader).Handover, ShouldEqual, handover)
+	})
 	Convey("Every result arrives as it was", t, func() {
 		for _, want := range []grant.Result{grant.Done, grant.Fenced, grant.Ended, grant.NotSent, grant.OutcomeUnknown} {
 			So(resultFromWire(resultToWire(want)), ShouldEqual, want)
