A release without a daemon to go through counts as direct

Cause: if no other daemon is known to be reachable, the leader makes an indirect release itself, but its result still counted as indirect. The keeper then did not record that the server had not answered the leader, and could give it more keys. Ruled out: skipping the try until another daemon is known; the range would stay closed for longer. Change: the command that is executed, and comes back with the result, has Indirect 0 if there is no such daemon. releasePeer became routeRelease, which returns the command too. Measured: TestReleaseWithoutPeerIsDirect fails without the change (Indirect 1) and passes with it; the router's tests pass.

--- a/io/process/router/indirect.go
+++ b/io/process/router/indirect.go
@@ -15,13 +15,17 @@
 	return c.r.settings.IndirectReleases && c.members.Count() > 1
 }
 
-// releasePeer returns the address of the daemon through which a release goes, or "" if this daemon makes
-// it itself, as it also does while no other is known to be reachable.
-func (c *control) releasePeer(now time.Time, cmd keeper.ReleaseCmd) string {
-	if cmd.Indirect == 0 {
-		return ""
+// routeRelease returns the address of the daemon through which a release goes, or "" if this daemon makes
+// it itself, as it also does while no other is known to be reachable. The returned command is then a direct
+// one, so that its result counts for whether the server answers this daemon.
+func (c *control) routeRelease(now time.Time, cmd keeper.ReleaseCmd) (routed keeper.ReleaseCmd, peer string) {
+	if cmd.Indirect > 0 {
+		peer = c.members.ReleasePeer(now, c.serverList.dataCentreOf(cmd.Holder.Server), cmd.Holder.Server, cmd.Indirect)
 	}
-	return c.members.ReleasePeer(now, c.serverList.dataCentreOf(cmd.Holder.Server), cmd.Holder.Server, cmd.Indirect)
+	if peer == "" {
+		cmd.Indirect = 0
+	}
+	return cmd, peer
 }
 
 // sendRelease asks a server for a release, through the daemon at an address if that is not empty, unless
--- a/io/process/router/indirect_test.go
+++ b/io/process/router/indirect_test.go
@@ -208,14 +208,31 @@
 		r.updateServers(atSecond(2), 20, object.Item{Name: "a", Revision: 15, Removed: true})
 		r.control.members.AddDiscovered(member.Member{Name: "x1", Address: "x1:1", DataCentre: "x"})
 		r.control.members.AddDiscovered(member.Member{Name: "y1", Address: "y1:1", DataCentre: "y"})
+		peerOf := func(try int) string {
+			cmd, peer := r.control.routeRelease(atSecond(3), keeper.ReleaseCmd{Indirect: try, Holder: holder})
+			So(cmd.Indirect, ShouldEqual, try)
+			return peer
+		}
 		for try := 1; try <= 3; try++ {
-			So(r.control.releasePeer(atSecond(3), keeper.ReleaseCmd{Indirect: try, Holder: holder}), ShouldEqual, "x1:1")
+			So(peerOf(try), ShouldEqual, "x1:1")
 		}
-		So(r.control.releasePeer(atSecond(3), keeper.ReleaseCmd{Holder: holder}), ShouldEqual, "")
+		So(peerOf(0), ShouldEqual, "")
 		r.control.dropExpiredServers(atSecond(2).Add(formerRetention + time.Second))
 		So(r.control.serverList.former, ShouldBeEmpty)
-		So([]string{r.control.releasePeer(atSecond(3), keeper.ReleaseCmd{Indirect: 1, Holder: holder}), r.control.releasePeer(atSecond(3), keeper.ReleaseCmd{Indirect: 2, Holder: holder})},
-			ShouldContain, "y1:1")
+		So([]string{peerOf(1), peerOf(2)}, ShouldContain, "y1:1")
+	})
+}
+
+// Guards against a server that gets keys although it does not answer the leader: the result of the leader's
+// own call was taken for that of another daemon.
+func TestReleaseWithoutPeerIsDirect(t *testing.T) {
+	Convey("The leader calls the server itself, and the result is that of a direct release", t, func() {
+		r := newReleaseRouter("l", refusingDialer{}, clockAtT0)
+		r.control.execute(t0, releaseCmd())
+		result := releaseResult(r)
+		So(result.Cmd.Indirect, ShouldEqual, 0)
+		So(result.Result, ShouldEqual, grant.NotSent)
+		So(r.metrics.value("releases.notSent"), ShouldEqual, 1)
 	})
 }
 
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -148,7 +148,8 @@
 	case keeper.GrantCmd:
 		go c.r.sendGrant(cmd)
 	case keeper.ReleaseCmd:
-		go c.r.sendRelease(cmd, c.releasePeer(now, cmd))
+		routed, peer := c.routeRelease(now, cmd)
+		go c.r.sendRelease(routed, peer)
 	case keeper.SaveCmd:
 		go c.r.saveKeeperTable(cmd)
 	case keeper.ReadCmd:
