Wording: names and comments of exchanges, releases and the leader lease

Ruled out: a change of behaviour. Change: lease.MaxClockRatio is the only one. The fields of an exchange are fromKey and toKey, its servers holder and target; indirectTry was releaseWay, mayStartExchange was seekExchange.

--- a/core/process/keeper/balance.go
+++ b/core/process/keeper/balance.go
@@ -117,7 +117,7 @@
 	if firstKeys {
 		s.firstKeysRoundAt = now
 	}
-	seekExchange, models := true, map[string]queue.Server{} // the models stay the same for a round
+	mayStartExchange, models := true, map[string]queue.Server{} // the models stay the same for a round
 	for n := k.countMoving(s); n < maxMoves; n++ {
 		available := s.withoutExchange(k.withoutMovingServers(s, eligible))
 		if firstKeys && k.giveFirstKeys(s, available) {
@@ -130,11 +130,11 @@
 		est.queueModels = models
 		c := est.candidates(available)
 		best := k.bestPiece(s, est, c)
-		if seekExchange && k.startExchange(now, s, est, c, best.benefit) {
+		if mayStartExchange && k.startExchange(now, s, est, c, best.benefit) {
 			k.advanceExchange(now, s, eligible)
 			continue
 		}
-		seekExchange = false // once a round, which bounds its processor time
+		mayStartExchange = false // once a round, which bounds its processor time
 		if best.index < 0 {
 			return
 		}
--- a/core/process/keeper/exchange.go
+++ b/core/process/keeper/exchange.go
@@ -29,8 +29,8 @@
 	// instead: the rest then follows by single moves.
 	singleMoveShare = 0.5
 	// keepHotShare is the share of the benefit of moving a hot bucket to a slower server from which
-	// moves of other pieces are made instead. A bucket that has just become hot counts for half of
-	// its rate, with which the slower server seems to suffice.
+	// moves of other pieces are made instead. The count of a bucket that has just become hot is too
+	// low, so that the slower server seems to suffice.
 	keepHotShare = 0.75
 	// exchangeTimeout is when an exchange whose hot bucket has not moved is given up. Each of its
 	// moves takes less than a second unless a server does not respond.
@@ -47,7 +47,7 @@
 // there. It is evaluated again before each of its moves. It is not stored: a new leader
 // evaluates the table as it finds it.
 type exchange struct {
-	from, to       int // the keys of the hot bucket
+	fromKey, toKey int // the keys of the hot bucket
 	holder, target grant.Holder
 	startedAt      time.Time
 	roomMoves      int
@@ -68,30 +68,30 @@
 
 // startExchange starts the exchange with the largest benefit if no exchange is in progress and
 // the best single move gains too little in comparison.
-func (k *Keeper) startExchange(now time.Time, s *serviceState, est lossEstimate, c candidates, single float64) bool {
+func (k *Keeper) startExchange(now time.Time, s *serviceState, est lossEstimate, c candidates, bestSingleBenefit float64) bool {
 	if s.exchange != nil || now.Before(s.nextExchangeAt) {
 		return false
 	}
 	var best exchangeEstimate
-	var holder fleet.Server
-	for _, from := range c.sources {
-		if est.lostPerSecond(from, 0)*loadHorizon.Seconds() <= est.moveCost {
+	var bestHolder fleet.Server
+	for _, holder := range c.sources {
+		if est.lostPerSecond(holder, 0)*loadHorizon.Seconds() <= est.moveCost {
 			break
 		}
-		hot, ok := k.hottestBucket(s, from)
+		hot, ok := k.hottestBucket(s, holder)
 		if !ok {
 			continue
 		}
-		for _, to := range est.exchangeTargets(c.available, from, hot.load) {
-			if e := k.estimateExchange(est, c.targets, from, to, hot); e.benefit > best.benefit {
-				best, holder = e, from
+		for _, target := range est.exchangeTargets(c.available, holder, hot.load) {
+			if e := k.estimateExchange(est, c.targets, holder, target, hot); e.benefit > best.benefit {
+				best, bestHolder = e, holder
 			}
 		}
 	}
-	if best.benefit*singleMoveShare <= max(0, single) || len(best.room) == 0 {
+	if best.benefit*singleMoveShare <= max(0, bestSingleBenefit) || len(best.room) == 0 {
 		return false
 	}
-	s.exchange = &exchange{from: best.hot.from, to: best.hot.to, holder: holderOf(holder), target: holderOf(best.hot.target), startedAt: now}
+	s.exchange = &exchange{fromKey: best.hot.from, toKey: best.hot.to, holder: holderOf(bestHolder), target: holderOf(best.hot.target), startedAt: now}
 	return true
 }
 
@@ -117,8 +117,8 @@
 }
 
 // exchangeTargets returns the faster servers at which the hot bucket adds the fewest lost requests.
-func (est lossEstimate) exchangeTargets(available []fleet.Server, from fleet.Server, load float64) []fleet.Server {
-	least := minSpeedRatio * est.service.effectiveSlots(from)
+func (est lossEstimate) exchangeTargets(available []fleet.Server, holder fleet.Server, load float64) []fleet.Server {
+	least := minSpeedRatio * est.service.effectiveSlots(holder)
 	faster := slices.DeleteFunc(slices.Clone(available), func(srv fleet.Server) bool { return est.service.effectiveSlots(srv) < least })
 	out := lowestBy(faster, func(srv fleet.Server) float64 { return est.lostPerSecond(srv, load) - est.lostPerSecond(srv, 0) })
 	return out[:min(maxExchangeTargets, len(out))]
@@ -127,14 +127,14 @@
 // estimateExchange returns the benefit of moving a hot bucket, and after it up to maxRoomMoves
 // pieces of the target's ranges, each to the one of the other targets that loses least by it, or to
 // the hot bucket's holder, which has free slots by then.
-func (k *Keeper) estimateExchange(est lossEstimate, targets []fleet.Server, from, to fleet.Server, hot piece) exchangeEstimate {
-	after := est.copyFor(to)
-	saved := est.lostPerSecond(from, 0) + est.lostPerSecond(to, 0)
-	after.loads[holderOf(from)] -= hot.load
-	after.loads[holderOf(to)] += hot.load
-	saved -= after.lostPerSecond(from, 0) + after.lostPerSecond(to, 0)
-	hot.target, hot.benefit = to, est.service.benefit(saved, hot, est.moveCost)
-	room, benefit := k.makeRoom(after, append(slices.Clone(targets), from), to)
+func (k *Keeper) estimateExchange(est lossEstimate, targets []fleet.Server, holder, target fleet.Server, hot piece) exchangeEstimate {
+	after := est.copyFor(target)
+	saved := est.lostPerSecond(holder, 0) + est.lostPerSecond(target, 0)
+	after.loads[holderOf(holder)] -= hot.load
+	after.loads[holderOf(target)] += hot.load
+	saved -= after.lostPerSecond(holder, 0) + after.lostPerSecond(target, 0)
+	hot.target, hot.benefit = target, est.service.benefit(saved, hot, est.moveCost)
+	room, benefit := k.makeRoom(after, append(slices.Clone(targets), holder), target)
 	return exchangeEstimate{hot: hot, room: room, benefit: hot.benefit + benefit}
 }
 
@@ -220,8 +220,8 @@
 	if x == nil {
 		return
 	}
-	from, to, ok := x.servers(eligible)
-	hot, found := k.heldPiece(s, piece{from: x.from, to: x.to}, x.holder)
+	holder, target, ok := x.servers(eligible)
+	hot, found := k.heldPiece(s, piece{from: x.fromKey, to: x.toKey}, x.holder)
 	if !ok || !found {
 		s.exchange = nil
 		return
@@ -235,7 +235,7 @@
 		return
 	}
 	est := k.newLossEstimate(s)
-	e := k.estimateExchange(est, est.cheapestTargets(available), from, to, hot)
+	e := k.estimateExchange(est, est.cheapestTargets(available), holder, target, hot)
 	if e.benefit <= 0 {
 		s.exchange, s.nextExchangeAt = nil, now.Add(loadHorizon)
 		return
--- a/core/process/keeper/indirect.go
+++ b/core/process/keeper/indirect.go
@@ -9,9 +9,9 @@
 // EpochOf returns the epoch of the leader that issued a fence.
 func EpochOf(fence uint64) uint64 { return fence >> fenceShift }
 
-// releaseWay returns which try through another daemon the next release of a range is, from 1, or 0 if
-// the leader makes it itself.
-func (k *Keeper) releaseWay(rs *rangeState) int {
+// indirectTry returns the number of the next release's try through another daemon, from 1, or 0 if
+// the leader calls the holder itself.
+func (k *Keeper) indirectTry(rs *rangeState) int {
 	n := rs.unansweredReleases
 	if !k.indirectReleases || n%directEvery == 0 {
 		return 0
@@ -20,7 +20,7 @@
 }
 
 // countUnanswered counts a release that got no answer. The first try through another daemon follows at
-// once: callRetryDelay spares the way that has just failed.
+// once, since callRetryDelay only limits repeated calls from this daemon.
 func (k *Keeper) countUnanswered(rs *rangeState, m ReleaseResultMsg) (retryAtOnce bool) {
 	if m.Result != grant.NotSent && m.Result != grant.OutcomeUnknown {
 		return false
--- a/core/process/keeper/lease.go
+++ b/core/process/keeper/lease.go
@@ -58,9 +58,11 @@
 	if now.Sub(k.support.SupportedAt()) >= lease.SupportTTL/2 && now.Sub(k.storeConfirmedAt) >= storeCheckInterval {
 		k.storeState.readPending = true
 	}
-	// A term begins with a confirmation by the store, and without any support.
-	if isSupported := k.isSupported(now); k.unsupported == isSupported && now.Sub(k.startedAt) >= lease.StoreTTL {
-		k.unsupported = !isSupported
+	unsupported := !k.isSupported(now)
+	changed := unsupported != k.unsupported
+	// Nothing is logged at the start of a term, when no witness has replied yet.
+	if changed && now.Sub(k.startedAt) >= lease.StoreTTL {
+		k.unsupported = unsupported
 		text := "supported by a majority of witnesses again"
 		if k.unsupported {
 			text = "not supported by a majority of witnesses"
--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -132,7 +132,7 @@
 	}
 	if rs.step == releasing {
 		rs.callInFlight = true
-		k.cmds = append(k.cmds, ReleaseCmd{Indirect: k.releaseWay(rs), Service: s.service, Holder: rs.Holder, SendBefore: now.Add(sendWindow),
+		k.cmds = append(k.cmds, ReleaseCmd{Indirect: k.indirectTry(rs), Service: s.service, Holder: rs.Holder, SendBefore: now.Add(sendWindow),
 			Call: grant.Call{Address: rs.Holder.Address, From: rs.From, To: rs.To, Fence: k.nextFence()}})
 		return
 	}
--- a/core/process/keeper/options.go
+++ b/core/process/keeper/options.go
@@ -1,6 +1,10 @@
 package keeper
 
-import "time"
+import (
+	"time"
+
+	"catkinstep/core/process/lease"
+)
 
 const (
 	// DefaultGrantTTL is how long a grant lasts. While a server does not respond, its keys
@@ -11,7 +15,7 @@
 	// row may be lost before the grant expires.
 	renewalsPerTTL = 4
 	// maxClockRatio bounds how much longer a grant lasts on a server whose clock is slow.
-	maxClockRatio = 1.02
+	maxClockRatio = lease.MaxClockRatio
 	// expiryMargin covers a call that arrives just as its connection is closed.
 	expiryMargin = 200 * time.Millisecond
 	// defaultLeaderLease is how long a leader that cannot confirm its epoch goes on
--- a/core/process/keeper/refill.go
+++ b/core/process/keeper/refill.go
@@ -18,7 +18,8 @@
 	return limit
 }
 
-// countWithoutKeys returns how many servers have no keys and get none at present.
+// countWithoutKeys returns how many servers hold no keys and are no target of a move; a server with
+// keys has a positive load (idleKeyLoad).
 func (k *Keeper) countWithoutKeys(s *serviceState, eligible []fleet.Server) int {
 	loads, n := k.loads(s), 0
 	for _, srv := range eligible {
--- a/core/process/lease/ending.go
+++ b/core/process/lease/ending.go
@@ -7,9 +7,8 @@
 	"catkinstep/core/version/grant"
 )
 
-// maxClockRatio bounds how much longer a TTL lasts by the clock of a slow host. It equals that of
-// package keeper.
-const maxClockRatio = 1.02
+// MaxClockRatio bounds how much longer a TTL lasts by the clock of a slow host.
+const MaxClockRatio = 1.02
 
 // Ending is what a successor knows of the end of an earlier leader's term. It is not safe for
 // concurrent use.
@@ -20,7 +19,7 @@
 	counted  map[grant.Witness]bool
 	// supportEnd is when the last support by a majority has lapsed; zero while there may be one.
 	supportEnd time.Time
-	// stoppedAt is by when the leader is known to have stopped by its own word; zero if unknown.
+	// stoppedAt is when the leader was found to have ended or to know a newer epoch; zero if unknown.
 	stoppedAt time.Time
 }
 
@@ -98,7 +97,7 @@
 }
 
 // scale returns how long a TTL may last by the clock of a slow host.
-func scale(ttl time.Duration) time.Duration { return time.Duration(float64(ttl) * maxClockRatio) }
+func scale(ttl time.Duration) time.Duration { return time.Duration(float64(ttl) * MaxClockRatio) }
 
 // StoppedBy returns the time by which the leaders of all given terms have stopped, and whether it is
 // known.
--- a/core/process/lease/lease_test.go
+++ b/core/process/lease/lease_test.go
@@ -109,7 +109,7 @@
 			So(known, ShouldBeFalse)
 		}
 	})
-	Convey("A leader's own word ends its term at once, also after a later end was derived", t, func() {
+	Convey("Once the leader was found to have ended or to know a newer epoch, its term has ended, also after a later end was derived", t, func() {
 		e := NewEnding(at(0), term)
 		for _, w := range term.Witnesses[:3] {
 			e.Record(at(0.1), w, 5)
--- a/core/process/rate/rate.go
+++ b/core/process/rate/rate.go
@@ -15,10 +15,9 @@
 	// windows must differ from the average rate to override it.
 	significantDeviations = 2.0
 	// stepDeviations is by how many standard deviations the counts of the last two windows must
-	// differ from a bucket's average rate for the average to start again. Otherwise a bucket that
-	// becomes hot counts as the least that its counts make plausible for a dozen seconds: 55
-	// requests a second where there are 72, so that a server that handles 56 seems to suffice.
-	// Random variation of 2,000 buckets exceeds five deviations less than once in an hour.
+	// differ from a bucket's average rate for the average to start again. Otherwise the average
+	// of a bucket that becomes hot stays far below its rate for a dozen seconds, so that too slow a
+	// server seems to suffice. At five deviations, random variation of all buckets seldom exceeds it.
 	stepDeviations = 5.0
 )
 
