--- a/io/process/router/indirect.go
+++ b/io/process/router/indirect.go
@@ -15,13 +15,17 @@
 	return c.r.settings.IndirectReleases && c.members.Count() > 1
 }
 
-// releasePeer returns the address of the daemon through which a release goes, or "" if this daemon makes
-// it itself, as it also does while no other is known to be reachable.
-func (c *control) releasePeer(now time.Time, cmd keeper.ReleaseCmd) string {
-	if cmd.Indirect == 0 {
-		return ""
+// routeRelease returns the address of the daemon through which a release goes, or "" if this daemon makes
+// it itself, as it also does while no other is known to be reachable. The returned command is then a direct
+// one, so that its result counts for whether the server answers this daemon.
+func (c *control) routeRelease(now time.Time, cmd keeper.ReleaseCmd) (routed keeper.ReleaseCmd, peer string) {
+	if cmd.Indirect > 0 {
+		peer = c.members.ReleasePeer(now, c.serverList.dataCentreOf(cmd.Holder.Server), cmd.Holder.Server, cmd.Indirect)
 	}
-	return c.members.ReleasePeer(now, c.serverList.dataCentreOf(cmd.Holder.Server), cmd.Holder.Server, cmd.Indirect)
+	if peer == "" {
+		cmd.Indirect = 0
+	}
+	return cmd, peer
 }
 
 // sendRelease asks a server for a release, through the daemon at an address if that is not empty, unless
@@ -55,17 +59,19 @@
 	reply, err := r.call(ctx, peer, &wire.Call{Kind: &wire.Call_Release{Release: &wire.Release{
 		Server: cmd.Holder.Server, StartMillis: cmd.Holder.StartMillis, Address: cmd.Address, From: uint32(cmd.From), To: uint32(cmd.To), Fence: cmd.Fence, LeftMillis: millisOf(left)}}})
 	switch {
-	case mesh.IsKind(err, mesh.ConnectionRefused), mesh.IsKind(err, mesh.NotSent), mesh.IsKind(err, mesh.Remote):
+	case mesh.IsKind(err, mesh.ConnectionRefused), mesh.IsKind(err, mesh.NotSent):
 		return grant.NotSent, ""
 	case err != nil:
-		return grant.OutcomeUnknown, "" // the daemon may have called the server, or may do so yet
+		// The daemon may have called the server, or may do so yet. mesh.Remote is one of these errors: it
+		// also stands for a reply that cannot be decoded.
+		return grant.OutcomeUnknown, ""
 	}
 	result := resultFromWire(reply.GetRelease().GetResult())
 	if result == grant.Done {
 		r.log.Info("keys: released through another daemon", "service", cmd.Service, "from", cmd.From, "to", cmd.To, "holder", cmd.Holder.Server,
 			"born", cmd.Holder.StartMillis, "through", peer, "try", cmd.Indirect, "fence", cmd.Fence)
 	}
-	return result, reply.GetRelease().GetHandover()
+	return result, string(reply.GetRelease().GetHandover())
 }
 
 // maxReleasesForOthers is how many releases are made for leaders at a time. Each takes a connection, and
@@ -93,7 +99,7 @@
 }
 
 func releaseReply(result grant.Result, handover string) *wire.Reply {
-	return &wire.Reply{Release: &wire.ReleaseReply{Result: resultToWire(result), Handover: handover}}
+	return &wire.Reply{Release: &wire.ReleaseReply{Result: resultToWire(result), Handover: []byte(handover)}}
 }
 
 func resultToWire(result grant.Result) wire.ReleaseResult {
--- a/io/process/router/indirect_test.go
+++ b/io/process/router/indirect_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
 
 	"catkinstep/core/connection/wire"
 	"catkinstep/core/process/keeper"
@@ -63,7 +64,7 @@
 		r := newReleaseRouter("b", s, clockAtT0)
 		reply := release(r, releaseMessage(500))
 		So(reply.Result, ShouldEqual, wire.ReleaseResult_RELEASE_RESULT_DONE)
-		So(reply.Handover, ShouldEqual, "hi")
+		So(string(reply.Handover), ShouldEqual, "hi")
 		So(s.runs, ShouldResemble, []string{fmt.Sprintf("POST /release/10-20/%d", testFence)})
 		So(r.metrics.value("releases.forOthers"), ShouldEqual, 1)
 		s.status = http.StatusConflict
@@ -149,6 +150,17 @@
 		So(leader.metrics.value("releases.indirect.done"), ShouldEqual, 1)
 		So(leader.metrics.value("releases.done"), ShouldEqual, 0)
 	})
+	Convey("A handover that is no UTF-8 arrives as it was", t, func() {
+		handover := "caf\xe9 \xff\x80"
+		data, err := proto.Marshal(releaseReply(grant.Done, handover))
+		So(err, ShouldBeNil)
+		reply := &wire.Reply{}
+		So(proto.Unmarshal(data, reply), ShouldBeNil)
+		leader := newReleaseRouter("l", refusingDialer{}, clockAtT0)
+		leader.mesh = &releaseMesh{reply: reply}
+		leader.sendRelease(releaseCmd(), "b:1")
+		So(releaseResult(leader).Handover, ShouldEqual, handover)
+	})
 	Convey("Every result arrives as it was", t, func() {
 		for _, want := range []grant.Result{grant.Done, grant.Fenced, grant.Ended, grant.NotSent, grant.OutcomeUnknown} {
 			So(resultFromWire(resultToWire(want)), ShouldEqual, want)
@@ -162,9 +174,9 @@
 			So(releaseResult(leader).Result, ShouldEqual, grant.OutcomeUnknown)
 		}
 	})
-	Convey("A daemon that does not know the call answers an error, and the release counts as not sent", t, func() {
+	Convey("Only errors which prove that no call was sent count as not sent; an unknown call is answered by an error", t, func() {
 		So(newReleaseRouter("b", refusingDialer{}, clockAtT0).handleMeshCall(context.Background(), &wire.Call{}).Error, ShouldNotBeEmpty)
-		for kind, want := range map[mesh.Kind]grant.Result{mesh.Remote: grant.NotSent, mesh.ConnectionRefused: grant.NotSent, mesh.NotSent: grant.NotSent, mesh.OutcomeUnknown: grant.OutcomeUnknown} {
+		for kind, want := range map[mesh.Kind]grant.Result{mesh.Remote: grant.OutcomeUnknown, mesh.ConnectionRefused: grant.NotSent, mesh.NotSent: grant.NotSent, mesh.OutcomeUnknown: grant.OutcomeUnknown} {
 			leader := newReleaseRouter("l", refusingDialer{}, clockAtT0)
 			leader.mesh = &releaseMesh{err: &mesh.Error{Op: "call", Kind: kind, Err: errors.New("no")}}
 			leader.sendRelease(releaseCmd(), "b:1")
@@ -196,14 +208,31 @@
 		r.updateServers(atSecond(2), 20, object.Item{Name: "a", Revision: 15, Removed: true})
 		r.control.members.AddDiscovered(member.Member{Name: "x1", Address: "x1:1", DataCentre: "x"})
 		r.control.members.AddDiscovered(member.Member{Name: "y1", Address: "y1:1", DataCentre: "y"})
+		peerOf := func(try int) string {
+			cmd, peer := r.control.routeRelease(atSecond(3), keeper.ReleaseCmd{Indirect: try, Holder: holder})
+			So(cmd.Indirect, ShouldEqual, try)
+			return peer
+		}
 		for try := 1; try <= 3; try++ {
-			So(r.control.releasePeer(atSecond(3), keeper.ReleaseCmd{Indirect: try, Holder: holder}), ShouldEqual, "x1:1")
+			So(peerOf(try), ShouldEqual, "x1:1")
 		}
-		So(r.control.releasePeer(atSecond(3), keeper.ReleaseCmd{Holder: holder}), ShouldEqual, "")
+		So(peerOf(0), ShouldEqual, "")
 		r.control.dropExpiredServers(atSecond(2).Add(formerRetention + time.Second))
 		So(r.control.serverList.former, ShouldBeEmpty)
-		So([]string{r.control.releasePeer(atSecond(3), keeper.ReleaseCmd{Indirect: 1, Holder: holder}), r.control.releasePeer(atSecond(3), keeper.ReleaseCmd{Indirect: 2, Holder: holder})},
-			ShouldContain, "y1:1")
+		So([]string{peerOf(1), peerOf(2)}, ShouldContain, "y1:1")
+	})
+}
+
+// Guards against a server that gets keys although it does not answer the leader: the result of the leader's
+// own call was taken for that of another daemon.
+func TestReleaseWithoutPeerIsDirect(t *testing.T) {
+	Convey("The leader calls the server itself, and the result is that of a direct release", t, func() {
+		r := newReleaseRouter("l", refusingDialer{}, clockAtT0)
+		r.control.execute(t0, releaseCmd())
+		result := releaseResult(r)
+		So(result.Cmd.Indirect, ShouldEqual, 0)
+		So(result.Result, ShouldEqual, grant.NotSent)
+		So(r.metrics.value("releases.notSent"), ShouldEqual, 1)
 	})
 }
 
