--- a/core/request/spread/spread.go
+++ b/core/request/spread/spread.go
@@ -195,12 +195,6 @@
 	return !report.ShortQueue()
 }
 
-// ShortestRetryAfter returns the delay after which a caller should retry if its request was refused
-// for another reason than a queue. It is randomised so that callers do not return together.
-func (b *Balancer) ShortestRetryAfter() time.Duration {
-	return b.jittered(minRetryAfter)
-}
-
 // markFull records that a request was not run because the server was full, so that its load is
 // at least the given one.
 func (st *serverState) markFull(now time.Time, load int) {
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -209,7 +209,7 @@
 	}
 	if shed {
 		r.metrics.increment("declines.shortQueue")
-		choice.RetryAfter = r.shortestRetryAfter()
+		choice.RetryAfter = 0 // no queue to wait for: the shortest delay applies
 	}
 	if !r.mayRetry(ctx, req, notRun) {
 		r.logFailedAttempt(req, server, choice, resp, err, "given up")
@@ -255,13 +255,6 @@
 		"expected", choice.ExpectedLatency.String(), "left", time.Until(req.deadline).String(), "status", status, "err", err, "then", decision)
 }
 
-// shortestRetryAfter returns the delay for a caller whose request was declined at a short queue.
-func (r *Router) shortestRetryAfter() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.balancer.ShortestRetryAfter()
-}
-
 // minRetryLatency returns the shortest time in which another attempt can be expected to
 // end: most responses take at least half of the typical time.
 func (r *Router) minRetryLatency(req *request) time.Duration {
