Only the leader's own reads and saves confirm its epoch

Cause: a watch of the stored table confirmed the epoch as of its start. A store may let watches hear nothing for a while although changes are made, so that a leader could count its lease from a watch that missed its successor's table. Found by reading: platform/users has such a fault (EmptyWatches), which no test sets. Change: storeConfirmedAt follows reads and saves only. Without a majority of witnesses the leader reads twice a second anyway. Ruled out: a confirmation by watches whose revision is above the known one, which says less than a read.

--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -306,9 +306,6 @@
 	if m.Epoch == k.epoch && m.At.After(k.epochConfirmedAt) {
 		k.epochConfirmedAt = m.At
 	}
-	if m.Epoch == k.epoch && m.Stored {
-		k.storeConfirmedAt = later(k.storeConfirmedAt, m.At)
-	}
 	if m.Epoch > k.epoch {
 		k.requestStepDown("another daemon leads with a newer epoch")
 	}
--- a/core/process/keeper/lease.go
+++ b/core/process/keeper/lease.go
@@ -20,8 +20,9 @@
 	// changeRevision is the highest revision on which a save with a changed set of witnesses was
 	// conditional; 0 if no such save has been made.
 	changeRevision uint64
-	// storeConfirmedAt is when the store is last known to have had this epoch. Unlike
-	// epochConfirmedAt it does not depend on how long a message of another daemon took.
+	// storeConfirmedAt is when the last read or save of this daemon was sent that found this epoch in
+	// the store. Unlike epochConfirmedAt it depends neither on how long a message of another daemon took
+	// nor on watches, which may be silent although the table has changed.
 	storeConfirmedAt time.Time
 	// unsupported is set while a majority of the witnesses does not support the leader.
 	unsupported bool
--- a/core/process/keeper/lease_test.go
+++ b/core/process/keeper/lease_test.go
@@ -121,7 +121,7 @@
 		h.update(EpochSeenMsg{Epoch: 2, At: h.now})
 		h.run(time.Second, false)
 		So(len(h.grantsTo("a")), ShouldEqual, before)
-		h.update(EpochSeenMsg{Epoch: 2, At: h.now, Stored: true})
+		h.update(StoredTableMsg{Table: h.keeper.table(true), Revision: h.keeper.revision, RequestedAt: h.now})
 		h.run(time.Second, false)
 		So(len(h.grantsTo("a")), ShouldBeGreaterThan, before)
 	})
--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -91,9 +91,6 @@
 type EpochSeenMsg struct {
 	Epoch uint64
 	At    time.Time
-	// Stored is set if the store itself is known to have had the epoch at At. In other messages At
-	// is later than that by the time that the message of another daemon took.
-	Stored bool
 }
 
 // PreviousLeaderStoppedMsg reports that all earlier leaders have ended or stepped down, or can no
--- a/io/process/router/apply.go
+++ b/io/process/router/apply.go
@@ -23,12 +23,9 @@
 	if cache == nil {
 		return
 	}
-	hadList, knownThrough := !cache.CurrentAt().IsZero(), cache.Through()
+	hadList := !cache.CurrentAt().IsZero()
 	changed := c.merge(now, cache, m.delta)
 	defer c.recordLoaded(now, m.delta.Kind)
-	if m.fromStore && m.delta.Kind == object.Tables && m.delta.Through >= knownThrough {
-		defer c.confirmEpoch(now, m.delta.CurrentAt) // after the changes, which may name a newer epoch
-	}
 	if len(changed) == 0 {
 		return
 	}
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -109,9 +109,7 @@
 	// List returns all objects of a kind. If allowStale is set, the list may be some
 	// seconds old, which costs the store little.
 	List(ctx context.Context, kind object.Kind, allowStale bool) (object.Delta, error)
-	// Watch returns the changes after a revision, or none if there are none within wait. The
-	// delta has all changes up to its Through, a revision that is not older than the call: the
-	// leader goes on for some time after a watch that shows no newer leader.
+	// Watch returns the changes after a revision, or none if there are none within wait.
 	Watch(ctx context.Context, kind object.Kind, since uint64, wait time.Duration) (object.Delta, error)
 	// Read returns one object.
 	Read(ctx context.Context, kind object.Kind, name string) (object.Item, error)
--- a/io/process/router/witness.go
+++ b/io/process/router/witness.go
@@ -147,8 +147,3 @@
 	c.r.metrics.setGauge("leader.witnesses", uint64(witnesses))
 	c.r.metrics.setGauge("leader.supportAgeMillis", uint64(max(0, age)))
 }
-
-// confirmEpoch tells the keeper that the store had the epoch of the stored table at a time.
-func (c *control) confirmEpoch(now, at time.Time) {
-	c.updateKeeper(now, keeper.EpochSeenMsg{Epoch: c.stored.header.Epoch, At: at, Stored: true})
-}
--- a/io/process/router/witness_test.go
+++ b/io/process/router/witness_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"catkinstep/core/connection/wire"
+	"catkinstep/core/process/keeper"
 	"catkinstep/core/process/lease"
 	"catkinstep/core/process/member"
 	"catkinstep/core/version/grant"
@@ -178,25 +179,20 @@
 	return object.Delta{Kind: object.Tables, Items: []object.Item{{Name: tableName, Revision: revision, Value: value}}, Through: revision, CurrentAt: currentAt}
 }
 
-// Guards against a daemon whose news of the stored table by gossip counts as a confirmation by the
-// store: its age lacks the time that the message took.
-func TestOnlyTheStoreConfirmsTheEpoch(t *testing.T) {
-	Convey("A watch of the stored table confirms the epoch as of its start", t, func() {
+// Guards against a lease that is confirmed by news of the stored table: gossip lacks the time that the message
+// took, and a watch may be silent although the store already has the table of another leader.
+func TestOnlyReadsAndSavesConfirmTheEpoch(t *testing.T) {
+	Convey("Neither gossip nor a watch of the stored table confirms the epoch, but a read does", t, func() {
 		r := newTestRouter()
 		leadWith(r, grant.Table{}, namedWitnesses("a b"))
 		delta := storedDelta(r, 9, atSecond(3))
 		r.control.update(atSecond(4), deltaMsg{delta: delta})
-		So(r.control.keeper.StoreConfirmedAt(), ShouldEqual, atSecond(0))
 		r.control.update(atSecond(4), deltaMsg{delta: delta, fromStore: true})
-		So(r.control.keeper.StoreConfirmedAt(), ShouldEqual, atSecond(3))
-	})
-	Convey("A watch that began before newer changes arrived by gossip does not", t, func() {
-		r := newTestRouter()
-		leadWith(r, grant.Table{}, namedWitnesses("a b"))
-		r.control.update(atSecond(2), deltaMsg{delta: storedDelta(r, 10, atSecond(1))})
-		r.control.update(atSecond(4), deltaMsg{delta: object.Delta{Kind: object.Tables, Through: 9, CurrentAt: atSecond(3)}, fromStore: true})
-		So(r.control.keeper.StoreConfirmedAt(), ShouldEqual, atSecond(0))
 		r.control.update(atSecond(5), deltaMsg{delta: object.Delta{Kind: object.Tables, Through: 10, CurrentAt: atSecond(4)}, fromStore: true})
-		So(r.control.keeper.StoreConfirmedAt(), ShouldEqual, atSecond(4))
+		So(r.control.keeper.StoreConfirmedAt(), ShouldEqual, atSecond(0))
+		table, err := grant.Unmarshal(delta.Items[0].Value)
+		So(err, ShouldBeNil)
+		r.control.update(atSecond(6), keeperMsg{msg: keeper.StoredTableMsg{Table: table, Revision: 9, RequestedAt: atSecond(5)}})
+		So(r.control.keeper.StoreConfirmedAt(), ShouldEqual, atSecond(5))
 	})
 }
