--- a/io/process/router/shedding_test.go
+++ b/io/process/router/shedding_test.go
@@ -81,7 +81,7 @@
 
 // Guards against a server without the key whose decline counts as one at a short queue.
 func TestOutcomesOfDeclines(t *testing.T) {
-	Convey("A 421 is told apart from other declines", t, func() {
+	Convey("A 421 is distinguished from other declines", t, func() {
 		So(attemptOutcome(context.Background(), declined(http.StatusMisdirectedRequest, 3, 0), nil), ShouldEqual, spread.Misdirected)
 		So(attemptOutcome(context.Background(), declined(503, 3, 0), nil), ShouldEqual, spread.Declined)
 		So(attemptOutcome(context.Background(), declined(429, 3, 0), nil), ShouldEqual, spread.Declined)
