Ranks follow the priorities that are in demand

Change: a more urgent priority counts only while it has a twentieth of the daemon's recent requests for the service. Ruled out: priorities seen at all (requests that only test the configuration use such routes).

--- a/core/request/class/class_test.go
+++ b/core/request/class/class_test.go
@@ -17,26 +17,28 @@
 	return r
 }
 
+func always(int) bool { return true }
+
 // Guards against a service whose routes all have the same priority, but whose requests are
 // treated as less urgent because of routes of other services.
 func TestRanks(t *testing.T) {
 	ranks := NewRanks([]config.Route{routeTo(2, "a"), routeTo(0, "b"), routeTo(1, "b", "c"), routeTo(5, "b")})
 	Convey("A priority is ranked among those of the same service", t, func() {
-		So(ranks.Rank("a", 2), ShouldEqual, 0)
-		So(ranks.Rank("b", 0), ShouldEqual, 0)
-		So(ranks.Rank("b", 1), ShouldEqual, 1)
-		So(ranks.Rank("b", 5), ShouldEqual, 2)
-		So(ranks.Rank("c", 1), ShouldEqual, 0)
+		So(ranks.Rank("a", 2, always), ShouldEqual, 0)
+		So(ranks.Rank("b", 0, always), ShouldEqual, 0)
+		So(ranks.Rank("b", 1, always), ShouldEqual, 1)
+		So(ranks.Rank("b", 5, always), ShouldEqual, 2)
+		So(ranks.Rank("c", 1, always), ShouldEqual, 0)
 	})
 	Convey("A priority that no route has is ranked by its value", t, func() {
-		So(ranks.Rank("b", 3), ShouldEqual, 2)
-		So(ranks.Rank("b", 9), ShouldEqual, 3)
-		So(ranks.Rank("unknown", 7), ShouldEqual, 0)
-		So(Ranks{}.Rank("a", 2), ShouldEqual, 0)
+		So(ranks.Rank("b", 3, always), ShouldEqual, 2)
+		So(ranks.Rank("b", 9, always), ShouldEqual, 3)
+		So(ranks.Rank("unknown", 7, always), ShouldEqual, 0)
+		So(Ranks{}.Rank("a", 2, always), ShouldEqual, 0)
 	})
 	Convey("Where all routes of a service have one priority, those of workspaces make no ranks", t, func() {
-		So(ranks.Rank("a", 3), ShouldEqual, 0)
-		So(ranks.Rank("c", 9), ShouldEqual, 0)
+		So(ranks.Rank("a", 3, always), ShouldEqual, 0)
+		So(ranks.Rank("c", 9, always), ShouldEqual, 0)
 	})
 }
 
@@ -126,3 +128,38 @@
 		So(p.Share(), ShouldEqual, MinShare)
 	})
 }
+
+// Guards against a route that is configured but hardly requested, and makes all other requests of its service less
+// urgent: they would be refused although nobody needs the room.
+func TestDemand(t *testing.T) {
+	ranks, demand, now := NewRanks([]config.Route{routeTo(0, "a"), routeTo(1, "a"), routeTo(2, "a")}), NewDemand(), time.Unix(1000, 0)
+	rank := func(priority int) int {
+		return ranks.Rank("a", priority, func(p int) bool { return demand.Has("a", p) })
+	}
+	add := func(priority, count int) {
+		for range count {
+			demand.Add(now, "a", priority)
+		}
+	}
+	Convey("Only priorities with a part in the recent requests make others less urgent", t, func() {
+		So(rank(2), ShouldEqual, 0)
+		add(2, 96)
+		add(1, 4)
+		So(rank(2), ShouldEqual, 0)
+		add(1, 4)
+		So(rank(2), ShouldEqual, 1)
+		add(0, 10)
+		So(rank(2), ShouldEqual, 2)
+		So(rank(1), ShouldEqual, 1)
+		So(rank(0), ShouldEqual, 0)
+		Convey("and no longer once their requests have ended", func() {
+			now = now.Add(time.Minute)
+			add(2, 20)
+			So(rank(2), ShouldEqual, 0)
+		})
+	})
+	Convey("A service that no longer exists is forgotten", t, func() {
+		demand.Prune(func(string) bool { return false })
+		So(demand.services, ShouldBeEmpty)
+	})
+}
--- a/core/request/class/rank.go
+++ b/core/request/class/rank.go
@@ -29,13 +29,18 @@
 	return Ranks{priorities: priorities}
 }
 
-// Rank returns how many priorities of the service's routes are more urgent than the given one, at
-// most MaxRank. A workspace may have a priority that no route has. If all routes of the service have
-// the same priority, every rank is 0, also for workspaces with a priority of their own.
-func (r Ranks) Rank(service string, priority int) int {
-	if len(r.priorities[service]) < 2 {
-		return 0
+// Several reports whether the routes of a service have more than one priority.
+func (r Ranks) Several(service string) bool { return len(r.priorities[service]) > 1 }
+
+// Rank returns how many priorities of the service's routes are more urgent than the given one and in
+// demand, at most MaxRank. A workspace may have a priority that no route has. If all routes of the
+// service have the same priority, every rank is 0, also for workspaces with a priority of their own.
+func (r Ranks) Rank(service string, priority int, inDemand func(priority int) bool) int {
+	rank := 0
+	for _, p := range r.priorities[service] {
+		if r.Several(service) && p < priority && inDemand(p) {
+			rank++
+		}
 	}
-	rank, _ := slices.BinarySearch(r.priorities[service], priority)
 	return min(rank, MaxRank)
 }
--- a/io/process/router/carry_test.go
+++ b/io/process/router/carry_test.go
@@ -147,11 +147,11 @@
 	Convey("Its outcome counts for the priorities at the daemon that chose its server", t, func() {
 		r, m, _ := newCutOffRouter()
 		for _, d := range append([]*Router{r}, m.daemons["b:1"], m.daemons["c:1"]) {
-			d.promoters["s"] = &class.Promoter{}
+			d.ranked.promoters["s"] = &class.Promoter{}
 		}
 		So(r.handle(context.Background(), lookupOf("/x")).Status, ShouldEqual, http.StatusOK)
-		So(*m.daemons[m.calls[0]].promoters["s"], ShouldNotResemble, class.Promoter{})
-		So(*r.promoters["s"], ShouldResemble, class.Promoter{})
+		So(*m.daemons[m.calls[0]].ranked.promoters["s"], ShouldNotResemble, class.Promoter{})
+		So(*r.ranked.promoters["s"], ShouldResemble, class.Promoter{})
 	})
 	Convey("A server's failure is passed on after the retries of one daemon", t, func() {
 		r, m, s := newCutOffRouter()
--- a/io/process/router/priority_test.go
+++ b/io/process/router/priority_test.go
@@ -24,6 +24,11 @@
 	r := newTestRouter()
 	r.configure(rankedConfig(1))
 	r.tickUntilBooted()
+	for range 1000 {
+		for _, priority := range []int{0, 2, 4} {
+			r.ranked.demand.Add(r.now(), "s", priority)
+		}
+	}
 	return r
 }
 
@@ -140,15 +145,15 @@
 		}
 		unbounded := budget("s", 1)
 		for _, service := range []string{"s", "o"} {
-			r.promoters[service] = &class.Promoter{}
+			r.ranked.promoters[service] = &class.Promoter{}
 			r.balancer.Evaluate(now, spread.Requirements{Service: config.Service{Name: service}, LatencyTarget: time.Second}, fleet.Server{ID: service})
 			So(budget(service, 1), ShouldBeLessThan, unbounded)
 		}
 		c := rankedConfig(2)
 		c.Services, c.Routes = c.Services[:1], c.Routes[:3]
 		r.configure(c)
-		So(r.promoters, ShouldHaveLength, 1)
-		So(r.promoters["s"], ShouldNotBeNil)
+		So(r.ranked.promoters, ShouldHaveLength, 1)
+		So(r.ranked.promoters["s"], ShouldNotBeNil)
 		So(budget("s", 1), ShouldBeLessThan, unbounded)
 		So(budget("o", 1), ShouldEqual, unbounded)
 	})
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -24,7 +24,6 @@
 	"catkinstep/core/process/quota"
 	"catkinstep/core/request/admit"
 	"catkinstep/core/request/carry"
-	"catkinstep/core/request/class"
 	"catkinstep/core/request/crash"
 	"catkinstep/core/request/fair"
 	"catkinstep/core/request/limit"
@@ -89,8 +88,8 @@
 	mu       sync.Mutex // guards the mutable fields from here to random, which requests share
 	balancer *spread.Balancer
 	budgets  map[string]*retry.Budget
-	// promoters are those of the services with requests of several ranks.
-	promoters map[string]*class.Promoter
+	// ranked is the state of the services whose routes have several priorities.
+	ranked rankState
 	// suspects records the requests that may have been running at servers when these were lost.
 	suspects      *crash.Suspects
 	suspectBuffer piggybackBuffer[suspectRecord]
@@ -160,7 +159,7 @@
 		settings: s, store: st, protocol: p, log: slog.Default(),
 		grantTTL: keeper.DefaultGrantTTL, now: clock.Now, metrics: newMetrics(), latestSettings: s, daemonCount: 1,
 		inbox: make(chan any, inboxSize), listening: make(chan struct{}), ended: make(chan struct{}),
-		budgets: map[string]*retry.Budget{}, promoters: map[string]*class.Promoter{}, suspects: crash.New(crashThreshold, crashRetention), sentHistory: sent.New(sentRetention), bucketLoads: map[bucketKey]bucketLoad{},
+		budgets: map[string]*retry.Budget{}, ranked: newRankState(), suspects: crash.New(crashThreshold, crashRetention), sentHistory: sent.New(sentRetention), bucketLoads: map[bucketKey]bucketLoad{},
 		self: member.Member{Name: s.Name, Address: s.MeshAddress, DataCentre: s.DataCentre, Region: s.Region, CPUCapacity: s.CPUCapacity, Incarnation: uint64(time.Now().UnixMicro())},
 	}
 	for _, o := range opts {
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -121,6 +121,7 @@
 	}
 	req.requirements = spread.Requirements{Route: route.Name, Service: req.service, LatencyTarget: route.LatencyTarget, BodyBytes: len(callerReq.Body),
 		ReceivedAt: callerReq.ReadAt, Deadline: req.deadline, LocalDataCentre: r.settings.DataCentre}
+	r.countPriority(snap, req)
 	r.setPriority(snap, req)
 	return req, nil
 }
