review: cases 2 and 3, doses within the limits, free ports

Case 3 had a hot_key share of 0.45, over the 0.44 of the site file, and all the time; now 0.4, for 5 s at a time, and none with TROUBLE=0. The runner takes free ports, gives up before 120 s and exits with 2 if nothing was served.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,8 +7,10 @@
 work=$(mktemp -d)
 tool=
 end() {
-  [ -z "$tool" ] || kill "$tool" 2>/dev/null
-  [ ! -f "$work/pids" ] || while read -r pid; do kill -KILL "$pid" 2>/dev/null; done <"$work/pids"
+  if [ -n "$tool" ]; then # it did not end by itself
+    kill "$tool" 2>/dev/null && wait "$tool"
+    [ ! -f "$work/pids" ] || while read -r pid; do kill -KILL "$pid" 2>/dev/null; done <"$work/pids"
+  fi
   [ ! -f "$work/record.txt" ] || mv "$work/record.txt" "$folder/record.txt"
   rm -rf "$work"
 }
@@ -20,4 +22,5 @@
 wait "$tool"
 status=$?
 tool=
+[ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/tool/backend.go
+++ b/review/tool/backend.go
@@ -57,7 +57,7 @@
 }
 
 func (b *backend) start() error {
-	l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:8080", b.site.network, 100+len(b.site.backends)))
+	l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:0", b.site.network, 100+len(b.site.backends)))
 	if err != nil {
 		return err
 	}
--- a/review/tool/main.go
+++ b/review/tool/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -13,6 +14,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,6 +30,7 @@
 	boardName  = "wuno96b"
 	// judgeAfter is how long after the last request the backends may still run something.
 	judgeAfter = 3 * time.Second
+	playLimit  = 117 * time.Second
 )
 
 func main() {
@@ -49,6 +52,7 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	go func() { <-signals; s.stop(); os.Exit(2) }()
+	time.AfterFunc(playLimit, func() { s.stop(); fail(errors.New("it takes too long")) })
 	withTrouble := len(os.Args) < 5 || os.Args[4] != "0"
 	switch os.Args[1] {
 	case "refused":
@@ -221,19 +225,22 @@
 	summary := fmt.Sprintf("%d orders, %d served, %d attempts refused, %d orders ran twice since their requester sent them again", total, served, len(promised), twice)
 	s.log("%s", summary)
 	fmt.Println(summary)
+	if served == 0 {
+		return errors.New("no order was served")
+	}
 	return nil
 }
 
-// playOwner sends lookups to a service that is divided by key. More of them concern the keys of one backend
-// after the other, so that the leader moves keys away. Some backends send a second answer after a few of theirs.
+// playOwner sends lookups to a service that is divided by key. In each of some windows a part of them concerns
+// a few hot keys, so that the leader moves keys, and some backends send a second answer after a few of theirs.
 func playOwner(s *site, program string, withTrouble bool) error {
 	const (
 		perSecond   = 90
 		deadline    = 4 * time.Second
 		windows     = 11
 		pause       = 2 * time.Second
-		hotFor      = 5 * time.Second
-		hotShare    = 0.45
+		hotShare    = 0.4
+		hotKeys     = 200
 		garbleFor   = 5 * time.Second
 		faultyShare = 0.6
 		extraShare  = 0.03
@@ -255,19 +262,23 @@
 		defer mu.Unlock()
 		answers[status]++
 	}
+	var hot atomic.Int64 // the first of the hot keys; -1 if there are none
+	hot.Store(-1)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		for range windows {
 			if withTrouble {
+				hot.Store(int64(rand.IntN(lastKey - hotKeys)))
+				s.log("load: %d %% of the lookups concern %d keys from %d", int(100*hotShare), hotKeys, hot.Load())
 				s.setTrouble(trouble{extraShare: extraShare, extraPath: "/api/release"})
 			}
 			time.Sleep(garbleFor)
+			hot.Store(-1)
 			s.setTrouble(trouble{})
 			time.Sleep(pause)
 		}
 	}()
-	hot, hotSince := 0, time.Time{}
 	ticker := time.NewTicker(time.Second / perSecond)
 	defer ticker.Stop()
 	for playing := true; playing; {
@@ -276,13 +287,9 @@
 			playing = false
 		case <-ticker.C:
 		}
-		if time.Since(hotSince) > hotFor {
-			hot, hotSince = rand.IntN(lastKey-2000), time.Now()
-			s.log("load: %d %% of the lookups concern 2,000 keys from %d", int(100*hotShare), hot)
-		}
 		key := rand.IntN(lastKey + 1)
-		if rand.Float64() < hotShare {
-			key = hot + rand.IntN(2000)
+		if from := hot.Load(); from >= 0 && rand.Float64() < hotShare {
+			key = int(from) + rand.IntN(hotKeys)
 		}
 		wg.Add(1)
 		go lookup(key)
@@ -297,5 +304,8 @@
 	}
 	s.log("answers by status: %v; second answers %d of %d", answers, extras, all)
 	fmt.Printf("answers by status: %v; second answers %d of %d\n", answers, extras, all)
+	if answers[200] == 0 || withTrouble && extras == 0 {
+		return errors.New("no lookup was served, or no second answer sent")
+	}
 	return nil
 }
--- a/review/tool/site.go
+++ b/review/tool/site.go
@@ -25,7 +25,7 @@
 	zones    []string
 	dir      string
 	// network is the first three parts of the loopback addresses of this run. Each machine has its own one,
-	// so that runs beside each other need no free ports.
+	// so that a port that is free there stays free.
 	network string
 
 	logMu   sync.Mutex
@@ -50,7 +50,7 @@
 	}
 	network := fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(256))
 	s := &site{store: newStore(), network: network, zones: zones, dir: dir, record: record, started: time.Now(), runs: map[string][]string{}}
-	l, err := net.Listen("tcp", network+".200:8142")
+	l, err := net.Listen("tcp", network+".200:0")
 	if err != nil {
 		return nil, err
 	}
@@ -114,13 +114,31 @@
 	return nil
 }
 
+// freePorts returns addresses of an IP on which nothing listens.
+func freePorts(ip string, n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
 // startDaemons starts a daemon for each of the zones given, with the command of the deploy file.
 func (s *site) startDaemons(program string, zones []string) error {
 	var listen [][]string
 	var seeds string
 	for i := range zones {
 		ip := fmt.Sprintf("%s.%d", s.network, i+1)
-		listen = append(listen, []string{ip + ":8144", ip + ":8140", ip + ":8146", ip})
+		addresses, err := freePorts(ip, 4)
+		if err != nil {
+			return err
+		}
+		listen = append(listen, append(addresses, ip))
 		if i < 3 {
 			seeds += fmt.Sprintf("  - %q\n", listen[i][2])
 		}
@@ -186,6 +204,7 @@
 	for _, z := range s.zones {
 		zones += fmt.Sprintf("  %s: \"new-england\"\n", z)
 	}
+	_, metrics, _ := net.SplitHostPort(listen[3])
 	return fmt.Sprintf(`nodeName: %q
 role: "router"
 machineClass: "edge"
@@ -201,8 +220,8 @@
   ready: %q
   controlPlane: %q
 portRange:
-  - 7660
-  - 7675
+  - %s
+  - %s
 seeds:
 %sbootstrap: true
 failureCounted: false
@@ -232,7 +251,7 @@
   historyS: 20
   valueBytes: 1048576
   ttlMinS: 1
-`, d.name, listen[3], d.zone, zones, listen[0], listen[1], listen[2], seeds, s.storeURL)
+`, d.name, listen[4], d.zone, zones, listen[0], listen[1], listen[2], metrics, metrics, seeds, s.storeURL)
 }
 
 // putConfig writes the operator's configuration: one route to each service.
