A response counts only if nothing else on its connection can be meant

Cause: a response was told from others by its id alone. A server rejects a try and sends the rejection again, late; the next try of the order has the same id and got the same connection, so the copy was taken for its response.

Ruled out: servers that run what they have refused (two arrivals, one "not run", one "run begins"); a host that miscounts its tries.

Change: a connection remembers the ids that it has carried, and a request uses one that has not carried its id, an idle one before a new one. That covers tries here, requests carried for other hosts, and callers that use an id twice. A response without an id counts only as the first on its connection, and ends it.

Why it is enough: what arrives on a connection answers something that was sent on it; with an id only this try is left, without one only the first request. It does not matter when a copy comes, how often, or to what.

--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -1,32 +1,19 @@
 package link
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"fmt"
-	"io"
-	"math"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 )
 
-const (
-	// maxResponseBody is the maximum size of a response body in bytes. A response is
-	// read completely before any of it is sent to the caller.
-	maxResponseBody = 16 << 20
-	// minConcurrentWrite is the size in bytes from which a request body is written
-	// concurrently with reading the response, since a server may respond before it has
-	// read the whole body.
-	minConcurrentWrite = 16 << 10
-	// maxStrayResponses is how many responses to other requests are skipped on a
-	// connection before it is closed.
-	maxStrayResponses = 3
-)
+// minConcurrentWrite is the size in bytes from which a request body is written
+// concurrently with reading the response, since a server may respond before it has
+// read the whole body.
+const minConcurrentWrite = 16 << 10
 
 // Request is a request to a server.
 type Request struct {
@@ -38,7 +25,7 @@
 	// Client sets.
 	Header http.Header
 	Body   []byte
-	// ID is the request ID. A response that has another ID belongs to another request.
+	// ID is the request ID, which servers echo. The same ID may be sent again.
 	ID string
 	// TimeLeft is the time until the caller's deadline. It is sent to the server.
 	TimeLeft time.Duration
@@ -91,7 +78,7 @@
 	if err := cl.checkGate(req); err != nil {
 		return nil, err
 	}
-	c, err := cl.getConn(ctx, time.Now(), req.ExistingConnOnly)
+	c, err := cl.getConn(ctx, time.Now(), req)
 	if err != nil {
 		return nil, err
 	}
@@ -109,7 +96,7 @@
 		}
 		return nil, err
 	}
-	if idleTime <= 0 || !stopped || c.r.Buffered() > 0 {
+	if idleTime <= 0 || !stopped || c.r.Buffered() > 0 || c.isWorn() {
 		_ = c.Close()
 		return resp, nil
 	}
@@ -125,6 +112,7 @@
 	if err := cl.checkGate(req); err != nil {
 		return nil, 0, err
 	}
+	c.recordID(req.ID)
 	head := cl.head(req)
 	var writeDone chan error
 	if len(req.Body) < minConcurrentWrite {
@@ -164,65 +152,6 @@
 	return &Error{Op: "write", Kind: ConnectionLost, Err: err}
 }
 
-// readResponse returns the response to the request and how long the connection may stay
-// idle. It skips responses with another ID, which belong to abandoned requests.
-func (cl *Client) readResponse(c *conn, req Request) (*Response, time.Duration, error) {
-	for range maxStrayResponses {
-		httpResp, err := readFinalResponse(c.r, req.Method) //nolint:bodyclose // the connection is closed or reused as a whole
-		if err != nil {
-			return nil, 0, readError(err)
-		}
-		if n := noticeOf(httpResp, cl.names); !n.IsEmpty() {
-			cl.gate.Announced(req, c.openedAt, n)
-		}
-		body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxResponseBody+1))
-		if err != nil {
-			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: err}
-		}
-		if len(body) > maxResponseBody {
-			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: fmt.Errorf("response body exceeds %d bytes", maxResponseBody)}
-		}
-		if id := httpResp.Header.Get(cl.names.ID); id != "" && req.ID != "" && id != req.ID {
-			if httpResp.Close {
-				return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: errors.New("connection closed after the response to another request")}
-			}
-			continue
-		}
-		resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Body: body, Server: cl.serverID}
-		resp.Declined = httpResp.Header.Get(cl.names.NotRun) != "" || httpResp.StatusCode == http.StatusMisdirectedRequest
-		resp.OutcomeLost = cl.names.OutcomeLost != "" && httpResp.Header.Get(cl.names.OutcomeLost) != ""
-		resp.RateLimit, resp.RateLimited = parseRateLimit(httpResp.Header.Get(cl.names.RateLimit))
-		if resp.Load = parseLoad(httpResp.Header.Get(cl.names.Load)); resp.Load != nil {
-			resp.Load.Bytes = len(body)
-		}
-		return resp, allowedIdleTime(httpResp), nil
-	}
-	return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: errors.New("received only responses to other requests")}
-}
-
-// readFinalResponse reads a response. It skips interim responses, which are 1xx other
-// than 101.
-func readFinalResponse(r *bufio.Reader, method string) (*http.Response, error) {
-	req := &http.Request{Method: method}
-	for {
-		resp, err := http.ReadResponse(r, req)
-		if err != nil || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, err
-		}
-	}
-}
-
-func readError(err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return &Error{Op: "read", Kind: ContextDone, Err: err}
-	}
-	var opErr *net.OpError
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &opErr) {
-		return &Error{Op: "read", Kind: ConnectionLost, Err: err}
-	}
-	return &Error{Op: "read", Kind: InvalidResponse, Err: err}
-}
-
 // head returns the request line and the header fields.
 func (cl *Client) head(req Request) []byte {
 	var b strings.Builder
@@ -246,61 +175,3 @@
 	b.WriteString("\r\n")
 	return []byte(b.String())
 }
-
-// resetConn closes a connection with a reset, so that data not yet sent is discarded and
-// cannot reach the server later.
-func resetConn(c *conn) {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
-// parseLoad parses the load header: the numbers of running and waiting requests and of
-// slots, and optionally the slowdown in percent. It returns nil if the header is malformed.
-func parseLoad(header string) *Load {
-	parts := strings.Split(header, ",")
-	if len(parts) < 3 {
-		return nil
-	}
-	var counts [3]int
-	for i := range counts {
-		v, err := strconv.Atoi(strings.TrimSpace(parts[i]))
-		if err != nil || v < 0 {
-			return nil
-		}
-		counts[i] = v
-	}
-	l := &Load{Running: counts[0], Waiting: counts[1], Slots: counts[2]}
-	if len(parts) > len(counts) {
-		if percent, err := strconv.ParseFloat(strings.TrimSpace(parts[len(counts)]), 64); err == nil && percent > 0 {
-			l.Slowdown = percent / 100
-		}
-	}
-	return l
-}
-
-// parseRateLimit parses the header in which a server names its limit. It returns false if there is
-// none.
-func parseRateLimit(header string) (perSecond float64, named bool) {
-	if header == "" {
-		return 0, false
-	}
-	perSecond, err := strconv.ParseFloat(strings.TrimSpace(header), 64)
-	if err != nil {
-		return math.NaN(), true
-	}
-	return perSecond, true
-}
-
-func keepAliveTimeout(header string) (time.Duration, bool) {
-	for _, part := range strings.Split(header, ",") {
-		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
-		if !ok || !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		seconds, err := strconv.Atoi(strings.TrimSpace(value))
-		return time.Duration(seconds) * time.Second, err == nil
-	}
-	return 0, false
-}
--- a/io/connection/link/link.go
+++ b/io/connection/link/link.go
@@ -1,11 +1,10 @@
 package link
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
-	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,7 +29,6 @@
 	// tcpUserTimeout closes a connection whose data is not acknowledged, as in a network
 	// partition. By default, the kernel would retransmit for minutes.
 	tcpUserTimeout = 1500 * time.Millisecond
-	readBufferSize = 2048
 )
 
 // Client sends requests to one instance of a server and pools the connections to it. After a
@@ -49,14 +47,6 @@
 	closed    bool
 }
 
-type conn struct {
-	net.Conn
-	r             *bufio.Reader
-	reusableUntil time.Time
-	reused        bool // it served an earlier request
-	openedAt      time.Time
-}
-
 // Dialer opens connections to servers.
 type Dialer interface {
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
@@ -107,12 +97,12 @@
 	}
 }
 
-// getConn returns an idle connection that is still usable, or else a new one unless
-// existingConnOnly is set.
-func (cl *Client) getConn(ctx context.Context, now time.Time, existingConnOnly bool) (*conn, error) {
+// getConn returns an idle connection that is still usable for a request, or else a new one if the request
+// may have one.
+func (cl *Client) getConn(ctx context.Context, now time.Time, req Request) (*conn, error) {
 	for {
-		c := cl.popIdleConn()
-		if c == nil && existingConnOnly {
+		c := cl.takeIdleConn(req.ID)
+		if c == nil && req.ExistingConnOnly {
 			return nil, &Error{Op: "take", Kind: NotSent, Err: errNoIdleConn}
 		}
 		if c == nil {
@@ -128,16 +118,19 @@
 
 var errNoIdleConn = errors.New("no idle connection")
 
-func (cl *Client) popIdleConn() *conn {
+// takeIdleConn returns the last used one of the idle connections that have not carried a request with the
+// given ID, or nil. A server may send the response to an earlier try again, late, and only a connection
+// that has not carried the request shows that a response belongs to the present try.
+func (cl *Client) takeIdleConn(id string) *conn {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	n := len(cl.idleConns)
-	if n == 0 {
-		return nil
+	for i := len(cl.idleConns) - 1; i >= 0; i-- {
+		if c := cl.idleConns[i]; !c.hasCarried(id) {
+			cl.idleConns = slices.Delete(cl.idleConns, i, i+1)
+			return c
+		}
 	}
-	c := cl.idleConns[n-1]
-	cl.idleConns = cl.idleConns[:n-1]
-	return c
+	return nil
 }
 
 func (cl *Client) putIdleConn(c *conn) {
@@ -161,40 +154,5 @@
 		}
 		return nil, &Error{Op: "dial", Kind: kind, Err: err}
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferSize), openedAt: time.Now()}, nil
-}
-
-// nothingReceived reports whether the server has neither closed an idle connection nor
-// sent bytes on it, which would belong to no request.
-func nothingReceived(c *conn) bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	wouldBlock := false
-	err = rc.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		wouldBlock = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && wouldBlock
-}
-
-// allowedIdleTime returns how long the connection may stay idle after a response.
-func allowedIdleTime(resp *http.Response) time.Duration {
-	if resp.Close {
-		return 0
-	}
-	if timeout, ok := keepAliveTimeout(resp.Header.Get("Keep-Alive")); ok {
-		return min(maxIdleTime, timeout-idleTimeMargin)
-	}
-	return maxIdleTime
+	return newConn(nc, time.Now()), nil
 }
--- /dev/null
+++ b/io/connection/link/response.go
@@ -0,0 +1,152 @@
+package link
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// maxResponseBody is the maximum size of a response body in bytes. A response is
+	// read completely before any of it is sent to the caller.
+	maxResponseBody = 16 << 20
+	// maxStrayResponses is how many responses to other requests are skipped on a
+	// connection before it is closed.
+	maxStrayResponses = 3
+)
+
+// readResponse returns the response to the request and how long the connection may stay
+// idle. It skips responses with another ID, which belong to abandoned requests.
+func (cl *Client) readResponse(c *conn, req Request) (*Response, time.Duration, error) {
+	for skipped := range maxStrayResponses {
+		httpResp, err := readFinalResponse(c.r, req.Method) //nolint:bodyclose // the connection is closed or reused as a whole
+		if err != nil {
+			return nil, 0, readError(err)
+		}
+		if n := noticeOf(httpResp, cl.names); !n.IsEmpty() {
+			cl.gate.Announced(req, c.openedAt, n)
+		}
+		body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxResponseBody+1))
+		if err != nil {
+			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: err}
+		}
+		if len(body) > maxResponseBody {
+			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: fmt.Errorf("response body exceeds %d bytes", maxResponseBody)}
+		}
+		idleTime := allowedIdleTime(httpResp)
+		switch id := httpResp.Header.Get(cl.names.ID); {
+		case id != "" && req.ID != "" && id != req.ID:
+			if httpResp.Close {
+				return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: errors.New("connection closed after the response to another request")}
+			}
+			continue
+		case id == "" && req.ID != "" && (c.reused || skipped > 0):
+			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: errNoID}
+		case id == "" && req.ID != "":
+			idleTime = 0 // its second copy could be taken for the response to any later request
+		}
+		resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Body: body, Server: cl.serverID}
+		resp.Declined = httpResp.Header.Get(cl.names.NotRun) != "" || httpResp.StatusCode == http.StatusMisdirectedRequest
+		resp.OutcomeLost = cl.names.OutcomeLost != "" && httpResp.Header.Get(cl.names.OutcomeLost) != ""
+		resp.RateLimit, resp.RateLimited = parseRateLimit(httpResp.Header.Get(cl.names.RateLimit))
+		if resp.Load = parseLoad(httpResp.Header.Get(cl.names.Load)); resp.Load != nil {
+			resp.Load.Bytes = len(body)
+		}
+		return resp, idleTime, nil
+	}
+	return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: errors.New("received only responses to other requests")}
+}
+
+// errNoID means that a response may belong to an earlier request on the same connection.
+var errNoID = errors.New("a response without an ID on a connection that has served another request")
+
+// readFinalResponse reads a response. It skips interim responses, which are 1xx other
+// than 101.
+func readFinalResponse(r *bufio.Reader, method string) (*http.Response, error) {
+	req := &http.Request{Method: method}
+	for {
+		resp, err := http.ReadResponse(r, req)
+		if err != nil || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, err
+		}
+	}
+}
+
+func readError(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &Error{Op: "read", Kind: ContextDone, Err: err}
+	}
+	var opErr *net.OpError
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &opErr) {
+		return &Error{Op: "read", Kind: ConnectionLost, Err: err}
+	}
+	return &Error{Op: "read", Kind: InvalidResponse, Err: err}
+}
+
+// parseLoad parses the load header: the numbers of running and waiting requests and of
+// slots, and optionally the slowdown in percent. It returns nil if the header is malformed.
+func parseLoad(header string) *Load {
+	parts := strings.Split(header, ",")
+	if len(parts) < 3 {
+		return nil
+	}
+	var counts [3]int
+	for i := range counts {
+		v, err := strconv.Atoi(strings.TrimSpace(parts[i]))
+		if err != nil || v < 0 {
+			return nil
+		}
+		counts[i] = v
+	}
+	l := &Load{Running: counts[0], Waiting: counts[1], Slots: counts[2]}
+	if len(parts) > len(counts) {
+		if percent, err := strconv.ParseFloat(strings.TrimSpace(parts[len(counts)]), 64); err == nil && percent > 0 {
+			l.Slowdown = percent / 100
+		}
+	}
+	return l
+}
+
+// parseRateLimit parses the header in which a server names its limit. It returns false if there is
+// none.
+func parseRateLimit(header string) (perSecond float64, named bool) {
+	if header == "" {
+		return 0, false
+	}
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(header), 64)
+	if err != nil {
+		return math.NaN(), true
+	}
+	return perSecond, true
+}
+
+func keepAliveTimeout(header string) (time.Duration, bool) {
+	for _, part := range strings.Split(header, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		return time.Duration(seconds) * time.Second, err == nil
+	}
+	return 0, false
+}
+
+// allowedIdleTime returns how long the connection may stay idle after a response.
+func allowedIdleTime(resp *http.Response) time.Duration {
+	if resp.Close {
+		return 0
+	}
+	if timeout, ok := keepAliveTimeout(resp.Header.Get("Keep-Alive")); ok {
+		return min(maxIdleTime, timeout-idleTimeMargin)
+	}
+	return maxIdleTime
+}
