A control call's response is its own

On a kept connection, the second copy of the response to a release was taken for the response to the next one. The same held for grants: a copied 409 hid a hold that the server had, a copied 421 "proved" that its instance had ended, a copied 200 let the leader shorten the time for which it counts on the previous leader.

Ruled out: calls held up on the way (loopback; the server's record shows the release under way while the range is granted), fences.

Change: a control call opens a connection, whose first response is its own. Releases keep none. Of grants one is kept for renewals, which must reach the same instance. There only a confirmation counts; anything else, and bytes that came between two renewals, leave the outcome unknown. A renewal uses no connection that is younger than that of its grant: found by the way, another range's grant after a restart opened one on which the first range was renewed at the new instance under its old fence.

Why it is enough: a false confirmation of a renewal only keeps a range with a holder that has confirmed it, counted from then on; the true response ends the use of the connection.

--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -26,8 +26,10 @@
 	step moveStep
 	// intentSeq is the sequence number of the first table that contains the intent.
 	intentSeq uint64
-	// fenceConfirmed is set once the holder has confirmed a grant with the present fence.
+	// fenceConfirmed is set once the holder has confirmed a grant with the present fence, and
+	// confirmedOn is the connection on which it did.
 	fenceConfirmed bool
+	confirmedOn    uint64
 	// callInFlight is set while a call to the holder has no result yet.
 	callInFlight bool
 	// expiresAt is when the holder's last grant has certainly expired; zero means that
--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -66,6 +66,8 @@
 	Cmd     GrantCmd
 	EndedAt time.Time
 	Result  grant.Result
+	// Conn identifies the connection on which the server answered. Later connections have higher numbers.
+	Conn uint64
 }
 
 // ReleaseResultMsg is the result of a ReleaseCmd.
@@ -135,7 +137,10 @@
 // renewal is not sent, and a grant with a new fence follows.
 type GrantCmd struct {
 	grant.Call
-	Renewal    bool
+	Renewal bool
+	// Conn is the connection on which the server confirmed the fence of a renewal. A connection that was
+	// opened later may lead to a new instance.
+	Conn       uint64
 	Service    string
 	Holder     grant.Holder
 	SendBefore time.Time
--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -137,7 +137,7 @@
 		return
 	}
 	rs.callInFlight = true
-	k.cmds = append(k.cmds, GrantCmd{Renewal: rs.fenceConfirmed, Service: s.service, Holder: rs.Holder, SendBefore: now.Add(sendWindow),
+	k.cmds = append(k.cmds, GrantCmd{Renewal: rs.fenceConfirmed, Conn: rs.confirmedOn, Service: s.service, Holder: rs.Holder, SendBefore: now.Add(sendWindow),
 		Call: grant.Call{Address: rs.Holder.Address, From: rs.From, To: rs.To, Fence: rs.Fence, TTL: k.grantTTL, Handover: rs.handover, Origin: rs.origin}})
 }
 
@@ -210,6 +210,9 @@
 	// ones and the previous leader's. They no longer count, so the expiry may become earlier.
 	rs.expiresAt = k.grantExpiry(m.EndedAt)
 	rs.nextCallAt = now.Add(k.grantTTL / renewalsPerTTL)
+	if !m.Cmd.Renewal {
+		rs.confirmedOn = m.Conn
+	}
 	if rs.step == releasing {
 		rs.nextCallAt = now
 		return
--- a/io/connection/link/conn.go
+++ b/io/connection/link/conn.go
@@ -6,6 +6,7 @@
 	"hash/maphash"
 	"net"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -20,6 +21,7 @@
 // conn is a connection to a server, with one request at a time.
 type conn struct {
 	net.Conn
+	number        uint64
 	r             *bufio.Reader
 	reusableUntil time.Time
 	reused        bool // it served an earlier request
@@ -28,8 +30,11 @@
 	carriedIDs []uint64
 }
 
-func newConn(nc net.Conn, now time.Time) *conn {
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferSize), openedAt: now}
+// connCount is the number of the last connection that was opened.
+var connCount atomic.Uint64
+
+func newConn(nc net.Conn, number uint64, now time.Time) *conn {
+	return &conn{Conn: nc, number: number, r: bufio.NewReaderSize(nc, readBufferSize), openedAt: now}
 }
 
 var idSeed = maphash.MakeSeed()
@@ -49,28 +54,44 @@
 // isWorn reports whether the connection has carried as many requests as it may.
 func (c *conn) isWorn() bool { return len(c.carriedIDs) >= maxConnRequests }
 
-// nothingReceived reports whether the server has neither closed an idle connection nor
-// sent bytes on it, which would belong to no request.
-func nothingReceived(c *conn) bool {
+// idleState is what has become of a connection while it was idle.
+type idleState int
+
+const (
+	idle     idleState = iota
+	ended              // the server has closed it
+	received           // the server has sent bytes, which belong to no request or to an earlier one
+)
+
+// checkIdle returns what has become of an idle connection.
+func checkIdle(c *conn) idleState {
 	if c.r.Buffered() > 0 {
-		return false
+		return received
 	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return ended
 	}
 	rc, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return ended
 	}
-	wouldBlock := false
+	state := ended
 	err = rc.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		wouldBlock = errors.Is(err, syscall.EAGAIN)
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+			state = idle
+		case n > 0:
+			state = received
+		}
 		return true
 	})
-	return err == nil && wouldBlock
+	if err != nil {
+		return ended
+	}
+	return state
 }
 
 // resetConn closes a connection with a reset, so that data not yet sent is discarded and
--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -35,11 +35,15 @@
 	// connection; zero if it may be sent at any time.
 	SendBefore time.Time
 	// ControlCall marks a call that the daemon makes on its own behalf, such as a grant. It
-	// has no caller's deadline to send.
+	// has no caller's deadline to send, and its response names no ID. A connection is opened for
+	// it, so that no response to an earlier call can be taken for its own.
 	ControlCall bool
-	// ExistingConnOnly sends the request on an idle connection or not at all, so that it
-	// reaches the same instance of the server as the previous request.
+	// ExistingConnOnly sends a control call on an idle connection or not at all, so that it
+	// reaches the same instance of the server as an earlier call. Only a response with status 200
+	// is returned, and that may be the second copy of an earlier one.
 	ExistingConnOnly bool
+	// LatestConn is the last connection that an ExistingConnOnly call may use; 0 if it may use any.
+	LatestConn uint64
 }
 
 // Response is a server's complete response.
@@ -60,6 +64,9 @@
 	RateLimit   float64
 	// Server is the ID of the server that the request was sent to.
 	Server string
+	// Conn is the connection on which the response arrived. Connections are numbered in the order
+	// in which they are opened.
+	Conn uint64
 }
 
 // Load is the load of a server, as reported with a response.
--- a/io/connection/link/link.go
+++ b/io/connection/link/link.go
@@ -101,31 +101,45 @@
 // may have one.
 func (cl *Client) getConn(ctx context.Context, now time.Time, req Request) (*conn, error) {
 	for {
-		c := cl.takeIdleConn(req.ID)
+		var c *conn
+		if !req.ControlCall || req.ExistingConnOnly {
+			c = cl.takeIdleConn(req)
+		}
 		if c == nil && req.ExistingConnOnly {
 			return nil, &Error{Op: "take", Kind: NotSent, Err: errNoIdleConn}
 		}
 		if c == nil {
 			return cl.dial(ctx)
 		}
-		if now.Before(c.reusableUntil) && nothingReceived(c) {
+		state := checkIdle(c)
+		if now.Before(c.reusableUntil) && state == idle {
 			c.reused = true
 			return c, nil
 		}
 		_ = c.Close()
+		if req.ExistingConnOnly && state == received {
+			return nil, &Error{Op: "take", Kind: InvalidResponse, Err: errLateResponse}
+		}
 	}
 }
 
-var errNoIdleConn = errors.New("no idle connection")
+var (
+	errNoIdleConn = errors.New("no idle connection")
+	// errLateResponse means that the last call may have been answered only now, and not when an earlier
+	// response was taken for its own.
+	errLateResponse = errors.New("a response has arrived since the last call on the connection")
+)
 
-// takeIdleConn returns the last used one of the idle connections that have not carried a request with the
-// given ID, or nil. A server may send the response to an earlier try again, late, and only a connection
-// that has not carried the request shows that a response belongs to the present try.
-func (cl *Client) takeIdleConn(id string) *conn {
+// takeIdleConn returns the last used one of the idle connections that the request may use, or nil. A
+// connection that has carried a request with the same ID is no such one: a server may send the response to
+// an earlier try again, late, and only another connection shows that a response belongs to the present try.
+func (cl *Client) takeIdleConn(req Request) *conn {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	for i := len(cl.idleConns) - 1; i >= 0; i-- {
-		if c := cl.idleConns[i]; !c.hasCarried(id) {
+		c := cl.idleConns[i]
+		isLater := req.LatestConn > 0 && c.number > req.LatestConn
+		if !isLater && !c.hasCarried(req.ID) {
 			cl.idleConns = slices.Delete(cl.idleConns, i, i+1)
 			return c
 		}
@@ -146,6 +160,7 @@
 func (cl *Client) dial(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
+	number := connCount.Add(1) // before it is opened, so that no connection with a lower number leads to a later instance
 	nc, err := cl.dialer.DialContext(ctx, "tcp", cl.address)
 	if err != nil {
 		kind := ConnectFailed
@@ -154,5 +169,5 @@
 		}
 		return nil, &Error{Op: "dial", Kind: kind, Err: err}
 	}
-	return newConn(nc, time.Now()), nil
+	return newConn(nc, number, time.Now()), nil
 }
--- a/io/connection/link/response.go
+++ b/io/connection/link/response.go
@@ -50,10 +50,12 @@
 			continue
 		case id == "" && req.ID != "" && (c.reused || skipped > 0):
 			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: errNoID}
+		case req.ID == "" && c.reused && httpResp.StatusCode != http.StatusOK:
+			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: errNoID}
 		case id == "" && req.ID != "":
 			idleTime = 0 // its second copy could be taken for the response to any later request
 		}
-		resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Body: body, Server: cl.serverID}
+		resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Body: body, Server: cl.serverID, Conn: c.number}
 		resp.Declined = httpResp.Header.Get(cl.names.NotRun) != "" || httpResp.StatusCode == http.StatusMisdirectedRequest
 		resp.OutcomeLost = cl.names.OutcomeLost != "" && httpResp.Header.Get(cl.names.OutcomeLost) != ""
 		resp.RateLimit, resp.RateLimited = parseRateLimit(httpResp.Header.Get(cl.names.RateLimit))
--- a/io/connection/link/second_test.go
+++ b/io/connection/link/second_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -214,3 +215,27 @@
 		So(s.conns, ShouldEqual, 2)
 	})
 }
+
+// Guards against a hold that lasts longer than the leader assumes: its renewal arrived after what was taken
+// for the response to it.
+func TestLateResponseToRenewal(t *testing.T) {
+	Convey("The next renewal finds the response, is not sent, and proves nothing of the last one", t, func() {
+		s := startRepeatingServer(t, 1, func(*http.Request) string { return responseOf(200, "", "") }, func(*rand.Rand) repetition { return noRepetition })
+		client := New(s.Addr().String(), "server-1", names.Default(), 1)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		call := Request{Method: http.MethodPost, Target: "/", Host: "h", ControlCall: true}
+		_, err := client.Do(ctx, call)
+		So(err, ShouldBeNil)
+		c := client.idleConns[0]
+		_, err = c.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")) // a call whose response is still due
+		So(err, ShouldBeNil)
+		for checkIdle(c) == idle && ctx.Err() == nil {
+			runtime.Gosched()
+		}
+		call.ExistingConnOnly = true
+		_, err = client.Do(ctx, call)
+		So(KindOf(err), ShouldEqual, InvalidResponse)
+		So(NotRun(err), ShouldBeFalse)
+	})
+}
--- a/io/process/router/clients.go
+++ b/io/process/router/clients.go
@@ -8,9 +8,12 @@
 	"catkinstep/io/connection/link"
 )
 
-// maxIdleConns is how many idle connections to a server are kept for requests: about as
-// many as the requests that one daemon usually has in flight there.
-const maxIdleConns = 4
+// maxIdleConnsOf is how many idle connections to a server are kept for each purpose.
+var maxIdleConnsOf = map[purpose]int{
+	forRequests: 4, // about as many requests as one daemon usually has in flight there
+	forGrants:   1, // for renewals
+	forReleases: 0, // a response to one release cannot be told from that to another
+}
 
 // clientKey identifies a client by the server instance and the purpose of its calls.
 type clientKey struct {
@@ -29,7 +32,7 @@
 )
 
 // serverClient is a client of a server. grantMu serialises the grants to a server, so that
-// they use a single connection.
+// renewals use a single connection.
 type serverClient struct {
 	*link.Client
 	grantMu sync.Mutex
@@ -55,11 +58,7 @@
 	}
 	client := p.clients[key]
 	if client == nil {
-		maxIdle := maxIdleConns
-		if key.purpose != forRequests {
-			maxIdle = maxIdleGrantConns
-		}
-		client = &serverClient{Client: link.New(key.address, key.id, p.names, maxIdle, link.WithDialer(p.dialer), link.WithGate(p.gate(key)))}
+		client = &serverClient{Client: link.New(key.address, key.id, p.names, maxIdleConnsOf[key.purpose], link.WithDialer(p.dialer), link.WithGate(p.gate(key)))}
 		p.clients[key] = client
 	}
 	return client
--- a/io/process/router/control_test.go
+++ b/io/process/router/control_test.go
@@ -151,8 +151,8 @@
 		So(l.Close(), ShouldBeNil)
 		r := newTestRouter()
 		client := r.clientPool.get(clientKey{address: l.Addr().String(), id: "a", purpose: forGrants})
-		result, _ := r.callServer(client, grant.Holder{Server: "a"}, link.Request{Method: "POST", Target: "/", Host: "a", ControlCall: true}, time.Second)
-		So(result, ShouldEqual, grant.NotSent)
+		answer := r.callServer(client, grant.Holder{Server: "a"}, link.Request{Method: "POST", Target: "/", Host: "a", ControlCall: true}, time.Second)
+		So(answer.result, ShouldEqual, grant.NotSent)
 	})
 }
 
--- a/io/process/router/indirect.go
+++ b/io/process/router/indirect.go
@@ -49,7 +49,8 @@
 // release asks a server for a release, and returns the result and the handover.
 func (r *Router) release(h grant.Holder, call grant.Call) (grant.Result, string) {
 	client := r.clientPool.get(clientKey{address: call.Address, id: h.Server, startMillis: h.StartMillis, purpose: forReleases})
-	return r.callServer(client, h, r.protocol.Release(call), releaseTimeout)
+	answer := r.callServer(client, h, r.protocol.Release(call), releaseTimeout)
+	return answer.result, answer.handover
 }
 
 // releaseThrough asks the daemon at an address to make a release within the time that is left for it.
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -165,27 +165,39 @@
 	}
 }
 
-// sendGrant sends a grant to a server, unless cmd.SendBefore has passed, and reports the result
-// to the keeper. A renewal only uses an existing connection, so that it cannot reach a new
-// instance of the server.
+// sendGrant sends a grant to a server and reports the result to the keeper.
 func (r *Router) sendGrant(cmd keeper.GrantCmd) {
+	result := r.grant(cmd)
+	r.metrics.increment("grants." + result.Result.String())
+	r.post(keeperMsg{msg: result})
+}
+
+// grant sends a grant to a server, unless cmd.SendBefore has passed. A renewal only uses an existing
+// connection, so that it cannot reach a new instance of the server.
+func (r *Router) grant(cmd keeper.GrantCmd) keeper.GrantResultMsg {
 	result := keeper.GrantResultMsg{Cmd: cmd, Result: grant.NotSent}
 	client := r.clientPool.get(clientKey{address: cmd.Address, id: cmd.Holder.Server, startMillis: cmd.Holder.StartMillis, purpose: forGrants})
 	client.grantMu.Lock()
 	if r.now().Before(cmd.SendBefore) {
 		req := r.protocol.Grant(cmd.Call)
-		req.ExistingConnOnly = cmd.Renewal
-		result.Result, _ = r.callServer(client, cmd.Holder, req, grantTimeout)
+		req.ExistingConnOnly, req.LatestConn = cmd.Renewal, cmd.Conn
+		answer := r.callServer(client, cmd.Holder, req, grantTimeout)
+		result.Result, result.Conn = answer.result, answer.conn
 	}
 	client.grantMu.Unlock()
 	result.EndedAt = r.now()
-	r.metrics.increment("grants." + result.Result.String())
-	r.post(keeperMsg{msg: result})
+	return result
+}
+
+// controlAnswer is what became of a grant or a release.
+type controlAnswer struct {
+	result   grant.Result
+	handover string // of a release
+	conn     uint64 // on which the server answered
 }
 
-// callServer makes a control call, a grant or a release, to a server. It returns the result,
-// and for a release also the handover.
-func (r *Router) callServer(client *serverClient, h grant.Holder, req link.Request, timeout time.Duration) (grant.Result, string) {
+// callServer makes a control call, a grant or a release, to a server.
+func (r *Router) callServer(client *serverClient, h grant.Holder, req link.Request, timeout time.Duration) controlAnswer {
 	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), timeout)
 	defer cancel()
 	resp, err := client.Do(ctx, req)
@@ -193,15 +205,17 @@
 		r.countRemoteRequest(server, "grants", req, resp)
 	}
 	if err == nil {
-		return r.protocol.Result(resp)
+		answer := controlAnswer{conn: resp.Conn}
+		answer.result, answer.handover = r.protocol.Result(resp)
+		return answer
 	}
 	if !req.ExistingConnOnly || !link.NotRun(err) {
 		r.log.Info("keys: call to server failed", "target", req.Target, "server", h.Server, "host", req.Host, "err", err)
 	}
 	if link.NotRun(err) {
-		return grant.NotSent, ""
+		return controlAnswer{result: grant.NotSent}
 	}
-	return grant.OutcomeUnknown, ""
+	return controlAnswer{result: grant.OutcomeUnknown}
 }
 
 // saveTable replaces the stored table if it is at the given revision. On a conflict it
--- a/io/process/router/options.go
+++ b/io/process/router/options.go
@@ -87,9 +87,6 @@
 	// responseTransitTime is subtracted from the time until the caller's deadline, and the rest
 	// is sent to the server as the time it has. It covers the transfer of the response.
 	responseTransitTime = 3 * time.Millisecond
-	// maxIdleGrantConns is how many idle connections to a server are kept for grants, and as
-	// many again for releases.
-	maxIdleGrantConns = 1
 	// The default limits apply to callers if the configuration sets none. They are usual
 	// values of HTTP servers.
 	defaultMaxHeaderBytes = 16 << 10
