Bytes without end cost a request, not the host

One request to such a server allocated up to 3.4 GB and its caller waited past its deadline; a host has 284 MB.

Cause: only a body had a limit. A status line, a header line, header lines and interim responses had none; large bodies together had none; the store's clients used the library's 10 MB for a head, and a list could have 64 pages of any size.

Change: the limit that callers' heads had (now io/connection/bound) holds for servers' heads, 64 KB with the interim responses before them. Bodies over 256 KB are read within a budget of 48 MB that all servers share: one of known length waits for all of its memory at once, one of unknown length reserves as it grows and fails if there is none, so that they do not wait in a circle. A length over the limit fails before anything is read. The store's clients have 64 KB for a head, lists 32 MB together; health checks and operators 16 KB. A reply's large body is written from where it is instead of being copied twice.

What the caller gets: a true response at once. A request that may run again goes to another server, any other gets 502, outcome unknown. The server counts as failed, the log line names the limit, the connection is reset.

Open: bodies that wait for slow callers are not counted, nor callers' bodies together, nor messages of other daemons.

--- a/io/connection/caller/conn.go
+++ b/io/connection/caller/conn.go
@@ -11,13 +11,15 @@
 	"strings"
 	"sync"
 	"time"
+
+	"catkinstep/io/connection/bound"
 )
 
 // conn is a connection of a caller.
 type conn struct {
 	server *Server
 	net.Conn
-	limitedReader *limitedReader
+	limitedReader *bound.Reader
 	reader        *bufio.Reader
 	ctx           context.Context //nolint:containedctx // lives as long as the connection
 	cancel        context.CancelFunc
@@ -48,7 +50,7 @@
 }
 
 func newConn(ctx context.Context, cancel context.CancelFunc, s *Server, nc net.Conn) *conn {
-	lr := &limitedReader{r: nc}
+	lr := bound.NewReader(nc)
 	return &conn{server: s, Conn: nc, limitedReader: lr, reader: bufio.NewReaderSize(lr, 4096), ctx: ctx, cancel: cancel, queue: make(chan *pendingRequest, maxPipelined), openedAt: time.Now()}
 }
 
@@ -127,9 +129,9 @@
 		return nil, nil, errConnEnded
 	}
 	c.setReadTimeout(l.ReadTimeout)
-	c.limitedReader.setLimit(l.MaxHeaderBytes)
+	c.limitedReader.SetLimit(l.MaxHeaderBytes)
 	r, err := http.ReadRequest(c.reader)
-	c.limitedReader.setLimit(0) // readBody limits the body
+	c.limitedReader.SetLimit(0) // readBody limits the body
 	if err != nil {
 		return nil, nil, err
 	}
@@ -169,9 +171,8 @@
 }
 
 var (
-	errConnEnded      = errors.New("caller: connection ended or is closing")
-	errHeaderTooLarge = errors.New("caller: request header too large")
-	errBodyTooLarge   = errors.New("caller: request body too large")
+	errConnEnded    = errors.New("caller: connection ended or is closing")
+	errBodyTooLarge = errors.New("caller: request body too large")
 )
 
 // handleReadError queues an error reply to a request that could not be read, or cancels
@@ -182,7 +183,7 @@
 	case errors.Is(err, errConnEnded):
 		c.cancelRequests()
 		return
-	case errors.Is(err, errHeaderTooLarge):
+	case errors.Is(err, bound.ErrExceeded):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, errBodyTooLarge):
 		status = http.StatusRequestEntityTooLarge
--- a/io/connection/caller/send.go
+++ b/io/connection/caller/send.go
@@ -1,19 +1,40 @@
 package caller
 
 import (
+	"bytes"
+	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 )
 
 // sendTimeout bounds how long a reply is written to a caller that does not read it.
 const sendTimeout = 5 * time.Second
 
-// send writes a reply in one piece, with its length.
+// minSeparateBody is the size in bytes from which a body is not copied behind its head: large bodies that
+// wait for slow callers would take twice their memory.
+const minSeparateBody = 16 << 10
+
+// send writes a reply with its length.
 func (c *conn) send(p *pendingRequest, closeAfter bool) error {
-	var b strings.Builder
-	b.Grow(256 + len(p.reply.Body))
+	head, body := replyHead(p, closeAfter), p.reply.Body
+	if p.isHead || hasNoBody(p.reply.Status) {
+		body = nil
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(sendTimeout))
+	if len(body) < minSeparateBody {
+		_, err := c.Write(append(head, body...))
+		return err
+	}
+	buffers := net.Buffers{head, body}
+	_, err := buffers.WriteTo(c.Conn)
+	return err
+}
+
+// replyHead returns the status line and the header fields of a reply.
+func replyHead(p *pendingRequest, closeAfter bool) []byte {
+	var b bytes.Buffer
+	b.Grow(512)
 	status := p.reply.Status
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
 	for name, values := range p.reply.Header {
@@ -24,23 +45,22 @@
 			b.WriteString(name + ": " + v + "\r\n")
 		}
 	}
-	noBody := status == http.StatusNoContent || status == http.StatusNotModified
 	switch {
 	case p.isHead && p.reply.Header.Get("Content-Length") != "":
 		b.WriteString("Content-Length: " + p.reply.Header.Get("Content-Length") + "\r\n")
-	case !noBody:
+	case !hasNoBody(status):
 		b.WriteString("Content-Length: " + strconv.Itoa(len(p.reply.Body)) + "\r\n")
 	}
 	if closeAfter {
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
-	if !p.isHead && !noBody {
-		b.Write(p.reply.Body)
-	}
-	_ = c.SetWriteDeadline(time.Now().Add(sendTimeout))
-	_, err := c.Write([]byte(b.String()))
-	return err
+	return b.Bytes()
+}
+
+// hasNoBody reports whether replies with a status never have a body.
+func hasNoBody(status int) bool {
+	return status == http.StatusNoContent || status == http.StatusNotModified
 }
 
 // isHopByHop reports whether a header applies only to one connection or its framing.
--- a/io/connection/link/conn.go
+++ b/io/connection/link/conn.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"catkinstep/io/connection/bound"
 )
 
 const (
@@ -22,6 +24,7 @@
 type conn struct {
 	net.Conn
 	number        uint64
+	limited       *bound.Reader // limits what r reads
 	r             *bufio.Reader
 	reusableUntil time.Time
 	reused        bool // it served an earlier request
@@ -34,7 +37,8 @@
 var connCount atomic.Uint64
 
 func newConn(nc net.Conn, number uint64, now time.Time) *conn {
-	return &conn{Conn: nc, number: number, r: bufio.NewReaderSize(nc, readBufferSize), openedAt: now}
+	limited := bound.NewReader(nc)
+	return &conn{Conn: nc, number: number, limited: limited, r: bufio.NewReaderSize(limited, readBufferSize), openedAt: now}
 }
 
 var idSeed = maphash.MakeSeed()
--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -90,7 +90,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	resp, idleTime, err := cl.roundTrip(c, req)
+	resp, idleTime, err := cl.roundTrip(ctx, c, req)
 	stopped := stop()
 	if err != nil {
 		resetConn(c)
@@ -112,7 +112,7 @@
 	return resp, nil
 }
 
-func (cl *Client) roundTrip(c *conn, req Request) (*Response, time.Duration, error) {
+func (cl *Client) roundTrip(ctx context.Context, c *conn, req Request) (*Response, time.Duration, error) {
 	if !req.SendBefore.IsZero() && time.Now().After(req.SendBefore) {
 		return nil, 0, &Error{Op: "write", Kind: TooLate, Err: errTooLate}
 	}
@@ -134,7 +134,7 @@
 			writeDone <- err
 		}()
 	}
-	resp, idleTime, err := cl.readResponse(c, req)
+	resp, idleTime, err := cl.readResponse(ctx, c, req)
 	if writeDone == nil || err != nil {
 		return resp, idleTime, err
 	}
--- a/io/connection/link/link.go
+++ b/io/connection/link/link.go
@@ -41,6 +41,7 @@
 	maxIdleConns int
 	dialer       Dialer
 	gate         Gate
+	bodies       *BodyBudget
 
 	mu        sync.Mutex
 	idleConns []*conn
@@ -68,7 +69,7 @@
 // instance header, by which any other server recognises that a request is not meant for it.
 // It keeps up to maxIdleConns idle connections.
 func New(address, serverID string, n names.Names, maxIdleConns int, opts ...Option) *Client {
-	cl := &Client{address: address, serverID: serverID, names: n, maxIdleConns: maxIdleConns, dialer: DefaultDialer, gate: openGate{}}
+	cl := &Client{address: address, serverID: serverID, names: n, maxIdleConns: maxIdleConns, dialer: DefaultDialer, gate: openGate{}, bodies: NewBodyBudget(defaultBodyBudget)}
 	for _, o := range opts {
 		o(cl)
 	}
--- a/io/connection/link/response.go
+++ b/io/connection/link/response.go
@@ -1,9 +1,8 @@
 package link
 
 import (
-	"bufio"
+	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math"
 	"net"
@@ -15,9 +14,9 @@
 )
 
 const (
-	// maxResponseBody is the maximum size of a response body in bytes. A response is
-	// read completely before any of it is sent to the caller.
-	maxResponseBody = 16 << 20
+	// maxResponseHead is the maximum size in bytes of a response's status line and header fields, with
+	// the interim responses before them.
+	maxResponseHead = 64 << 10
 	// maxStrayResponses is how many responses to other requests are skipped on a
 	// connection before it is closed.
 	maxStrayResponses = 3
@@ -25,22 +24,19 @@
 
 // readResponse returns the response to the request and how long the connection may stay
 // idle. It skips responses with another ID, which belong to abandoned requests.
-func (cl *Client) readResponse(c *conn, req Request) (*Response, time.Duration, error) {
+func (cl *Client) readResponse(ctx context.Context, c *conn, req Request) (*Response, time.Duration, error) {
 	for skipped := range maxStrayResponses {
-		httpResp, err := readFinalResponse(c.r, req.Method) //nolint:bodyclose // the connection is closed or reused as a whole
+		httpResp, err := readFinalResponse(c, req.Method) //nolint:bodyclose // the connection is closed or reused as a whole
 		if err != nil {
 			return nil, 0, readError(err)
 		}
 		if n := noticeOf(httpResp, cl.names); !n.IsEmpty() {
 			cl.gate.Announced(req, c.openedAt, n)
 		}
-		body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxResponseBody+1))
+		body, err := cl.bodies.readBody(ctx, httpResp)
 		if err != nil {
 			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: err}
 		}
-		if len(body) > maxResponseBody {
-			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: fmt.Errorf("response body exceeds %d bytes", maxResponseBody)}
-		}
 		idleTime := allowedIdleTime(httpResp)
 		switch id := httpResp.Header.Get(cl.names.ID); {
 		case id != "" && req.ID != "" && id != req.ID:
@@ -70,12 +66,14 @@
 // errNoID means that a response may belong to an earlier request on the same connection.
 var errNoID = errors.New("a response without an ID on a connection that has served another request")
 
-// readFinalResponse reads a response. It skips interim responses, which are 1xx other
+// readFinalResponse reads the head of a response. It skips interim responses, which are 1xx other
 // than 101.
-func readFinalResponse(r *bufio.Reader, method string) (*http.Response, error) {
+func readFinalResponse(c *conn, method string) (*http.Response, error) {
+	c.limited.SetLimit(maxResponseHead)
+	defer c.limited.SetLimit(0)
 	req := &http.Request{Method: method}
 	for {
-		resp, err := http.ReadResponse(r, req)
+		resp, err := http.ReadResponse(c.r, req)
 		if err != nil || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, err
 		}
--- a/io/connection/plat/plat.go
+++ b/io/connection/plat/plat.go
@@ -52,6 +52,9 @@
 	callsPerSecond = 20
 	callBurst      = 40
 	maxObjectSize  = 1 << 20
+	// maxResponseBytes and maxHeadBytes limit the body and the header fields of a response.
+	maxResponseBytes = 32 * maxObjectSize
+	maxHeadBytes     = 64 << 10
 )
 
 // Object is an object with its version, which the platform assigns.
@@ -81,7 +84,7 @@
 	return &Client{
 		baseURL:    "http://" + address,
 		dataCentre: dataCentre,
-		httpClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		httpClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}},
 		limiter:    rate.NewLimiter(callsPerSecond, callBurst),
 	}
 }
@@ -195,7 +198,7 @@
 		return nil, nil, err
 	}
 	defer resp.Body.Close() //nolint:errcheck // the body has been read
-	data, err := io.ReadAll(io.LimitReader(resp.Body, 32*maxObjectSize))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	return resp, data, err
 }
 
--- a/io/connection/plat/plat_test.go
+++ b/io/connection/plat/plat_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"catkinstep/io/connection/plat"
+	"catkinstep/io/standin/flood"
 	"catkinstep/io/standin/store"
 )
 
@@ -94,3 +95,16 @@
 		So(got.Revision, ShouldEqual, first.Version)
 	})
 }
+
+// Guards against a host that runs out of memory because the platform in trouble sends bytes without end.
+func TestPlatformWithoutEnd(t *testing.T) {
+	for name, begin := range map[string]string{"status line": "HTTP/1.1 200 ", "header line": "HTTP/1.1 200 OK\r\nX: "} {
+		Convey("The "+name+" without end: the call fails within the limit", t, func() {
+			c := plat.New(flood.Start(t, begin, "x").Address(), "duluth")
+			var err error
+			allocated := flood.Allocated(func() { _, err = c.Read(context.Background(), "site") })
+			So(err, ShouldNotBeNil)
+			So(allocated, ShouldBeLessThan, 1<<20)
+		})
+	}
+}
--- a/io/process/native/daemon_test.go
+++ b/io/process/native/daemon_test.go
@@ -253,3 +253,28 @@
 		So(ts.oracle.RunCount(), ShouldEqual, runsBefore+3) // the GET ran twice
 	})
 }
+
+// Guards against a host that a server in trouble fills with bytes, and a caller that waits for them until
+// its deadline.
+func TestServersThatSendWithoutEnd(t *testing.T) {
+	for name, faults := range map[string]server.Faults{"heads": {EndlessHeadShare: 1}, "bodies": {EndlessBodyShare: 1}} {
+		Convey("With "+name+" without end from one server, lookups are served by the other; from all, a booking's outcome is unknown", t, func() {
+			ts := newTestSite(t, 1)
+			d := ts.daemons[0]
+			So(ts.becomesReady(d), ShouldBeTrue)
+			faulty := ts.send(d, http.MethodGet, "/intake/parcels/1", "").answer.Server
+			ts.servers[faulty].SetFaults(faults)
+			for range 5 {
+				So(ts.send(d, http.MethodGet, "/intake/parcels/1", "").status, ShouldEqual, http.StatusOK)
+			}
+			for _, v := range ts.servers {
+				v.SetFaults(faults)
+			}
+			runsBefore := ts.oracle.RunCount()
+			f := ts.send(d, http.MethodPost, "/intake/labels/1", "{}")
+			So(f.status, ShouldEqual, http.StatusBadGateway)
+			So(f.failure.Outcome, ShouldEqual, native.OutcomeUnknown)
+			So(ts.oracle.RunCount(), ShouldEqual, runsBefore+1)
+		})
+	}
+}
--- a/io/process/router/clients.go
+++ b/io/process/router/clients.go
@@ -12,7 +12,7 @@
 var maxIdleConnsOf = map[purpose]int{
 	forRequests: 4, // about as many requests as one daemon usually has in flight there
 	forGrants:   1, // for renewals
-	forReleases: 0, // a response to one release cannot be told from that to another
+	forReleases: 0, // a response to one release cannot be distinguished from that to another
 }
 
 // clientKey identifies a client by the server instance and the purpose of its calls.
@@ -42,6 +42,7 @@
 type clientPool struct {
 	names  names.Names
 	dialer link.Dialer // of all clients; nil for the usual one
+	bodies *link.BodyBudget
 	inner  link.Dialer // that dialer without observation; nil for the usual one
 	// gate returns the gate of the client of a server instance.
 	gate    func(clientKey) link.Gate
@@ -58,7 +59,7 @@
 	}
 	client := p.clients[key]
 	if client == nil {
-		client = &serverClient{Client: link.New(key.address, key.id, p.names, maxIdleConnsOf[key.purpose], link.WithDialer(p.dialer), link.WithGate(p.gate(key)))}
+		client = &serverClient{Client: link.New(key.address, key.id, p.names, maxIdleConnsOf[key.purpose], link.WithDialer(p.dialer), link.WithGate(p.gate(key)), link.WithBodyBudget(p.bodies))}
 		p.clients[key] = client
 	}
 	return client
--- a/io/process/router/http.go
+++ b/io/process/router/http.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: Address, Err: err}
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: time.Minute}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: time.Minute, MaxHeaderBytes: defaultMaxHeaderBytes}
 	r.tomb.Go(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return &Error{Op: "serve " + address, Kind: Stopped, Err: err}
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -169,6 +169,7 @@
 		r.grantTTL = min(r.grantTTL, s.MaxGrantTTL)
 	}
 	r.clientPool.names = p.Names()
+	r.clientPool.bodies = link.NewBodyBudget(responseBodyBudget)
 	r.clientPool.dialer = observedDialer{r: r, inner: r.clientPool.plainDialer()}
 	r.metrics.vars.Set("workspaces", expvar.Func(r.workspaceTotals))
 	r.burnMeter = burn.New(r.now())
--- a/io/standin/server/serve.go
+++ b/io/standin/server/serve.go
@@ -263,6 +263,8 @@
 	respFaults := s.faults
 	respFaults.WrongIDShare = s.sampleFault(respFaults.WrongIDShare)
 	respFaults.TruncatedShare = s.sampleFault(respFaults.TruncatedShare)
+	respFaults.EndlessHeadShare = s.sampleFault(respFaults.EndlessHeadShare)
+	respFaults.EndlessBodyShare = s.sampleFault(respFaults.EndlessBodyShare)
 	return resp, respFaults, true
 }
 
@@ -282,8 +284,14 @@
 		resp.ID += "-crossed"
 		w.Header().Set(n.ID, resp.ID)
 	}
+	if faults.EndlessHeadShare > 0 {
+		writeEndlessHead(w)
+	}
 	data, _ := json.Marshal(resp)
 	w.Header().Set("Content-Type", "application/json")
+	if faults.EndlessBodyShare > 0 {
+		writeEndless(w, data)
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	if faults.TruncatedShare > 0 {
 		_, _ = w.Write(data[:len(data)/2])
--- a/io/standin/server/server.go
+++ b/io/standin/server/server.go
@@ -61,6 +61,10 @@
 	WrongIDShare float64 `json:"crossAnswers"`
 	// TruncatedShare is the share of responses that break off in the middle.
 	TruncatedShare float64 `json:"cutAnswers"`
+	// EndlessHeadShare and EndlessBodyShare are the shares of responses whose head or body goes on until
+	// the daemon closes the connection.
+	EndlessHeadShare float64 `json:"endlessHeads"`
+	EndlessBodyShare float64 `json:"endlessBodies"`
 	// CrashOnPath crashes the server when it is about to run a request whose path contains this text;
 	// empty means never.
 	CrashOnPath string `json:"crashOn"`
