link: attribution of responses in a function of its own

Reading for newcomers: readResponse had grown to decide four things in one loop. The package comment says which response counts. The log of a stopped leader loses a field that said nothing.

--- a/core/process/keeper/terms.go
+++ b/core/process/keeper/terms.go
@@ -7,8 +7,8 @@
 	"catkinstep/core/version/grant"
 )
 
-// leaseLeftInterval is the longest time between two saves while an earlier term may not have ended. A
-// successor assumes what the last save says of the rest of that term.
+// leaseLeftInterval is the longest time between two saves while an earlier term may not have ended: a
+// successor assumes of the rest of that term what the last save says.
 const leaseLeftInterval = 5 * time.Second
 
 // earlierTerms is what the keeper knows of the terms before its own.
--- a/io/connection/link/doc.go
+++ b/io/connection/link/doc.go
@@ -3,6 +3,11 @@
 // of a request: a complete response, proof that the server did not run the
 // request, or an unknown outcome.
 //
+// A response counts only if it cannot belong to another request on its connection: it has the request's
+// ID, and no earlier request there had the same; or it has none, and is the first response there. The
+// head, the body and all large bodies together are limited, so that a server that sends bytes without
+// end costs one request and one connection.
+//
 // The package does not use http.Transport, which retries some requests on its own
 // and does not report whether any bytes were sent. Here a request is written at
 // most once.
--- a/io/connection/link/response.go
+++ b/io/connection/link/response.go
@@ -38,33 +38,71 @@
 			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: err}
 		}
 		idleTime := allowedIdleTime(httpResp)
-		switch id := httpResp.Header.Get(cl.names.ID); {
-		case id != "" && req.ID != "" && id != req.ID:
+		switch cl.attribute(httpResp, req, c.reused || skipped > 0) {
+		case ownResponse:
+		case lastResponse:
+			idleTime = 0
+		case strayResponse:
 			if httpResp.Close {
-				return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: errors.New("connection closed after the response to another request")}
+				return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: errStrayClose}
 			}
 			continue
-		case id == "" && req.ID != "" && (c.reused || skipped > 0):
+		case unknownResponse:
 			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: errNoID}
-		case req.ID == "" && c.reused && httpResp.StatusCode != http.StatusOK:
-			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: errNoID}
-		case id == "" && req.ID != "":
-			idleTime = 0 // its second copy could be taken for the response to any later request
-		}
-		resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Body: body, Server: cl.serverID, Conn: c.number}
-		resp.Declined = httpResp.Header.Get(cl.names.NotRun) != "" || httpResp.StatusCode == http.StatusMisdirectedRequest
-		resp.OutcomeLost = cl.names.OutcomeLost != "" && httpResp.Header.Get(cl.names.OutcomeLost) != ""
-		resp.RateLimit, resp.RateLimited = parseRateLimit(httpResp.Header.Get(cl.names.RateLimit))
-		if resp.Load = parseLoad(httpResp.Header.Get(cl.names.Load)); resp.Load != nil {
-			resp.Load.Bytes = len(body)
 		}
+		resp := cl.newResponse(httpResp, body)
+		resp.Conn = c.number
 		return resp, idleTime, nil
 	}
-	return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: errors.New("received only responses to other requests")}
+	return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: errOnlyStray}
 }
 
-// errNoID means that a response may belong to an earlier request on the same connection.
-var errNoID = errors.New("a response without an ID on a connection that has served another request")
+var (
+	errStrayClose = errors.New("connection closed after the response to another request")
+	errOnlyStray  = errors.New("received only responses to other requests")
+	// errNoID means that a response may belong to an earlier request on the same connection.
+	errNoID = errors.New("a response without an ID on a connection that has served another request")
+)
+
+// attribution says to which request a response belongs.
+type attribution int
+
+const (
+	ownResponse     attribution = iota
+	lastResponse                // the request's own, after which the connection must not be used again
+	strayResponse               // that of another request
+	unknownResponse             // that of this request or of an earlier one
+)
+
+// attribute returns to which request a response belongs. isLater is set unless it is the first response on
+// its connection, which can only be that of the first request. The connection has not carried another
+// request with the same ID.
+func (cl *Client) attribute(resp *http.Response, req Request, isLater bool) attribution {
+	id := resp.Header.Get(cl.names.ID)
+	switch {
+	case req.ID == "" && isLater && resp.StatusCode != http.StatusOK:
+		return unknownResponse // a refusal, or the second copy of one
+	case req.ID == "" || id == req.ID:
+		return ownResponse
+	case id != "":
+		return strayResponse
+	case isLater:
+		return unknownResponse
+	}
+	return lastResponse // its second copy could be taken for the response to any later request
+}
+
+// newResponse interprets the headers of a response.
+func (cl *Client) newResponse(r *http.Response, body []byte) *Response {
+	resp := &Response{Status: r.StatusCode, Header: r.Header, Body: body, Server: cl.serverID}
+	resp.Declined = r.Header.Get(cl.names.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest
+	resp.OutcomeLost = cl.names.OutcomeLost != "" && r.Header.Get(cl.names.OutcomeLost) != ""
+	resp.RateLimit, resp.RateLimited = parseRateLimit(r.Header.Get(cl.names.RateLimit))
+	if resp.Load = parseLoad(r.Header.Get(cl.names.Load)); resp.Load != nil {
+		resp.Load.Bytes = len(body)
+	}
+	return resp
+}
 
 // readFinalResponse reads the head of a response. It skips interim responses, which are 1xx other
 // than 101.
--- a/io/process/router/witness.go
+++ b/io/process/router/witness.go
@@ -68,7 +68,7 @@
 		leader := e.Term().Leader
 		if !e.Stopped() && leader.Daemon != "" && c.members.HasSteppedDown(leader, e.Term().Epoch+1) {
 			e.RecordStopped(now)
-			c.r.log.Info("keys: an earlier leader has stopped", "epoch", e.Term().Epoch, "leader", leader.Daemon, "by", c.keeper.Epoch())
+			c.r.log.Info("keys: an earlier leader has stopped", "epoch", e.Term().Epoch, "leader", leader.Daemon)
 		}
 		if at, known := e.StoppedBy(); known {
 			c.updateKeeper(now, keeper.EarlierLeaderStoppedMsg{Epoch: e.Term().Epoch, At: at})
