Responses and promises are counted by what proves them

What callers saw: orders that had run were answered with a promise, and no log line named them. On the code before, a server's response below status 500 that is in time is passed on without a line and without a counter, so the record could not tell whose promise it was.

--- a/io/connection/caller/conn.go
+++ b/io/connection/caller/conn.go
@@ -196,6 +196,7 @@
 	if !c.addPending() {
 		return
 	}
+	c.server.onUnread(status)
 	p := &pendingRequest{done: make(chan struct{}), closeAfter: true, reply: Reply{Status: status, Header: http.Header{}}}
 	close(p.done)
 	c.queue <- p
--- a/io/connection/caller/server.go
+++ b/io/connection/caller/server.go
@@ -78,6 +78,7 @@
 type Server struct {
 	handler      Handler
 	limits       func() Limits
+	onUnread     func(status int)
 	shuttingDown atomic.Bool
 	running      atomic.Int64
 	accepted     atomic.Int64
@@ -92,9 +93,13 @@
 // WithLimits sets the function that returns the current limits.
 func WithLimits(f func() Limits) Option { return func(s *Server) { s.limits = f } }
 
+// WithOnUnread sets a function that is called with the status of each reply to a request that could not be
+// read. The handler does not get such a request.
+func WithOnUnread(f func(status int)) Option { return func(s *Server) { s.onUnread = f } }
+
 // New returns a Server that handles requests with h.
 func New(h Handler, opts ...Option) *Server {
-	s := &Server{handler: h, conns: map[*conn]bool{}}
+	s := &Server{handler: h, conns: map[*conn]bool{}, onUnread: func(int) {}}
 	s.limits = func() Limits {
 		return Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, ReadTimeout: 5 * time.Second, IdleTimeout: time.Minute}
 	}
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -49,6 +49,7 @@
 		}
 		resp, err := r.send(ctx, req, server)
 		r.releasePermit(req)
+		r.observeResponse(req, server, resp)
 		if err != nil && link.NotRun(err) {
 			req.attempts.unsent++
 		} else {
--- a/io/process/router/lead.go
+++ b/io/process/router/lead.go
@@ -205,6 +205,7 @@
 		r.countRemoteRequest(server, "grants", req, resp)
 	}
 	if err == nil {
+		r.observeCall(h, req, resp)
 		answer := controlAnswer{conn: resp.Conn}
 		answer.result, answer.handover = r.protocol.Result(resp)
 		return answer
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -192,7 +192,7 @@
 	r.current.Store((&snapshot{}).withFleet(fleet.New(nil), nil))
 	r.bootDone, r.boot = make(chan struct{}), boot.New(r.now())
 	r.control = newControl(r, r.now())
-	r.callers = caller.New(r.serve, caller.WithLimits(r.callerLimits))
+	r.callers = caller.New(r.serve, caller.WithLimits(r.callerLimits), caller.WithOnUnread(r.observeUnread))
 	return r
 }
 
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -10,6 +10,7 @@
 
 	"catkinstep/core/process/burn"
 	"catkinstep/core/process/keeper"
+	"catkinstep/core/request/proof"
 	"catkinstep/core/request/retry"
 	"catkinstep/core/request/spread"
 	"catkinstep/core/version/config"
@@ -37,9 +38,20 @@
 func (r *Router) serve(ctx context.Context, callerReq caller.Request) caller.Reply {
 	reply := r.handle(ctx, callerReq)
 	r.metrics.observeRequest(reply.Status, time.Since(callerReq.ReadAt))
+	if proof.Promises(reply.Status) {
+		r.metrics.increment("promises." + strconv.Itoa(reply.Status) + "." + sourceLabel(reply))
+	}
 	return reply
 }
 
+// sourceLabel returns who made a reply, for the names of counters.
+func sourceLabel(reply caller.Reply) string {
+	if reply.Refusal == nil {
+		return "server"
+	}
+	return "host"
+}
+
 // recordServiceLevel counts the outcome of a request for its service level objective.
 func (r *Router) recordServiceLevel(req *request, reply caller.Reply) {
 	outcome := serviceOutcome(req, reply)
