--- a/io/connection/caller/caller_test.go
+++ b/io/connection/caller/caller_test.go
@@ -15,6 +15,12 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
+// respond returns the reply that passes on a response with a status that promises nothing.
+func respond(status int, body []byte) Reply {
+	reply, _ := NewResponse(status, http.Header{}, body)
+	return reply
+}
+
 func startServer(t *testing.T, h Handler, opts ...Option) (*Server, string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -54,7 +60,7 @@
 }
 
 func echo(_ context.Context, r Request) Reply {
-	return Reply{Status: 200, Header: http.Header{}, Body: []byte(r.URL.Path + string(r.Body))}
+	return respond(200, []byte(r.URL.Path+string(r.Body)))
 }
 
 // Guards against a pipelined request that is not read until the previous one has its reply.
@@ -126,7 +132,7 @@
 		_, address := startServer(t, func(ctx context.Context, _ Request) Reply {
 			<-ctx.Done()
 			close(cancelled)
-			return Reply{Status: 502, Header: http.Header{}}
+			return respond(502, nil)
 		})
 		c := dial(address)
 		c.get("/x")
@@ -271,7 +277,7 @@
 	Convey("A connection whose reply is being sent is not idle", t, func() {
 		const large = 16 << 20 // more than the socket buffers hold
 		s, address := startServer(t, func(context.Context, Request) Reply {
-			return Reply{Status: 200, Header: http.Header{}, Body: make([]byte, large)}
+			return respond(200, make([]byte, large))
 		})
 		c := dial(address)
 		defer c.Close() //nolint:errcheck // a test's client
--- a/io/connection/caller/conn.go
+++ b/io/connection/caller/conn.go
@@ -197,7 +197,7 @@
 		return
 	}
 	c.server.onUnread(status)
-	p := &pendingRequest{done: make(chan struct{}), closeAfter: true, reply: Reply{Status: status, Header: http.Header{}}}
+	p := &pendingRequest{done: make(chan struct{}), closeAfter: true, reply: newUnread(status)}
 	close(p.done)
 	c.queue <- p
 }
--- a/io/connection/caller/send.go
+++ b/io/connection/caller/send.go
@@ -17,8 +17,8 @@
 
 // send writes a reply with its length.
 func (c *conn) send(p *pendingRequest, closeAfter bool) error {
-	head, body := replyHead(p, closeAfter), p.reply.Body
-	if p.isHead || hasNoBody(p.reply.Status) {
+	head, body := replyHead(p, closeAfter), p.reply.Body()
+	if p.isHead || hasNoBody(p.reply.Status()) {
 		body = nil
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(sendTimeout))
@@ -35,9 +35,9 @@
 func replyHead(p *pendingRequest, closeAfter bool) []byte {
 	var b bytes.Buffer
 	b.Grow(512)
-	status := p.reply.Status
+	status := p.reply.Status()
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
-	for name, values := range p.reply.Header {
+	for name, values := range p.reply.Header() {
 		if isHopByHop(name) {
 			continue
 		}
@@ -46,10 +46,10 @@
 		}
 	}
 	switch {
-	case p.isHead && p.reply.Header.Get("Content-Length") != "":
-		b.WriteString("Content-Length: " + p.reply.Header.Get("Content-Length") + "\r\n")
+	case p.isHead && p.reply.Header().Get("Content-Length") != "":
+		b.WriteString("Content-Length: " + p.reply.Header().Get("Content-Length") + "\r\n")
 	case !hasNoBody(status):
-		b.WriteString("Content-Length: " + strconv.Itoa(len(p.reply.Body)) + "\r\n")
+		b.WriteString("Content-Length: " + strconv.Itoa(len(p.reply.Body())) + "\r\n")
 	}
 	if closeAfter {
 		b.WriteString("Connection: close\r\n")
--- a/io/connection/caller/server.go
+++ b/io/connection/caller/server.go
@@ -28,16 +28,6 @@
 	shutdownPollInterval = 20 * time.Millisecond
 )
 
-// Reply is the reply to a caller's request: a backend server's response that is passed on, or a
-// Refusal.
-type Reply struct {
-	Status int
-	Header http.Header
-	Body   []byte
-	// Refusal is what the reply was made from if the daemon made it; nil for a server's response.
-	Refusal *Refusal
-}
-
 // Request is a request with its complete body.
 type Request struct {
 	*http.Request
@@ -46,19 +36,6 @@
 	ReadAt time.Time
 }
 
-// Refusal describes a reply that the daemon itself makes because it has no response from a backend
-// server. A router.Protocol formats it.
-type Refusal struct {
-	ID     string
-	Status int
-	// Reason is the code of the refusal in logs and metrics.
-	Reason string
-	// MaybeRan means that a server may have run the request.
-	MaybeRan bool
-	// RetryAfter is the time after which a retry may succeed; zero if a retry is not useful.
-	RetryAfter time.Duration
-}
-
 // Handler returns the reply to a request. The context is cancelled when the caller's
 // connection ends.
 type Handler func(ctx context.Context, r Request) Reply
--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -51,7 +51,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Declined means that the server states that it did not run the request.
+	// Declined means that the server states that it did not run the request: the header says so, and the
+	// ID that this is meant. A status states nothing; servers send each with requests that have run.
 	Declined bool
 	// OutcomeLost means that a previous holder of the request's key may have run the request
 	// and that its outcome is lost.
--- a/io/connection/link/error.go
+++ b/io/connection/link/error.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"syscall"
+
+	"catkinstep/core/request/proof"
 )
 
 // Kind classifies the errors of this package.
@@ -53,6 +55,17 @@
 	return errors.As(err, &e) && !e.ReusedConn && errors.Is(err, syscall.ECONNRESET)
 }
 
+// Ground returns what proves that the server has not run a request and never will, if anything does.
+func Ground(resp *Response, err error) proof.Ground {
+	switch {
+	case err != nil && NotRun(err):
+		return proof.Unsent
+	case err == nil && resp.Declined:
+		return proof.Declined
+	}
+	return proof.None
+}
+
 // NotRun reports whether an error proves that the server did not run the request.
 func NotRun(err error) bool {
 	k := KindOf(err)
--- a/io/connection/link/response.go
+++ b/io/connection/link/response.go
@@ -38,7 +38,8 @@
 			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: err}
 		}
 		idleTime := allowedIdleTime(httpResp)
-		switch cl.attribute(httpResp, req, c.reused || skipped > 0) {
+		origin := cl.attribute(httpResp, req, c.reused || skipped > 0)
+		switch origin {
 		case ownResponse:
 		case lastResponse:
 			idleTime = 0
@@ -51,6 +52,7 @@
 			return nil, 0, &Error{Op: "read", Kind: InvalidResponse, Err: errNoID}
 		}
 		resp := cl.newResponse(httpResp, body)
+		resp.Declined = resp.Declined && origin == ownResponse
 		resp.Conn = c.number
 		return resp, idleTime, nil
 	}
@@ -95,7 +97,7 @@
 // newResponse interprets the headers of a response.
 func (cl *Client) newResponse(r *http.Response, body []byte) *Response {
 	resp := &Response{Status: r.StatusCode, Header: r.Header, Body: body, Server: cl.serverID}
-	resp.Declined = r.Header.Get(cl.names.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest
+	resp.Declined = r.Header.Get(cl.names.NotRun) != "" && r.StatusCode >= http.StatusBadRequest
 	resp.OutcomeLost = cl.names.OutcomeLost != "" && r.Header.Get(cl.names.OutcomeLost) != ""
 	resp.RateLimit, resp.RateLimited = parseRateLimit(r.Header.Get(cl.names.RateLimit))
 	if resp.Load = parseLoad(r.Header.Get(cl.names.Load)); resp.Load != nil {
--- a/io/connection/link/second_test.go
+++ b/io/connection/link/second_test.go
@@ -239,3 +239,28 @@
 		So(NotRun(err), ShouldBeFalse)
 	})
 }
+
+// Guards against a request that is taken for one that has not run by its status, or by bytes that may not be
+// meant for it.
+func TestOnlyTheStatementIsProof(t *testing.T) {
+	for _, test := range []struct {
+		name, header string
+		status       int
+		declined     bool
+	}{
+		{"the statement with the request's ID", echoedID + declined, 503, true},
+		{"the statement with the request's ID, another status", echoedID + declined, 400, true},
+		{"a status that promises", echoedID, 421, false},
+		{"a status that promises, too", echoedID, 503, false},
+		{"the statement without an ID", declined, 503, false},
+		{"the statement with a success", echoedID + declined, 200, false},
+	} {
+		Convey(test.name, t, func() {
+			s := startRepeatingServer(t, 1, func(*http.Request) string { return responseOf(test.status, test.header, "") }, func(*rand.Rand) repetition { return noRepetition })
+			resp, err := doTry(New(s.Addr().String(), "server-1", names.Default(), 2), "order", "1")
+			So(err, ShouldBeNil)
+			So(resp.Declined, ShouldEqual, test.declined)
+			So(Ground(resp, err).Proves(), ShouldEqual, test.declined)
+		})
+	}
+}
--- a/io/process/native/protocol.go
+++ b/io/process/native/protocol.go
@@ -152,7 +152,7 @@
 // RefusalReply builds the reply to a request that no backend server answered.
 func (Protocol) RefusalReply(refusal caller.Refusal) (http.Header, []byte) {
 	errBody := ErrorBody{Code: refusal.Reason, Outcome: OutcomeNotRun, RequestID: refusal.ID}
-	if refusal.MaybeRan {
+	if refusal.MaybeRan() {
 		errBody.Outcome = OutcomeUnknown
 	}
 	h := http.Header{"Content-Type": {"application/json"}}
--- a/io/process/router/allowance.go
+++ b/io/process/router/allowance.go
@@ -233,7 +233,7 @@
 	if !req.identity.workspace.Allowance.Limited() {
 		return
 	}
-	a := quota.Attempt{Further: req.attempts.ran > 0, Waited: req.waited, ForOthers: req.carried}
+	a := quota.Attempt{Further: req.history.Unproved() > 0, Waited: req.waited, ForOthers: req.carried}
 	r.mu.Lock()
 	r.workspaceLimiter.Sent(req.identity.workspace, a)
 	r.mu.Unlock()
--- a/io/process/router/allowance_test.go
+++ b/io/process/router/allowance_test.go
@@ -55,8 +55,8 @@
 		r := newLimitedRouter()
 		So(r.useUp(), ShouldEqual, 10)
 		reply := r.handle(context.Background(), callerRequest("/x", keyHeader("k1")))
-		So(reply.Status, ShouldEqual, http.StatusTooManyRequests)
-		So(reply.Refusal.RetryAfter, ShouldBeGreaterThan, 0)
+		So(reply.Status(), ShouldEqual, http.StatusTooManyRequests)
+		So(reply.Refusal().RetryAfter, ShouldBeGreaterThan, 0)
 		So(r.budgets, ShouldBeEmpty)
 		top, _ := r.workspaceLimiter.Totals(1)
 		So(top, ShouldResemble, []quota.Total{{Workspace: "mill", Asked: 1, Refused: 1}})
@@ -65,8 +65,8 @@
 		r := newLimitedRouter()
 		r.useUp()
 		r.applyWorkspaces(2, atSecond(66), limitedWorkspace, space.Workspace{Name: "yard", KeyHashes: []space.KeyHash{space.HashKey("k2")}, Allowance: space.Allowance{Rate: 10, Burst: 10}})
-		So(r.handle(context.Background(), callerRequest("/x", keyHeader("k2"))).Status, ShouldEqual, http.StatusServiceUnavailable) // there is no server
-		So(r.handle(context.Background(), callerRequest("/open/x", keyHeader("k1"))).Status, ShouldEqual, http.StatusServiceUnavailable)
+		So(r.handle(context.Background(), callerRequest("/x", keyHeader("k2"))).Status(), ShouldEqual, http.StatusServiceUnavailable) // there is no server
+		So(r.handle(context.Background(), callerRequest("/open/x", keyHeader("k1"))).Status(), ShouldEqual, http.StatusServiceUnavailable)
 	})
 }
 
@@ -79,9 +79,9 @@
 		r.tickUntilBooted()
 		for range 3 {
 			reply := r.handle(context.Background(), callerRequest("/x", keyHeader("k1")))
-			So(reply.Status, ShouldEqual, http.StatusServiceUnavailable)
-			So(reply.Refusal.Reason, ShouldEqual, reasonAllowanceUnknown)
-			So(reply.Refusal.RetryAfter, ShouldBeGreaterThan, 0)
+			So(reply.Status(), ShouldEqual, http.StatusServiceUnavailable)
+			So(reply.Refusal().Reason, ShouldEqual, reasonAllowanceUnknown)
+			So(reply.Refusal().RetryAfter, ShouldBeGreaterThan, 0)
 		}
 	})
 }
@@ -91,7 +91,7 @@
 	Convey("A request that no server ran does not count", t, func() {
 		r := newLimitedRouter()
 		for range 5 {
-			So(r.handle(context.Background(), callerRequest("/x", keyHeader("k1"))).Status, ShouldEqual, http.StatusServiceUnavailable)
+			So(r.handle(context.Background(), callerRequest("/x", keyHeader("k1"))).Status(), ShouldEqual, http.StatusServiceUnavailable)
 		}
 		So(r.useUp(), ShouldEqual, 9) // one was taken, given back, and taken again
 	})
@@ -99,7 +99,7 @@
 		s := &pipeServer{status: http.StatusInternalServerError}
 		r := newSiteRouter("a", s)
 		r.updateServers(atSecond(66), 20, serverItem("b", 15)) // for the second attempt
-		So(r.handle(context.Background(), lookupOf("/x")).Status, ShouldEqual, http.StatusInternalServerError)
+		So(r.handle(context.Background(), lookupOf("/x")).Status(), ShouldEqual, http.StatusInternalServerError)
 		So(s.runs, ShouldHaveLength, 2)
 		So(r.useUp(), ShouldEqual, 8)
 	})
@@ -115,7 +115,7 @@
 			_, ok := r.pool.Take(r.now(), limitedWorkspace)
 			So(ok, ShouldBeTrue)
 		}
-		So(r.handle(context.Background(), lookupOf("/x")).Status, ShouldEqual, http.StatusInternalServerError)
+		So(r.handle(context.Background(), lookupOf("/x")).Status(), ShouldEqual, http.StatusInternalServerError)
 		So(s.runs, ShouldHaveLength, 1)
 	})
 }
@@ -132,7 +132,7 @@
 		r.now = func() time.Time { return atSecond(66.2) }
 		r.useUp()
 		reply := r.sendWithRetries(context.Background(), req)
-		So(reply.Status, ShouldEqual, http.StatusTooManyRequests)
+		So(reply.Status(), ShouldEqual, http.StatusTooManyRequests)
 		So(s.runs, ShouldBeEmpty)
 	})
 }
@@ -146,9 +146,9 @@
 		r.updateServers(atSecond(66), 20, serverItem("b", 15)) // for the second attempt
 		r.control.logUsages(1)
 		r.log = slog.New(slog.NewJSONHandler(&logged, nil))
-		So(r.handle(context.Background(), lookupOf("/x")).Status, ShouldEqual, http.StatusInternalServerError)
+		So(r.handle(context.Background(), lookupOf("/x")).Status(), ShouldEqual, http.StatusInternalServerError)
 		r.useUp()
-		So(r.handle(context.Background(), lookupOf("/x")).Status, ShouldEqual, http.StatusTooManyRequests)
+		So(r.handle(context.Background(), lookupOf("/x")).Status(), ShouldEqual, http.StatusTooManyRequests)
 		r.control.logUsages(1)
 		So(logged.String(), ShouldContainSubstring, `"msg":"allowances: sent","workspace":"mill","perSecond":10,"burst":10,"sent":2,"refused":1,"further":1,"waited":0,"forOthers":0`)
 		So(logged.String(), ShouldContainSubstring, `"msg":"allowances: handed out","workspace":"mill","perSecond":10,"burst":10,"taken":10,"denied":`)
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"catkinstep/core/request/proof"
 	"catkinstep/core/request/retry"
 	"catkinstep/core/request/spread"
 	"catkinstep/core/version/fleet"
@@ -19,10 +20,10 @@
 func (r *Router) sendWithRetries(ctx context.Context, req *request) caller.Reply {
 	for {
 		if ctx.Err() != nil {
-			return *r.finalReply(req.id, http.StatusBadGateway, reasonCallerDisconnected)
+			return *r.finalReply(req.id, http.StatusBadGateway, reasonCallerDisconnected, proof.NotRun{})
 		}
 		if rejection := r.updateWorkspace(r.current.Load(), req); rejection != nil {
-			if req.maybeRan {
+			if req.history.MaybeRan() {
 				return r.giveUp(req, spread.Choice{}, reasonUnknownAPIKey, 0)
 			}
 			return *rejection
@@ -47,6 +48,7 @@
 		if choice.Refused() {
 			return r.giveUp(req, choice, string(choice.Reason), choice.RetryAfter)
 		}
+		req.history = req.history.WithBegun()
 		resp, err := r.send(ctx, req, server)
 		r.releasePermit(req)
 		r.observeResponse(req, server, resp)
@@ -169,40 +171,37 @@
 		return spread.Misdirected
 	case resp.Declined:
 		return spread.Declined
-	case resp.Status >= http.StatusInternalServerError:
+	case resp.Status >= http.StatusInternalServerError, proof.Promises(resp.Status):
 		return spread.Failed
 	}
 	return spread.Answered
 }
 
 // evaluateAttempt handles the end of an attempt. It returns either the reply to the caller,
-// or true if the request is to be sent again. It also sets the request's maybeRan and
-// fallbackResponse, on which the decisions after further attempts depend.
+// or true if the request is to be sent again. It also sets the request's history and fallback, on
+// which the decisions after further attempts depend.
 func (r *Router) evaluateAttempt(ctx context.Context, req *request, server fleet.Server, choice spread.Choice, resp *link.Response, err error) (caller.Reply, bool) {
-	notRun := err != nil && link.NotRun(err) || err == nil && resp.Declined
+	ground := link.Ground(resp, err)
+	notRun := ground.Proves()
+	req.history = req.history.WithEnded(ground)
 	if !notRun {
-		req.attempts.ran++
 		req.token = allowanceToken{} // it may be used for one run
 	}
 	if link.KindOf(err) == link.ConnectionLost {
 		r.recordLoss(req, server.ID)
 	}
+	reason := reasonAttemptFailed
 	switch {
 	case err == nil && resp.OutcomeLost:
 		return r.replyOutcomeLost(req, server.ID), false
-	case err == nil && !resp.Declined && r.isServerResponse(resp):
+	case err == nil && !notRun && r.isServerResponse(resp):
 		r.clearSuspect(req)
-		if resp.Status < http.StatusInternalServerError || !r.mayRetry(ctx, req, false) {
-			if resp.Status >= http.StatusInternalServerError {
-				r.logFailedAttempt(req, server, choice, resp, nil, "passed on")
-			} else {
-				r.logLateResponse(req, choice, resp)
-			}
-			return r.callerReply(req, resp), false
+		if reply, passedOn := r.passOn(ctx, req, server, choice, resp); passedOn {
+			return reply, false
+		}
+		if proof.Promises(resp.Status) {
+			reason = reasonUnproved
 		}
-		req.fallbackResponse, req.maybeRan = resp, true
-	case !notRun:
-		req.maybeRan = true
 	}
 	shed := err == nil && declinedAtShortQueue(resp)
 	if notRun && req.key >= 0 && err == nil && !shed {
@@ -214,7 +213,7 @@
 	}
 	if !r.mayRetry(ctx, req, notRun) {
 		r.logFailedAttempt(req, server, choice, resp, err, "given up")
-		return r.giveUp(req, choice, reasonAttemptFailed, choice.RetryAfter), false
+		return r.giveUp(req, choice, reason, choice.RetryAfter), false
 	}
 	req.excludeFailed(server, resp)
 	if refusal, certain := r.certainRefusal(req); certain {
@@ -223,12 +222,30 @@
 	}
 	if r.retryState(req, notRun).UsesBudget() && !r.tryWithdrawRetry(req) {
 		r.logFailedAttempt(req, server, choice, resp, err, "given up")
-		return r.giveUp(req, choice, reasonAttemptFailed, choice.RetryAfter), false
+		return r.giveUp(req, choice, reason, choice.RetryAfter), false
 	}
 	r.logFailedAttempt(req, server, choice, resp, err, "sent again")
 	return caller.Reply{}, true
 }
 
+// passOn returns the reply that passes a server's response on. It returns false if the response must not be
+// passed on, or if a failure may be followed by another attempt; it becomes the request's fallback then.
+func (r *Router) passOn(ctx context.Context, req *request, server fleet.Server, choice spread.Choice, resp *link.Response) (caller.Reply, bool) {
+	reply, ok := r.callerReply(req, resp)
+	switch {
+	case !ok:
+		return caller.Reply{}, false
+	case resp.Status < http.StatusInternalServerError:
+		r.logLateResponse(req, choice, resp)
+	case r.mayRetry(ctx, req, false):
+		req.fallback = &reply
+		return caller.Reply{}, false
+	default:
+		r.logFailedAttempt(req, server, choice, resp, nil, "passed on")
+	}
+	return reply, true
+}
+
 // isServerResponse reports whether a response comes from the server itself. A response with a
 // status below 300 must have the signature header to show this.
 func (r *Router) isServerResponse(resp *link.Response) bool {
@@ -242,7 +259,7 @@
 
 // retryState describes the attempts so far, the last of which failed.
 func (r *Router) retryState(req *request, notRun bool) retry.State {
-	return retry.State{Idempotent: req.route.Idempotent, NotRun: notRun, MaybeRan: req.maybeRan, SentAttempts: req.attempts.sent, UnsentAttempts: req.attempts.unsent,
+	return retry.State{Idempotent: req.route.Idempotent, NotRun: notRun, MaybeRan: req.history.MaybeRan(), SentAttempts: req.attempts.sent, UnsentAttempts: req.attempts.unsent,
 		CrashSuspect: r.checkCrashSuspect(req), MaxAttempts: req.route.MaxAttempts, TimeLeft: time.Until(req.deadline), MinLatency: r.minRetryLatency(req)}
 }
 
--- a/io/process/router/benchmark_test.go
+++ b/io/process/router/benchmark_test.go
@@ -33,7 +33,7 @@
 				q.Header = http.Header{names.Default().APIKey: {"k1"}}
 				req, rejection := r.resolve(r.current.Load(), q, "id", nil)
 				if rejection != nil {
-					b.Fatal(rejection.Status)
+					b.Fatal(rejection.Status())
 				}
 				if r.admitToAllowance(b.Context(), req) != nil {
 					b.Fatal("refused")
--- a/io/process/router/boot_test.go
+++ b/io/process/router/boot_test.go
@@ -21,7 +21,7 @@
 	handleRequest := func(ctx context.Context, r *Router) <-chan int {
 		status := make(chan int, 1)
 		q := caller.Request{Request: httptest.NewRequest(http.MethodGet, "http://other/", nil), ReadAt: time.Now()}
-		go func() { status <- r.handle(ctx, q).Status }()
+		go func() { status <- r.handle(ctx, q).Status() }()
 		return status
 	}
 	list := func(r *Router, kind object.Kind, items ...object.Item) {
--- a/io/process/router/carried.go
+++ b/io/process/router/carried.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"catkinstep/core/connection/wire"
+	"catkinstep/core/request/proof"
 	"catkinstep/core/version/space"
 	"catkinstep/io/connection/caller"
 )
@@ -74,7 +75,7 @@
 func (r *Router) resolveCarried(m *wire.Carry) (*request, *caller.Reply) {
 	target, err := url.ParseRequestURI(m.Target)
 	if err != nil {
-		return nil, r.finalReply(m.Id, http.StatusBadRequest, reasonNoRoute)
+		return nil, r.finalReply(m.Id, http.StatusBadRequest, reasonNoRoute, proof.History{}.NotRun())
 	}
 	now := time.Now()
 	callerReq := caller.Request{Request: &http.Request{Method: m.Method, Host: m.Host, URL: target, RequestURI: m.Target, Header: headerFromWire(m.Header)}, Body: m.Body, ReadAt: now.Add(-millis(m.ElapsedMillis))}
@@ -91,15 +92,15 @@
 
 // carryReply returns the message about what became of a request. Its attempts are those of this daemon.
 func carryReply(reply caller.Reply, req *request) *wire.Reply {
-	m := &wire.CarryReply{Status: uint32(reply.Status), Sent: uint32(req.attempts.sent), Ran: uint32(req.attempts.ran)}
-	if f := reply.Refusal; f != nil {
-		m.Refused, m.Reason, m.MaybeRan, m.BackMillis = true, f.Reason, f.MaybeRan, millisOf(f.RetryAfter)
+	m := &wire.CarryReply{Status: uint32(reply.Status()), Sent: uint32(req.attempts.sent), Ran: uint32(req.history.Unproved())}
+	if f := reply.Refusal(); f != nil {
+		m.Refused, m.Reason, m.NotRun, m.MaybeRan, m.BackMillis = true, f.Reason, !f.MaybeRan(), f.MaybeRan(), millisOf(f.RetryAfter)
 		return &wire.Reply{Carry: m}
 	}
-	m.Header, m.Body = headerToWire(reply.Header), reply.Body
+	m.Header, m.Body = headerToWire(reply.Header()), reply.Body()
 	return &wire.Reply{Carry: m}
 }
 
 func carryRefusal(reason string) *wire.Reply {
-	return &wire.Reply{Carry: &wire.CarryReply{Refused: true, Reason: reason}}
+	return &wire.Reply{Carry: &wire.CarryReply{Refused: true, Reason: reason, NotRun: true}}
 }
--- a/io/process/router/carry.go
+++ b/io/process/router/carry.go
@@ -9,6 +9,7 @@
 
 	"catkinstep/core/connection/wire"
 	"catkinstep/core/request/carry"
+	"catkinstep/core/request/proof"
 	"catkinstep/core/request/spread"
 	"catkinstep/io/connection/caller"
 	"catkinstep/io/connection/link"
@@ -88,9 +89,9 @@
 	record, repeated := r.recordSent(req)
 	reply, outcome := r.carryBy(ctx, req, peer)
 	switch {
-	case outcome == carryUnknown || reply.Refusal != nil && reply.Refusal.MaybeRan:
+	case outcome == carryUnknown || reply.Refusal() != nil && reply.Refusal().MaybeRan():
 		r.recordSentOutcome(ctx, record, repeated, nil, &link.Error{Op: "carry", Kind: link.ConnectionLost, Err: errNoCarryReply})
-	case outcome == carryUnavailable || reply.Refusal != nil:
+	case outcome == carryUnavailable || reply.Refusal() != nil:
 		r.recordSentOutcome(ctx, record, repeated, nil, &link.Error{Op: "carry", Kind: link.NotSent, Err: errNoCarryReply})
 	default:
 		r.recordSentOutcome(ctx, record, repeated, &link.Response{}, nil)
@@ -109,16 +110,17 @@
 	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(2*responseMargin))
 	defer cancel()
 	r.metrics.increment("carry.sent")
+	req.history = req.history.WithBegun()
 	reply, err := r.callBulk(ctx, peer.Address, &wire.Call{Kind: &wire.Call_Carry{Carry: r.carryMessage(req)}})
 	switch {
 	case mesh.IsKind(err, mesh.ConnectionRefused), mesh.IsKind(err, mesh.NotSent), mesh.IsKind(err, mesh.Remote):
 		r.declineCarrier(peer, err)
+		req.history = req.history.WithEnded(proof.Unsent)
 		return caller.Reply{}, carryUnavailable
 	case err != nil || reply.Carry == nil:
 		r.log.Info("carry: no reply", "id", req.id, "route", req.route.Name, "daemon", peer.Address, "left", time.Until(req.deadline).String(), "err", err)
-		req.maybeRan = true
+		req.history = req.history.WithEnded(proof.None)
 		req.attempts.sent++
-		req.attempts.ran++
 		return caller.Reply{}, carryUnknown
 	}
 	return r.evaluateCarried(req, peer, reply.Carry)
@@ -135,15 +137,18 @@
 // evaluateCarried handles the reply of another daemon: a server's response, or a refusal.
 func (r *Router) evaluateCarried(req *request, peer carry.Peer, m *wire.CarryReply) (caller.Reply, carryOutcome) {
 	req.attempts.sent += int(m.Sent)
-	req.attempts.ran += int(m.Ran)
+	req.history = req.history.WithEnded(groundOfCarried(m))
+	reason := m.Reason
 	if !m.Refused {
 		r.clearSuspect(req)
-		return caller.Reply{Status: int(m.Status), Header: headerFromWire(m.Header), Body: m.Body}, carryAnswered
+		if reply, ok := caller.NewResponse(int(m.Status), headerFromWire(m.Header), m.Body); ok {
+			return reply, carryAnswered
+		}
+		reason = reasonUnproved
 	}
-	r.log.Info("carry: not served", "id", req.id, "route", req.route.Name, "daemon", peer.Address, "reason", m.Reason, "maybeRan", m.MaybeRan)
-	if m.MaybeRan {
-		req.maybeRan = true
-		return r.giveUp(req, spread.Choice{}, m.Reason, 0), carryAnswered
+	r.log.Info("carry: not served", "id", req.id, "route", req.route.Name, "daemon", peer.Address, "reason", reason, "status", m.Status, "maybeRan", !m.NotRun)
+	if !m.NotRun {
+		return r.giveUp(req, spread.Choice{}, reason, 0), carryAnswered
 	}
 	if slices.Contains(otherCarrierReasons, m.Reason) {
 		return caller.Reply{}, carryUnavailable
@@ -151,6 +156,14 @@
 	return r.giveUp(req, spread.Choice{}, m.Reason, millis(m.BackMillis)), carryAnswered
 }
 
+// groundOfCarried returns what the reply of another daemon proves.
+func groundOfCarried(m *wire.CarryReply) proof.Ground {
+	if m.Refused && m.NotRun {
+		return proof.Carrier
+	}
+	return proof.None
+}
+
 // otherCarrierReasons are the reasons of refusals that another daemon may not have: they are due to the
 // daemon's own host, links or configuration.
 var otherCarrierReasons = []string{reasonNotCarrying, reasonNoConfig, reasonNoRoute, reasonUnknownAPIKey, reasonConfigOutdated, reasonAllowanceUnknown, string(spread.ServerUnreachable), string(spread.ConnectionLimit)}
--- a/io/process/router/carry_test.go
+++ b/io/process/router/carry_test.go
@@ -137,8 +137,8 @@
 	Convey("The caller gets the server's response, and the request counts once", t, func() {
 		r, m, s := newCutOffRouter()
 		reply := r.handle(context.Background(), lookupOf("/x?y=1"))
-		So(reply.Status, ShouldEqual, http.StatusOK)
-		So(string(reply.Body), ShouldEqual, "hi")
+		So(reply.Status(), ShouldEqual, http.StatusOK)
+		So(string(reply.Body()), ShouldEqual, "hi")
 		So(s.runs, ShouldResemble, []string{"GET /x?y=1"})
 		So(m.calls, ShouldHaveLength, 1)
 		So(r.useUp(), ShouldEqual, 10)
@@ -149,14 +149,14 @@
 		for _, d := range append([]*Router{r}, m.daemons["b:1"], m.daemons["c:1"]) {
 			d.ranked.promoters["s"] = &class.Promoter{}
 		}
-		So(r.handle(context.Background(), lookupOf("/x")).Status, ShouldEqual, http.StatusOK)
+		So(r.handle(context.Background(), lookupOf("/x")).Status(), ShouldEqual, http.StatusOK)
 		So(*m.daemons[m.calls[0]].ranked.promoters["s"], ShouldNotResemble, class.Promoter{})
 		So(*r.ranked.promoters["s"], ShouldResemble, class.Promoter{})
 	})
 	Convey("A server's failure is passed on after the retries of one daemon", t, func() {
 		r, m, s := newCutOffRouter()
 		s.status = http.StatusInternalServerError
-		So(r.handle(context.Background(), lookupOf("/x")).Status, ShouldEqual, http.StatusInternalServerError)
+		So(r.handle(context.Background(), lookupOf("/x")).Status(), ShouldEqual, http.StatusInternalServerError)
 		So(m.calls, ShouldHaveLength, 1)
 		So(len(s.runs), ShouldBeLessThanOrEqualTo, 2)
 	})
@@ -170,8 +170,8 @@
 			d.useUp()
 		}
 		reply := r.handle(context.Background(), booking())
-		So(reply.Status, ShouldEqual, http.StatusTooManyRequests)
-		So(reply.Refusal.RetryAfter, ShouldBeGreaterThan, 0)
+		So(reply.Status(), ShouldEqual, http.StatusTooManyRequests)
+		So(reply.Refusal().RetryAfter, ShouldBeGreaterThan, 0)
 		So(s.runs, ShouldBeEmpty)
 		So(m.calls, ShouldHaveLength, 1)
 	})
@@ -185,7 +185,7 @@
 		first.cutOff.Store(true)
 		first.mesh = m
 		for range 4 {
-			So(r.handle(context.Background(), booking()).Status, ShouldEqual, http.StatusOK)
+			So(r.handle(context.Background(), booking()).Status(), ShouldEqual, http.StatusOK)
 		}
 		So(s.runs, ShouldHaveLength, 4)
 	})
@@ -195,8 +195,8 @@
 			d.cutOff.Store(true)
 		}
 		reply := r.handle(context.Background(), booking())
-		So(reply.Status, ShouldEqual, http.StatusServiceUnavailable)
-		So(reply.Refusal.RetryAfter, ShouldBeGreaterThan, 0)
+		So(reply.Status(), ShouldEqual, http.StatusServiceUnavailable)
+		So(reply.Refusal().RetryAfter, ShouldBeGreaterThan, 0)
 		So(s.runs, ShouldBeEmpty)
 		So(len(m.calls), ShouldEqual, 2)
 	})
@@ -205,7 +205,7 @@
 			r, m, s := newCutOffRouter()
 			m.failWith["b:1"] = &mesh.Error{Op: "call", Kind: kind, Err: errors.New("no")}
 			for range 3 {
-				So(r.handle(context.Background(), booking()).Status, ShouldEqual, http.StatusOK)
+				So(r.handle(context.Background(), booking()).Status(), ShouldEqual, http.StatusOK)
 			}
 			So(s.runs, ShouldHaveLength, 3)
 		}
@@ -219,7 +219,7 @@
 		m.lostReply = true
 		m.failWith["b:1"], m.failWith["c:1"] = errLost, errLost
 		reply := r.handle(context.Background(), booking())
-		So(reply.Status, ShouldEqual, http.StatusBadGateway)
+		So(reply.Status(), ShouldEqual, http.StatusBadGateway)
 		So(s.runs, ShouldHaveLength, 1)
 		So(m.calls, ShouldHaveLength, 1)
 	})
@@ -227,7 +227,7 @@
 		r, m, _ := newCutOffRouter()
 		first, _ := r.carriers.Choose(time.Now(), nil)
 		m.failWith[first.Address] = errLost
-		So(r.handle(context.Background(), lookupOf("/x")).Status, ShouldEqual, http.StatusOK)
+		So(r.handle(context.Background(), lookupOf("/x")).Status(), ShouldEqual, http.StatusOK)
 		So(m.calls, ShouldHaveLength, 2)
 	})
 }
--- a/io/process/router/control_test.go
+++ b/io/process/router/control_test.go
@@ -12,6 +12,7 @@
 
 	"catkinstep/core/connection/names"
 	"catkinstep/core/process/member"
+	"catkinstep/core/request/proof"
 	"catkinstep/core/version/config"
 	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/grant"
@@ -49,6 +50,11 @@
 	return r
 }
 
+// replyWith returns a refusal with a status, of a request that has not run.
+func replyWith(status int) caller.Reply {
+	return caller.NewRefusal(stubProtocol{}, caller.Refusal{Status: status, NotRun: proof.History{}.NotRun()})
+}
+
 func serverItem(id string, revision uint64) object.Item {
 	v, _ := json.Marshal(fleet.Server{ID: id, Address: id, Service: "s", DataCentre: "x", Slots: 3, StartMillis: 1})
 	return object.Item{Name: id, Revision: revision, Value: v}
--- a/io/process/router/leaving_test.go
+++ b/io/process/router/leaving_test.go
@@ -22,11 +22,11 @@
 		s := &pipeServer{status: http.StatusOK, header: "Catkinstep-Leaving: 1\r\n"}
 		r := newSiteRouter("a", s)
 		reply := r.handle(context.Background(), lookupOf("/x"))
-		So(reply.Status, ShouldEqual, http.StatusOK)
-		So(reply.Header.Get("Catkinstep-Leaving"), ShouldEqual, "1")
+		So(reply.Status(), ShouldEqual, http.StatusOK)
+		So(reply.Header().Get("Catkinstep-Leaving"), ShouldEqual, "1")
 		for range 2 { // before and after the control loop has heard of it
 			reply := r.handle(context.Background(), lookupOf("/x"))
-			So(reply.Refusal.Reason, ShouldEqual, string(spread.NoServer))
+			So(reply.Refusal().Reason, ShouldEqual, string(spread.NoServer))
 			r.control.applyOwnLeaving(atSecond(67))
 		}
 		So(s.runs, ShouldHaveLength, 1)
--- a/io/process/router/notices_test.go
+++ b/io/process/router/notices_test.go
@@ -23,7 +23,7 @@
 	s := &pipeServer{status: http.StatusServiceUnavailable, header: restingHeader}
 	r := newSiteRouter("a", s)
 	reply := r.handle(context.Background(), lookupOf("/x"))
-	So(reply.Status, ShouldEqual, http.StatusServiceUnavailable)
+	So(reply.Status(), ShouldEqual, http.StatusServiceUnavailable)
 	return r, s
 }
 
@@ -45,8 +45,8 @@
 		taken := r.useUp()
 		for _, caller := range []string{"/x", "/book/x"} {
 			reply := r.handle(context.Background(), lookupOf(caller))
-			So(reply.Refusal.Reason, ShouldEqual, string(spread.ServerResting))
-			So(reply.Refusal.RetryAfter, ShouldBeBetween, 2*time.Second, 4500*time.Millisecond)
+			So(reply.Refusal().Reason, ShouldEqual, string(spread.ServerResting))
+			So(reply.Refusal().RetryAfter, ShouldBeBetween, 2*time.Second, 4500*time.Millisecond)
 		}
 		So(s.runs, ShouldHaveLength, 1)
 		So(taken, ShouldEqual, 9) // the first request took one
@@ -54,7 +54,7 @@
 	})
 	Convey("The one that was turned away first is asked to come back after the rest, too", t, func() {
 		r := newSiteRouter("a", &pipeServer{status: http.StatusServiceUnavailable, header: restingHeader})
-		So(r.handle(context.Background(), lookupOf("/x")).Refusal.RetryAfter, ShouldBeGreaterThanOrEqualTo, 2900*time.Millisecond)
+		So(r.handle(context.Background(), lookupOf("/x")).Refusal().RetryAfter, ShouldBeGreaterThanOrEqualTo, 2900*time.Millisecond)
 	})
 }
 
@@ -119,7 +119,7 @@
 		r := newSiteRouter("a", s)
 		r.clientPool.dialer = d
 		done := make(chan int)
-		go func() { done <- r.handle(context.Background(), booking()).Status }()
+		go func() { done <- r.handle(context.Background(), booking()).Status() }()
 		<-d.dialled
 		news(r)
 		close(d.allowed)
@@ -158,8 +158,8 @@
 			d.announce("a", notice.Notice{Rest: 3 * time.Second})
 		}
 		reply := r.handle(context.Background(), booking())
-		So(reply.Refusal.Reason, ShouldEqual, string(spread.ServerResting))
-		So(reply.Refusal.RetryAfter, ShouldBeGreaterThanOrEqualTo, 2900*time.Millisecond)
+		So(reply.Refusal().Reason, ShouldEqual, string(spread.ServerResting))
+		So(reply.Refusal().RetryAfter, ShouldBeGreaterThanOrEqualTo, 2900*time.Millisecond)
 		So(m.calls, ShouldHaveLength, 1)
 		So(s.runs, ShouldBeEmpty)
 	})
--- a/io/process/router/permit_test.go
+++ b/io/process/router/permit_test.go
@@ -91,7 +91,7 @@
 		for range 3 {
 			req := lookupRequest(300 * time.Millisecond)
 			req.Request.Request = httptest.NewRequest(http.MethodGet, "/look", nil)
-			So(r.sendWithRetries(context.Background(), req).Status, ShouldEqual, http.StatusServiceUnavailable)
+			So(r.sendWithRetries(context.Background(), req).Status(), ShouldEqual, http.StatusServiceUnavailable)
 		}
 		So(r.metrics.vars.Get("permits.asked").String(), ShouldNotEqual, "0")
 		So(r.permits.issuer.Count(), ShouldEqual, 0)
@@ -137,7 +137,7 @@
 			r.balancer.End(time.Now(), server, req.requirements, time.Now(), spread.Answered, &spread.Report{Running: 3, Waiting: 9, Slots: 3})
 		}
 		reply := r.sendWithRetries(context.Background(), req)
-		So(reply.Status, ShouldEqual, http.StatusServiceUnavailable)
+		So(reply.Status(), ShouldEqual, http.StatusServiceUnavailable)
 		So(r.metrics.vars.Get("refused."+string(reasonServerContended)).String(), ShouldEqual, "1")
 		So(r.metrics.vars.Get("permits.asked").String(), ShouldEqual, fmt.Sprint(1+maxOtherServers))
 		So(r.balancer.OwnLoad(), ShouldBeEmpty) // requests that were not sent are not in flight
--- a/io/process/router/priority.go
+++ b/io/process/router/priority.go
@@ -85,7 +85,7 @@
 
 // recordCarriedPriority counts the outcome of a request that was served for another daemon.
 func (r *Router) recordCarriedPriority(req *request, reply caller.Reply) {
-	if reply.Status == http.StatusTooManyRequests { // beyond its allowance, whatever its rank
+	if reply.Status() == http.StatusTooManyRequests { // beyond its allowance, whatever its rank
 		return
 	}
 	r.mu.Lock()
--- a/io/process/router/priority_test.go
+++ b/io/process/router/priority_test.go
@@ -15,7 +15,6 @@
 	"catkinstep/core/version/fleet"
 	"catkinstep/core/version/object"
 	"catkinstep/core/version/space"
-	"catkinstep/io/connection/caller"
 )
 
 // newRankedRouter returns a Router with the routes /first, /second and /third to one service, and
@@ -76,7 +75,7 @@
 			for rank, status := range []int{http.StatusOK, http.StatusServiceUnavailable, http.StatusServiceUnavailable} {
 				req, _ := r.resolve(r.current.Load(), callerRequest("/third", http.Header{}), "id", nil)
 				req.requirements.Rank, req.requirements.Promoted = rank, false
-				r.recordServiceLevel(req, caller.Reply{Status: status})
+				r.recordServiceLevel(req, replyWith(status))
 			}
 		}
 		So(promoted(r, "/third"), ShouldAlmostEqual, 200, 60)
@@ -89,12 +88,12 @@
 					req, _ := r.resolve(r.current.Load(), callerRequest("/third", http.Header{}), "id", nil)
 					req.requirements.Rank, req.requirements.Promoted = rank, false
 					req.ReadAt = time.Now()
-					reply := caller.Reply{Status: http.StatusOK}
+					reply := replyWith(http.StatusOK)
 					switch {
 					case rank > 0 && late:
 						req.ReadAt = req.ReadAt.Add(-2 * req.route.LatencyTarget)
 					case rank > 0:
-						reply.Status = http.StatusGatewayTimeout
+						reply = replyWith(http.StatusGatewayTimeout)
 					}
 					r.recordServiceLevel(req, reply)
 				}
@@ -164,7 +163,7 @@
 	Convey("Refusals are counted by rank", t, func() {
 		r := newRankedRouter()
 		for _, path := range []string{"/first", "/third", "/third", "/other"} {
-			So(r.handle(context.Background(), callerRequest(path, http.Header{})).Status, ShouldEqual, http.StatusServiceUnavailable)
+			So(r.handle(context.Background(), callerRequest(path, http.Header{})).Status(), ShouldEqual, http.StatusServiceUnavailable)
 		}
 		So(r.metrics.value(refusedByRank+"0"), ShouldEqual, 2)
 		So(r.metrics.value(refusedByRank+"2"), ShouldEqual, 2)
--- a/io/process/router/refuse.go
+++ b/io/process/router/refuse.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"catkinstep/core/request/proof"
 	"catkinstep/core/request/spread"
 	"catkinstep/io/connection/caller"
 )
@@ -13,10 +14,10 @@
 // run, and comes with a time after which to retry. With 502 and 504 the request may have
 // run.
 func (r *Router) giveUp(req *request, choice spread.Choice, reason string, retryAfter time.Duration) caller.Reply {
-	if req.fallbackResponse != nil {
-		return r.callerReply(req, req.fallbackResponse)
+	if req.fallback != nil {
+		return *req.fallback
 	}
-	if !req.maybeRan {
+	if !req.history.MaybeRan() {
 		return r.refuseRequest(req, reason, retryAfter, r.decisionAttrs(req, choice)...)
 	}
 	status := http.StatusBadGateway
@@ -24,7 +25,7 @@
 		status = http.StatusGatewayTimeout
 	}
 	r.log.Info("request: given up, may have run", append([]any{"id", req.id, "route", req.route.Name, "reason", reason, "status", status}, r.decisionAttrs(req, choice)...)...)
-	return *r.finalReply(req.id, status, reason)
+	return *r.finalReply(req.id, status, reason, proof.NotRun{})
 }
 
 // decisionAttrs returns, as log attributes, what a decision about a request was based on,
@@ -41,8 +42,8 @@
 func (r *Router) refuseRequest(req *request, reason string, retryAfter time.Duration, attrs ...any) caller.Reply {
 	r.recordBusyRefusal(reason)
 	r.metrics.increment(refusedByRank + strconv.Itoa(req.requirements.Rank))
-	refusal := caller.Refusal{ID: req.id, Status: refusalStatus(reason), Reason: reason, RetryAfter: retryAfter, MaybeRan: r.wasSentBefore(req)}
-	if refusal.MaybeRan {
+	refusal := caller.Refusal{ID: req.id, Status: refusalStatus(reason), Reason: reason, RetryAfter: retryAfter, NotRun: req.history.NotRun(), EarlierTry: r.wasSentBefore(req)}
+	if refusal.EarlierTry {
 		attrs = append(attrs, "earlierTry", "mayHaveRun")
 	}
 	return r.refuse(refusal, req.route.Name, attrs...)
@@ -53,20 +54,14 @@
 	refusal.RetryAfter = max(refusal.RetryAfter, minRetryAfter)
 	r.metrics.increment("refused." + refusal.Reason)
 	r.log.Info("request: refused, not run", append([]any{"id", refusal.ID, "route", route, "reason", refusal.Reason, "retryAfter", refusal.RetryAfter.String()}, attrs...)...)
-	return r.refusalReply(refusal)
+	return caller.NewRefusal(r.protocol, refusal)
 }
 
 // minRetryAfter keeps callers from retrying sooner than a response can be expected.
 const minRetryAfter = 50 * time.Millisecond
 
-// finalReply returns a reply without a time after which to retry. A status of 500 or above
-// means that the request may have run.
-func (r *Router) finalReply(id string, status int, reason string) *caller.Reply {
-	reply := r.refusalReply(caller.Refusal{ID: id, Status: status, Reason: reason, MaybeRan: status >= http.StatusInternalServerError})
+// finalReply returns a reply without a time after which to retry.
+func (r *Router) finalReply(id string, status int, reason string, notRun proof.NotRun) *caller.Reply {
+	reply := caller.NewRefusal(r.protocol, caller.Refusal{ID: id, Status: status, Reason: reason, NotRun: notRun})
 	return &reply
 }
-
-func (r *Router) refusalReply(refusal caller.Refusal) caller.Reply {
-	header, body := r.protocol.RefusalReply(refusal)
-	return caller.Reply{Status: refusal.Status, Header: header, Body: body, Refusal: &refusal}
-}
--- a/io/process/router/request.go
+++ b/io/process/router/request.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"catkinstep/core/request/proof"
 	"catkinstep/core/request/spread"
 	"catkinstep/core/version/config"
 	"catkinstep/core/version/fleet"
@@ -45,18 +46,18 @@
 	// contended.
 	attemptStart time.Time
 	permit       heldPermit
-	// maybeRan is set if an earlier attempt may have run.
-	maybeRan bool
-	// fallbackResponse is an error response from a server. The caller gets it if no further
-	// attempt yields a response.
-	fallbackResponse *link.Response
+	// history is what is known of whether the attempts have run.
+	history proof.History
+	// fallback passes on an error response from a server. The caller gets it if no further attempt
+	// yields a response.
+	fallback *caller.Reply
 }
 
 // attempts is the history of a request's attempts.
 type attempts struct {
-	// sent is the number of attempts that may have reached a server, ran that of those which may
-	// have run there, and unsent that of attempts which reached none.
-	sent, ran, unsent int
+	// sent is the number of attempts that may have reached a server, and unsent that of attempts which
+	// reached none.
+	sent, unsent int
 	// lostServers were lost while the same content may have been running there.
 	lostServers []string
 	// declinedBy are the servers that declined the request at a short queue.
--- a/io/process/router/sent.go
+++ b/io/process/router/sent.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"catkinstep/core/connection/wire"
+	"catkinstep/core/request/proof"
 	"catkinstep/core/request/sent"
 	"catkinstep/io/connection/caller"
 	"catkinstep/io/connection/link"
@@ -67,7 +68,7 @@
 // have run without its caller getting the reply, the other daemons are informed: the caller
 // may send it again through any of them, possibly after the holder was lost.
 func (r *Router) recordSentOutcome(ctx context.Context, record sentRecord, repeated bool, resp *link.Response, err error) {
-	notRun := err != nil && link.NotRun(err) || err == nil && resp.Declined
+	notRun := link.Ground(resp, err).Proves()
 	unanswered := err != nil && !notRun || ctx.Err() != nil
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -127,5 +128,5 @@
 	r.metrics.increment("sent.lost")
 	r.log.Info("request: given up, may have run", "id", req.id, "route", req.route.Name, "reason", reasonOutcomeLost, "service", req.service.Name, "key", req.key,
 		"server", server, "firstSentMillis", req.Header.Get(r.protocol.Names().FirstSent))
-	return *r.finalReply(req.id, http.StatusBadGateway, reasonOutcomeLost)
+	return *r.finalReply(req.id, http.StatusBadGateway, reasonOutcomeLost, proof.NotRun{})
 }
--- a/io/process/router/sent_test.go
+++ b/io/process/router/sent_test.go
@@ -101,16 +101,16 @@
 		r.protocol = refusalRecorder{last: &last}
 		refused := func(id string) caller.Refusal {
 			reply := r.giveUp(bookingRequest(id), spread.Choice{}, string(reasonKeyMoving), time.Second)
-			So(reply.Status, ShouldEqual, http.StatusServiceUnavailable)
+			So(reply.Status(), ShouldEqual, http.StatusServiceUnavailable)
 			So(last.RetryAfter, ShouldEqual, time.Second)
 			return last
 		}
-		So(refused("a").MaybeRan, ShouldBeFalse)
+		So(refused("a").MaybeRan(), ShouldBeFalse)
 		r.sendAndRecord(bookingRequest("a"), nil, errNotSent)
-		So(refused("a").MaybeRan, ShouldBeFalse)
+		So(refused("a").MaybeRan(), ShouldBeFalse)
 		r.sendAndRecord(bookingRequest("a"), nil, errConnectionBroken)
-		So(refused("a").MaybeRan, ShouldBeTrue)
-		So(refused("other").MaybeRan, ShouldBeFalse)
+		So(refused("a").MaybeRan(), ShouldBeTrue)
+		So(refused("other").MaybeRan(), ShouldBeFalse)
 	})
 }
 
--- a/io/process/router/serve.go
+++ b/io/process/router/serve.go
@@ -32,21 +32,24 @@
 	reasonNoKey              = "missingKey"
 	reasonCallerDisconnected = "callerLeft"
 	reasonOutcomeLost        = "outcomeLost"
+	// reasonUnproved means that a server's status promised that the request had not run, and that nothing
+	// proves it.
+	reasonUnproved = "refusedWithoutProof"
 )
 
 // serve handles one request, and records the status of the reply and the latency.
 func (r *Router) serve(ctx context.Context, callerReq caller.Request) caller.Reply {
 	reply := r.handle(ctx, callerReq)
-	r.metrics.observeRequest(reply.Status, time.Since(callerReq.ReadAt))
-	if proof.Promises(reply.Status) {
-		r.metrics.increment("promises." + strconv.Itoa(reply.Status) + "." + sourceLabel(reply))
+	r.metrics.observeRequest(reply.Status(), time.Since(callerReq.ReadAt))
+	if proof.Promises(reply.Status()) {
+		r.metrics.increment("promises." + strconv.Itoa(reply.Status()) + "." + sourceLabel(reply))
 	}
 	return reply
 }
 
 // sourceLabel returns who made a reply, for the names of counters.
 func sourceLabel(reply caller.Reply) string {
-	if reply.Refusal == nil {
+	if reply.Refusal() == nil {
 		return "server"
 	}
 	return "host"
@@ -63,9 +66,9 @@
 
 func serviceOutcome(req *request, reply caller.Reply) burn.Outcome {
 	switch elapsed := time.Since(req.ReadAt); {
-	case reply.Status == http.StatusServiceUnavailable:
+	case reply.Status() == http.StatusServiceUnavailable:
 		return burn.Refused
-	case reply.Status >= http.StatusInternalServerError:
+	case reply.Status() >= http.StatusInternalServerError:
 		return burn.Unknown
 	case elapsed > req.route.LatencyTarget:
 		return burn.Slow
@@ -78,7 +81,7 @@
 	snap := r.current.Load()
 	id := r.protocol.ID(callerReq.Header)
 	if !snap.configured {
-		return r.refuse(caller.Refusal{ID: id, Status: http.StatusServiceUnavailable, Reason: reasonNoConfig, RetryAfter: notReadyRetryDelay}, "")
+		return r.refuse(caller.Refusal{ID: id, Status: http.StatusServiceUnavailable, Reason: reasonNoConfig, NotRun: proof.History{}.NotRun(), RetryAfter: notReadyRetryDelay}, "")
 	}
 	req, rejection := r.resolve(snap, callerReq, id, nil)
 	if rejection != nil {
@@ -86,7 +89,7 @@
 	}
 	req.fingerprint = fingerprintOf(req)
 	reply := r.dispatch(ctx, req)
-	if reply.Status != http.StatusTooManyRequests { // nobody is owed more than the allowance
+	if reply.Status() != http.StatusTooManyRequests { // nobody is owed more than the allowance
 		r.recordServiceLevel(req, reply)
 	}
 	return reply
@@ -118,7 +121,7 @@
 	route, ok := snap.config.Match(callerReq.Host, callerReq.URL.EscapedPath(), callerReq.Method)
 	if !ok {
 		r.log.Info("request: no route", "id", id, "host", callerReq.Host, "path", callerReq.URL.Path, "version", snap.config.Version)
-		return nil, r.finalReply(id, http.StatusNotFound, reasonNoRoute)
+		return nil, r.finalReply(id, http.StatusNotFound, reasonNoRoute, proof.History{}.NotRun())
 	}
 	req := &request{Request: callerReq, id: id, route: route, key: -1, target: strings.TrimPrefix(callerReq.RequestURI, route.StripPrefix)}
 	if rejection := r.identify(snap, req, from); rejection != nil {
@@ -128,7 +131,7 @@
 	if req.service.Keyed {
 		if req.key, ok = r.protocol.Key(req.service, req.target, callerReq.Header); !ok || req.key < 0 || req.key > grant.LastKey {
 			r.log.Info("request: no key", "id", id, "route", route.Name, "path", req.target)
-			return nil, r.finalReply(id, http.StatusBadRequest, reasonNoKey)
+			return nil, r.finalReply(id, http.StatusBadRequest, reasonNoKey, proof.History{}.NotRun())
 		}
 	}
 	req.requirements = spread.Requirements{Route: route.Name, Service: req.service, LatencyTarget: route.LatencyTarget, BodyBytes: len(callerReq.Body),
@@ -158,12 +161,13 @@
 	}
 }
 
-// callerReply converts a server's response into the reply to the caller.
-func (r *Router) callerReply(req *request, resp *link.Response) caller.Reply {
+// callerReply converts a server's response into the reply to the caller. It returns false if the response
+// must not be passed on.
+func (r *Router) callerReply(req *request, resp *link.Response) (caller.Reply, bool) {
 	header := resp.Header
 	header.Del(r.protocol.Names().Load)
 	r.protocol.AddReplyHeaders(header, req.id, resp.Server)
-	return caller.Reply{Status: resp.Status, Header: header, Body: resp.Body}
+	return caller.NewResponse(resp.Status, header, resp.Body)
 }
 
 // forwardedHeader prepares the request's header for the server: it sets the request ID and
--- a/io/process/router/shedding_test.go
+++ b/io/process/router/shedding_test.go
@@ -60,7 +60,7 @@
 			r := newRouter()
 			reply, sendAgain := afterDecline(r, lookupRequest(time.Second), resp)
 			So(sendAgain, ShouldBeFalse)
-			So(reply.Refusal.Reason, ShouldEqual, reasonDeclined)
+			So(reply.Refusal().Reason, ShouldEqual, reasonDeclined)
 			So(r.metrics.value("declines.shortQueue"), ShouldEqual, 0)
 		}
 	})
@@ -71,11 +71,11 @@
 		So(sendAgain, ShouldBeTrue)
 		reply, sendAgain := afterDecline(r, req, declined(503, 3, 0))
 		So(sendAgain, ShouldBeFalse)
-		So(reply.Refusal.RetryAfter, ShouldBeLessThan, shortest)
+		So(reply.Refusal().RetryAfter, ShouldBeLessThan, shortest)
 		r.budgets["s"] = retry.NewBudget(0, 0)
 		reply, sendAgain = afterDecline(r, lookupRequest(time.Second), declined(503, 3, 0))
 		So(sendAgain, ShouldBeFalse)
-		So(reply.Refusal.RetryAfter, ShouldBeLessThan, shortest)
+		So(reply.Refusal().RetryAfter, ShouldBeLessThan, shortest)
 	})
 }
 
@@ -113,7 +113,7 @@
 		r.control.applyTable(atSecond(1), table)
 		req := lookupRequest(2 * time.Second)
 		req.Request.Request, req.target, req.id = httptest.NewRequest(http.MethodGet, "/look", nil), "/look", "r1"
-		So(r.sendWithRetries(context.Background(), req).Status, ShouldEqual, http.StatusOK)
+		So(r.sendWithRetries(context.Background(), req).Status(), ShouldEqual, http.StatusOK)
 		So(received.Load(), ShouldEqual, 2)
 	})
 }
--- a/io/process/router/workspace.go
+++ b/io/process/router/workspace.go
@@ -89,5 +89,5 @@
 	}
 	r.metrics.increment("refused." + reasonUnknownAPIKey)
 	r.log.Info("request: unknown API key, not run", append([]any{"id", req.id, "route", req.route.Name}, attrs...)...)
-	return r.finalReply(req.id, http.StatusUnauthorized, reasonUnknownAPIKey)
+	return r.finalReply(req.id, http.StatusUnauthorized, reasonUnknownAPIKey, req.history.NotRun())
 }
--- a/io/process/router/workspace_test.go
+++ b/io/process/router/workspace_test.go
@@ -14,6 +14,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"catkinstep/core/connection/names"
+	"catkinstep/core/request/proof"
 	"catkinstep/core/version/config"
 	"catkinstep/core/version/object"
 	"catkinstep/core/version/space"
@@ -50,7 +51,7 @@
 		for _, header := range []http.Header{{}, keyHeader(""), keyHeader("k2"), keyHeader("K1"), keyHeader("k1 "), keyHeader("k1", "k1"), keyHeader(strings.Repeat("k", 10000))} {
 			_, rejection := r.resolve(r.current.Load(), callerRequest("/x", header), "id", nil)
 			So(rejection, ShouldNotBeNil)
-			So(rejection.Status, ShouldEqual, http.StatusUnauthorized)
+			So(rejection.Status(), ShouldEqual, http.StatusUnauthorized)
 		}
 		req, rejection := r.resolve(r.current.Load(), callerRequest("/x", keyHeader("k1")), "id", nil)
 		So(rejection, ShouldBeNil)
@@ -91,14 +92,14 @@
 		r := newTestRouter()
 		req := waiting(r)
 		r.applyWorkspaces(2, atSecond(1))
-		So(r.sendWithRetries(context.Background(), req).Status, ShouldEqual, http.StatusUnauthorized)
+		So(r.sendWithRetries(context.Background(), req).Status(), ShouldEqual, http.StatusUnauthorized)
 	})
 	Convey("If it may have run already, its outcome stays unknown", t, func() {
 		r := newTestRouter()
 		req := waiting(r)
-		req.maybeRan = true
+		req.history = req.history.WithBegun().WithEnded(proof.None)
 		r.applyWorkspaces(2, atSecond(1))
-		So(r.sendWithRetries(context.Background(), req).Status, ShouldBeGreaterThanOrEqualTo, http.StatusInternalServerError)
+		So(r.sendWithRetries(context.Background(), req).Status(), ShouldBeGreaterThanOrEqualTo, http.StatusInternalServerError)
 	})
 	Convey("A key that was moved counts for its new workspace", t, func() {
 		r := newTestRouter()
@@ -119,7 +120,7 @@
 		statusAt := func(s float64, header http.Header) int {
 			r.now = func() time.Time { return atSecond(s) }
 			_, rejection := r.resolve(r.current.Load(), callerRequest("/x", header), "id", nil)
-			return rejection.Status
+			return rejection.Status()
 		}
 		So(statusAt(2, keyHeader("new")), ShouldEqual, http.StatusUnauthorized)
 		So(statusAt(1+maxConfigAge.Seconds()+1, keyHeader("new")), ShouldEqual, http.StatusServiceUnavailable)
@@ -139,7 +140,7 @@
 		r.applyWorkspaces(1, atSecond(1), space.Workspace{Name: "mill", KeyHashes: []space.KeyHash{space.HashKey("secret-1")}})
 		r.tickUntilBooted()
 		for _, key := range []string{"secret-1", "secret-2"} {
-			So(r.handle(context.Background(), callerRequest("/x", keyHeader(key))).Status, ShouldBeGreaterThan, 400)
+			So(r.handle(context.Background(), callerRequest("/x", keyHeader(key))).Status(), ShouldBeGreaterThan, 400)
 		}
 		So(logged.String(), ShouldContainSubstring, "unknown API key")
 		So(logged.String(), ShouldNotContainSubstring, "secret")
