mesh: an undecodable reply is no proof, an unencodable call cuts no others

A call whose reply could not be decoded failed with the kind that says that the other daemon did not carry it out; a carried order was then sent to a second daemon, and could run twice. A call that could not be encoded failed as if it might have arrived, and closed the connection, on which other carried requests waited. Change: the first has an unknown outcome, the second is not sent and leaves the connection alone. Evidence: TestMessagesThatCannotBeRead failed before: the first part with kind remote; the second part hung for ten minutes in its own clean-up, since it could not release its handler then (it can now).

--- a/io/connection/mesh/error.go
+++ b/io/connection/mesh/error.go
@@ -12,8 +12,8 @@
 const (
 	ConnectionRefused Kind = "refused" // the address refused the connection
 	NotSent           Kind = "notSent" // no byte of the call was sent, for a reason other than a refused connection
-	OutcomeUnknown    Kind = "unsure"  // the call may have arrived
-	Remote            Kind = "remote"  // the other daemon returned an error, or a reply that cannot be decoded
+	OutcomeUnknown    Kind = "unsure"  // the call may have arrived, and there is no reply that can be read
+	Remote            Kind = "remote"  // the other daemon did not carry the call out, and says why
 	ListenerFailed    Kind = "local"   // the listener could not be opened, or failed
 )
 
--- a/io/connection/mesh/mesh.go
+++ b/io/connection/mesh/mesh.go
@@ -95,6 +95,10 @@
 
 // callOn sends a call on a new stream of a connection, and waits for its reply until the context ends.
 func callOn(ctx context.Context, mc *muxConn, call *wire.Call) (*wire.Reply, error) {
+	message, err := encode(call)
+	if err != nil {
+		return nil, &Error{Op: "encode", Kind: NotSent, Err: err}
+	}
 	stream, err := mc.OpenStream()
 	if err != nil {
 		closeUnlessDone(ctx, mc)
@@ -103,7 +107,7 @@
 	defer stream.Close() //nolint:errcheck // the reply has been read, or there is none
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(pastDeadline) })
 	defer stop()
-	if err := writeMessage(stream, call); err != nil {
+	if _, err := stream.Write(message); err != nil {
 		closeUnlessDone(ctx, mc)
 		return nil, &Error{Op: "call", Kind: OutcomeUnknown, Err: err}
 	}
@@ -112,7 +116,7 @@
 		return nil, &Error{Op: "call", Kind: OutcomeUnknown, Err: errors.Join(err, ctx.Err())}
 	}
 	if reply, err = decompress(reply); err != nil {
-		return nil, &Error{Op: "call", Kind: Remote, Err: err}
+		return nil, &Error{Op: "decode", Kind: OutcomeUnknown, Err: err}
 	}
 	if reply.Error != "" {
 		return nil, &Error{Op: "call", Kind: Remote, Err: errors.New(reply.Error)}
@@ -243,10 +247,17 @@
 
 // writeMessage writes a length and a message in one write, since each write becomes a frame.
 func writeMessage(w io.Writer, m proto.Message) error {
-	var b bytes.Buffer
-	if _, err := protodelim.MarshalTo(&b, m); err != nil {
+	message, err := encode(m)
+	if err != nil {
 		return err
 	}
-	_, err := w.Write(b.Bytes())
+	_, err = w.Write(message)
 	return err
 }
+
+// encode returns a length and a message.
+func encode(m proto.Message) ([]byte, error) {
+	var b bytes.Buffer
+	_, err := protodelim.MarshalTo(&b, m)
+	return b.Bytes(), err
+}
--- a/io/connection/mesh/shared.go
+++ b/io/connection/mesh/shared.go
@@ -30,7 +30,7 @@
 	}
 	reply, err := decompress(reply)
 	if err != nil {
-		return nil, &Error{Op: "ask", Kind: Remote, Err: err}
+		return nil, &Error{Op: "ask", Kind: OutcomeUnknown, Err: err}
 	}
 	if reply.Error != "" {
 		return nil, &Error{Op: "ask", Kind: Remote, Err: errors.New(reply.Error)}
--- a/io/process/router/indirect.go
+++ b/io/process/router/indirect.go
@@ -63,8 +63,7 @@
 	case mesh.IsKind(err, mesh.ConnectionRefused), mesh.IsKind(err, mesh.NotSent):
 		return grant.NotSent, ""
 	case err != nil:
-		// The daemon may have called the server, or may do so yet. mesh.Remote is one of these errors: it
-		// also stands for a reply that cannot be decoded.
+		// The daemon may have called the server, or may do so yet.
 		return grant.OutcomeUnknown, ""
 	}
 	result := resultFromWire(reply.GetRelease().GetResult())
