Carried requests and responses hold any bytes

What callers saw: through a host that reaches no servers, a request whose path, id or header is not UTF-8 was answered 502, and a response with such a header was lost although its request had run. Cause: these fields were texts of the protocol between daemons, which must be UTF-8; HTTP allows other bytes. Change: they are bytes. On the wire that is the same; a daemon of an older version cannot read such a message, as before, and reads all others.

--- a/io/connection/mesh/benchmark_test.go
+++ b/io/connection/mesh/benchmark_test.go
@@ -38,7 +38,7 @@
 // BenchmarkCarried measures a request that another daemon serves, at both daemons together, without the
 // request's way to its server.
 func BenchmarkCarried(b *testing.B) {
-	header := []*wire.HeaderField{{Name: "Attempt-Id", Value: "9c41d07be2a35f68"}, {Name: "Accept", Value: "*/*"}, {Name: "User-Agent", Value: "caller"}}
+	header := []*wire.HeaderField{{Name: []byte("Attempt-Id"), Value: []byte("9c41d07be2a35f68")}, {Name: []byte("Accept"), Value: []byte("*/*")}, {Name: []byte("User-Agent"), Value: []byte("caller")}}
 	reply := &wire.Reply{Carry: &wire.CarryReply{Status: 200, Header: header, Body: make([]byte, 1400), Sent: 1, Ran: 1}}
 	callee, err := Listen("127.0.0.1:0", func(context.Context, *wire.Call) *wire.Reply { return reply })
 	if err != nil {
@@ -48,7 +48,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	call := &wire.Call{Kind: &wire.Call_Carry{Carry: &wire.Carry{Id: "9c41d07be2a35f68", Method: "GET", Host: "h.example", Target: "/lohu930/2f", Header: header, Service: "s", LeftMillis: 500}}}
+	call := &wire.Call{Kind: &wire.Call_Carry{Carry: &wire.Carry{Id: []byte("9c41d07be2a35f68"), Method: []byte("GET"), Host: []byte("h.example"), Target: []byte("/lohu930/2f"), Header: header, Service: "s", LeftMillis: 500}}}
 	b.ReportAllocs()
 	for b.Loop() {
 		if _, err := client.CallBulk(context.Background(), callee.listener.Addr().String(), call); err != nil {
--- a/io/connection/mesh/bulk_test.go
+++ b/io/connection/mesh/bulk_test.go
@@ -14,12 +14,12 @@
 // it when it ends.
 func TestCallBulk(t *testing.T) {
 	carried := func(id string) *wire.Call {
-		return &wire.Call{Kind: &wire.Call_Carry{Carry: &wire.Carry{Id: id}}}
+		return &wire.Call{Kind: &wire.Call_Carry{Carry: &wire.Carry{Id: []byte(id)}}}
 	}
 	Convey("A call whose context ends is cancelled at the other daemon, and the others go on", t, func() {
 		cancelled, release := make(chan struct{}), make(chan struct{})
 		b := listen(func(ctx context.Context, c *wire.Call) *wire.Reply {
-			if c.GetCarry().GetId() == "left" {
+			if string(c.GetCarry().GetId()) == "left" {
 				<-ctx.Done()
 				close(cancelled)
 				return &wire.Reply{}
--- a/io/process/router/carried.go
+++ b/io/process/router/carried.go
@@ -73,15 +73,15 @@
 // resolveCarried determines the route, service and key of a request of another daemon by this daemon's own
 // configuration.
 func (r *Router) resolveCarried(m *wire.Carry) (*request, *caller.Reply) {
-	target, err := url.ParseRequestURI(m.Target)
+	target, err := url.ParseRequestURI(string(m.Target))
 	if err != nil {
-		return nil, r.finalReply(m.Id, http.StatusBadRequest, reasonNoRoute, proof.History{}.NotRun())
+		return nil, r.finalReply(string(m.Id), http.StatusBadRequest, reasonNoRoute, proof.History{}.NotRun())
 	}
 	now := time.Now()
-	callerReq := caller.Request{Request: &http.Request{Method: m.Method, Host: m.Host, URL: target, RequestURI: m.Target, Header: headerFromWire(m.Header)}, Body: m.Body, ReadAt: now.Add(-millis(m.ElapsedMillis))}
+	callerReq := caller.Request{Request: &http.Request{Method: string(m.Method), Host: string(m.Host), URL: target, RequestURI: string(m.Target), Header: headerFromWire(m.Header)}, Body: m.Body, ReadAt: now.Add(-millis(m.ElapsedMillis))}
 	from := &carriedFrom{service: m.Service, deadline: now.Add(millis(m.LeftMillis)), deferred: m.Deferred, sent: int(m.Sent)}
 	from.hasKey = copy(from.keyHash[:], m.ApiKeyHash) == len(from.keyHash)
-	req, rejection := r.resolve(r.current.Load(), callerReq, m.Id, from)
+	req, rejection := r.resolve(r.current.Load(), callerReq, string(m.Id), from)
 	if rejection != nil {
 		return nil, rejection
 	}
--- a/io/process/router/carry.go
+++ b/io/process/router/carry.go
@@ -170,7 +170,7 @@
 
 // carryMessage returns the message that asks another daemon to serve a request.
 func (r *Router) carryMessage(req *request) *wire.Carry {
-	m := &wire.Carry{Id: req.id, Method: req.Method, Host: req.Host, Target: req.RequestURI, Header: headerToWire(req.Header), Body: req.Body, Service: req.service.Name,
+	m := &wire.Carry{Id: []byte(req.id), Method: []byte(req.Method), Host: []byte(req.Host), Target: []byte(req.RequestURI), Header: headerToWire(req.Header), Body: req.Body, Service: req.service.Name,
 		ElapsedMillis: millisOf(time.Since(req.ReadAt)), LeftMillis: millisOf(time.Until(req.deadline) - carryTransitTime), Deferred: req.requirements.Deferred, Sent: uint32(req.attempts.sent)}
 	if req.identity.hasKey {
 		m.ApiKeyHash = req.identity.keyHash[:]
@@ -182,7 +182,7 @@
 	var out []*wire.HeaderField
 	for name, values := range h {
 		for _, v := range values {
-			out = append(out, &wire.HeaderField{Name: name, Value: v})
+			out = append(out, &wire.HeaderField{Name: []byte(name), Value: []byte(v)})
 		}
 	}
 	return out
@@ -191,7 +191,8 @@
 func headerFromWire(fields []*wire.HeaderField) http.Header {
 	h := make(http.Header, len(fields))
 	for _, f := range fields {
-		h[f.Name] = append(h[f.Name], f.Value)
+		name := string(f.Name)
+		h[name] = append(h[name], string(f.Value))
 	}
 	return h
 }
