The status of a response to a control call ends no instance

A response with status 421 to a grant, a renewal or a release was taken for the end of the holder's instance, and its keys were granted to another server at once. Status 421 is a plain status; a faulty server that is alive and holds the keys may send it, and two would hold them. Change: only a response that states that the call was not carried out ends the instance; without it the outcome is unknown and the range waits until the hold has run out. Ruled out: believing it after a second 421 on another connection, which a server that always answers so defeats.

--- a/core/version/grant/call.go
+++ b/core/version/grant/call.go
@@ -11,8 +11,8 @@
 	Done Result = iota
 	// Fenced means that the server has seen a higher fence on one of the keys.
 	Fenced
-	// Ended proves that the holder's instance has ended, since another one answers at its
-	// address. Refused connections prove nothing: a network partition may refuse them
+	// Ended proves that the holder's instance has ended, since another one states that it answers
+	// at its address. Refused connections prove nothing: a network partition may refuse them
 	// while the holder is running and others can reach it.
 	Ended
 	// NotSent means that the server did not carry the call out: no byte of the call was sent, or
@@ -23,6 +23,20 @@
 	OutcomeUnknown
 )
 
+// ResultOfRefusal returns the result of a call that a server neither carried out nor found fenced.
+// statesNotRun means that the response states that it was not carried out, and isMisdirected that its status
+// says that another instance is meant. The status alone proves nothing: a faulty server that is alive and holds
+// the range may answer so, and its keys would be granted to another one.
+func ResultOfRefusal(statesNotRun, isMisdirected bool) Result {
+	switch {
+	case !statesNotRun:
+		return OutcomeUnknown
+	case isMisdirected:
+		return Ended
+	}
+	return NotSent
+}
+
 // String returns the name of the result as used in logs and metrics.
 func (r Result) String() string {
 	switch r {
--- a/io/process/native/protocol.go
+++ b/io/process/native/protocol.go
@@ -84,17 +84,13 @@
 // Result interprets the response to a grant or a release. The response to a release also
 // contains the handover.
 func (Protocol) Result(resp *link.Response) (result grant.Result, handover string) {
-	switch {
-	case resp.Status == http.StatusOK:
+	switch resp.Status {
+	case http.StatusOK:
 		return grant.Done, resp.Header.Get(names.Default().Handover)
-	case resp.Status == http.StatusConflict:
+	case http.StatusConflict:
 		return grant.Fenced, ""
-	case resp.Status == http.StatusMisdirectedRequest:
-		return grant.Ended, ""
-	case resp.Declined:
-		return grant.NotSent, ""
 	}
-	return grant.OutcomeUnknown, ""
+	return grant.ResultOfRefusal(resp.Declined, resp.Status == http.StatusMisdirectedRequest), ""
 }
 
 func newPost(path, address string, k KeyRangeRequest) link.Request {
