--- a/core/request/proof/doc.go
+++ b/core/request/proof/doc.go
@@ -1,4 +1,4 @@
-// Package proof decides what a caller may be told of whether its request has run. Some statuses promise
+// Package proof decides what a caller may learn of whether its request has run. Some statuses promise
 // that it has not and never will; a reply has one of them only if a NotRun is there to build it from, and
 // only the History of a request yields a NotRun that holds.
 //
