--- a/io/process/router/evaluate.go
+++ b/io/process/router/evaluate.go
@@ -112,7 +112,7 @@
 // isServerResponse reports whether a response comes from the server itself. A response with a
 // status below 300 must have the signature header to show this.
 func (r *Router) isServerResponse(resp *link.Response) bool {
-	return resp.Status >= http.StatusMultipleChoices || resp.Header.Get(r.protocol.Names().Signature) != ""
+	return resp.Status >= http.StatusMultipleChoices || r.isSigned(resp)
 }
 
 // mayRetry reports whether another attempt is allowed and can still succeed in time.
--- a/io/process/router/response.go
+++ b/io/process/router/response.go
@@ -18,14 +18,13 @@
 	if resp == nil || resp.Status < http.StatusBadRequest {
 		return
 	}
-	names := r.protocol.Names()
-	isSigned, statesNotRun := resp.Header.Get(names.Signature) != "", resp.Header.Get(names.NotRun) != ""
-	r.metrics.increment("responses." + statusLabel(resp.Status) + "." + originLabel(isSigned, statesNotRun))
-	if statesNotRun || !proof.Promises(resp.Status) {
+	isSigned := r.isSigned(resp)
+	r.metrics.increment("responses." + statusLabel(resp.Status) + "." + originLabel(isSigned, resp.Declined))
+	if resp.Declined || !proof.Promises(resp.Status) {
 		return
 	}
 	r.log.Info("request: server promises without proof", "id", req.id, "route", req.route.Name, "key", req.key, "attempt", req.attempts.count()+1, "server", server.ID,
-		"status", resp.Status, "signed", isSigned, "hasID", resp.Header.Get(names.ID) != "", "took", time.Since(req.attemptStart).String(), "carried", req.carried)
+		"status", resp.Status, "signed", isSigned, "hasID", resp.Header.Get(r.protocol.Names().ID) != "", "took", time.Since(req.attemptStart).String(), "carried", req.carried)
 }
 
 // observeCall counts the response to a control call unless it is a success. It logs one that another
@@ -34,18 +33,16 @@
 	if resp.Status < http.StatusBadRequest {
 		return
 	}
-	names := r.protocol.Names()
-	isSigned, statesNotRun := resp.Header.Get(names.Signature) != "", resp.Header.Get(names.NotRun) != ""
-	r.metrics.increment("calls." + statusLabel(resp.Status) + "." + originLabel(isSigned, statesNotRun))
-	if resp.Status == http.StatusMisdirectedRequest && !statesNotRun {
+	r.metrics.increment("calls." + statusLabel(resp.Status) + "." + originLabel(r.isSigned(resp), resp.Declined))
+	if resp.Status == http.StatusMisdirectedRequest && !resp.Declined {
 		r.log.Info("keys: server is another one without proof", "target", req.Target, "server", h.Server, "born", h.StartMillis, "host", req.Host, "status", resp.Status)
 	}
 }
 
 // originLabel returns what shows that a response comes from the server, for the names of counters.
-func originLabel(isSigned, statesNotRun bool) string {
+func originLabel(isSigned, declined bool) string {
 	switch {
-	case statesNotRun:
+	case declined:
 		return "notRun"
 	case isSigned:
 		return "signed"
@@ -62,6 +59,11 @@
 	return strconv.Itoa(status)
 }
 
+// isSigned reports whether a response has the signature of a server.
+func (r *Router) isSigned(resp *link.Response) bool {
+	return resp.Header.Get(r.protocol.Names().Signature) != ""
+}
+
 // observeUnread counts a reply to a request that could not be read. No line of the log names it.
 func (r *Router) observeUnread(status int) {
 	r.metrics.increment("requests.unread." + strconv.Itoa(status))
