router: a booking whose server promises without proof is told to the other daemons

Where servers keep ids (the own interface), a booking that may have run and whose caller has no answer is told to all daemons, since the caller may send it again through any of them after its server was lost; the next holder would run it again otherwise. Evidence: the new part of TestUnansweredRequestsAreGossiped failed before (0 instead of 1).

--- a/io/process/router/sent.go
+++ b/io/process/router/sent.go
@@ -69,7 +69,8 @@
 // may send it again through any of them, possibly after the holder was lost.
 func (r *Router) recordSentOutcome(ctx context.Context, record sentRecord, repeated bool, resp *link.Response, err error) {
 	notRun := link.Ground(resp, err).Proves()
-	unanswered := err != nil && !notRun || ctx.Err() != nil
+	// A status that promises without proof does not reach the caller, who may send the request again.
+	unanswered := err != nil || ctx.Err() != nil || proof.Promises(resp.Status)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if notRun {
--- a/io/process/router/sent_test.go
+++ b/io/process/router/sent_test.go
@@ -134,6 +134,12 @@
 			So(other.recentUnanswered(), ShouldBeEmpty)
 		})
 	})
+	Convey("A request whose server's response is not passed on, since it promises without proof, is gossiped, too", t, func() {
+		r := newTestRouter()
+		r.sendAndRecord(bookingRequest("a"), &link.Response{Status: http.StatusTooManyRequests}, nil)
+		r.sendAndRecord(bookingRequest("b"), &link.Response{Status: http.StatusTooManyRequests, Declined: true}, nil)
+		So(r.recentUnanswered(), ShouldHaveLength, 1)
+	})
 	Convey("A request whose caller disconnected before the response is gossiped, too", t, func() {
 		r := newTestRouter()
 		ctx, cancel := context.WithCancel(context.Background())
