--- a/io/connection/link/unsent_test.go
+++ b/io/connection/link/unsent_test.go
@@ -96,7 +96,7 @@
 }
 
 // Guards against a request that counts as unsent and is read by the server all the same, then or later: its
-// caller is told that it has not run.
+// caller gets a promise that it has not run.
 func TestUnsentRequestsNeverArrive(t *testing.T) {
 	for seed := range uint64(6) {
 		Convey(fmt.Sprintf("Connections that break and callers that give up at any moment, seed %d", seed), t, func() {
