router: a booking whose success lacks the signature is told to the other daemons

What callers saw: where servers keep ids (the own interface), a success that lost its signature on the way reaches the caller as 502, who may send the booking again through any daemon. If its holder is lost meanwhile, the next one may run it a second time.

Cause: recordSentOutcome had its own idea of what the caller gets.

Change: isPassedOn says of a response whether the caller may get it, next to the rule that decides it; what it does not pass on counts as unanswered.

Ruled out: failures without signature, they are passed on and stay answered (in the test).

Evidence: the new part of TestUnansweredRequestsAreGossiped failed before (0 records, 1 asked), and passes. Two successes of that test got the signature that servers send; with it they check what they checked before.

--- a/io/process/router/evaluate.go
+++ b/io/process/router/evaluate.go
@@ -115,6 +115,12 @@
 	return resp.Status >= http.StatusMultipleChoices || r.isSigned(resp)
 }
 
+// isPassedOn reports whether the caller may get a response to a request that may have run. Otherwise the
+// caller gets a failure of the daemon's own, and may send the request again.
+func (r *Router) isPassedOn(resp *link.Response) bool {
+	return r.isServerResponse(resp) && !proof.Promises(resp.Status)
+}
+
 // mayRetry reports whether another attempt is allowed and can still succeed in time.
 func (r *Router) mayRetry(ctx context.Context, req *request, notRun bool) bool {
 	return ctx.Err() == nil && r.retryState(req, notRun).Retryable()
--- a/io/process/router/sent.go
+++ b/io/process/router/sent.go
@@ -69,8 +69,7 @@
 // may send it again through any of them, possibly after the holder was lost.
 func (r *Router) recordSentOutcome(ctx context.Context, record sentRecord, repeated bool, resp *link.Response, err error) {
 	notRun := link.Ground(resp, err).Proves()
-	// A status that promises without proof does not reach the caller, who may send the request again.
-	unanswered := err != nil || ctx.Err() != nil || proof.Promises(resp.Status)
+	unanswered := err != nil || ctx.Err() != nil || !r.isPassedOn(resp)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if notRun {
--- a/io/process/router/sent_test.go
+++ b/io/process/router/sent_test.go
@@ -30,6 +30,11 @@
 	r.recordSentOutcome(context.Background(), record, repeated, resp, err)
 }
 
+// signedSuccess returns a success that shows that it comes from a server.
+func signedSuccess() *link.Response {
+	return &link.Response{Status: http.StatusOK, Header: http.Header{names.Default().Signature: {"a"}}}
+}
+
 // sendsFirstSent reports whether the next attempt under an ID has the first-sent header.
 func (r *Router) sendsFirstSent(id string) bool {
 	req := bookingRequest(id)
@@ -120,7 +125,7 @@
 	Convey("Requests that may have run without a response are gossiped, others are not", t, func() {
 		r, other := newTestRouter(), newTestRouter()
 		r.sendAndRecord(bookingRequest("a"), nil, errConnectionBroken)
-		r.sendAndRecord(bookingRequest("b"), &link.Response{Status: http.StatusOK}, nil)
+		r.sendAndRecord(bookingRequest("b"), signedSuccess(), nil)
 		r.sendAndRecord(bookingRequest("c"), nil, errNotSent)
 		unanswered := r.recentUnanswered()
 		So(unanswered, ShouldHaveLength, 1)
@@ -140,12 +145,20 @@
 		r.sendAndRecord(bookingRequest("b"), &link.Response{Status: http.StatusTooManyRequests, Declined: true}, nil)
 		So(r.recentUnanswered(), ShouldHaveLength, 1)
 	})
+	Convey("So is one whose server's success is not passed on, since it lacks the signature, but none with a failure", t, func() {
+		r := newTestRouter()
+		r.sendAndRecord(bookingRequest("a"), &link.Response{Status: http.StatusOK}, nil)
+		r.sendAndRecord(bookingRequest("b"), &link.Response{Status: http.StatusNotFound}, nil)
+		unanswered := r.recentUnanswered()
+		So(unanswered, ShouldHaveLength, 1)
+		So(unanswered[0].Id, ShouldEqual, bookingRequest("a").sentHash())
+	})
 	Convey("A request whose caller disconnected before the response is gossiped, too", t, func() {
 		r := newTestRouter()
 		ctx, cancel := context.WithCancel(context.Background())
 		record, repeated := r.recordSent(bookingRequest("a"))
 		cancel()
-		r.recordSentOutcome(ctx, record, repeated, &link.Response{Status: http.StatusOK}, nil)
+		r.recordSentOutcome(ctx, record, repeated, signedSuccess(), nil)
 		So(r.recentUnanswered(), ShouldHaveLength, 1)
 	})
 	Convey("The number of items in a gossip message is limited", t, func() {
