--- a/io/connection/link/unsent_test.go
+++ b/io/connection/link/unsent_test.go
@@ -143,6 +143,7 @@
 		return nil, syscall.ECONNREFUSED
 	case dialFailed:
 		return nil, syscall.EHOSTUNREACH
+	default:
 	}
 	c, err := DefaultDialer.DialContext(ctx, network, address)
 	if err != nil {
@@ -153,8 +154,9 @@
 		return faultyConn{Conn: c}, nil
 	case writeCutShort:
 		return faultyConn{Conn: c, fraction: f.rng.Float64()}, nil
+	default:
+		return c, nil
 	}
-	return c, nil
 }
 
 // faultyConn writes a fraction of what it is given, and fails.
@@ -186,6 +188,7 @@
 		if f.rng.IntN(4) == 0 {
 			req.Body = make([]byte, f.rng.IntN(8*minConcurrentWrite))
 		}
+	default:
 	}
 	return ctx, cancel, req
 }
