router: the end of an attempt is a value, and each way out a function

evaluateAttempt took six arguments and decided in 46 lines about declines, responses, retries and giving up; three places logged and gave up in the same words. Now attemptEnd holds the server, the choice and the response or error; evaluateDecline, evaluateResponse and retryOrGiveUp have one decision each. caller.CanPassOn is the one rule by which NewResponse and recordSentOutcome judge a status; before, a status that is none counted as answered.

No other change of behaviour: a status that promises is still "refusedWithoutProof", one that is none "attemptFailed".

--- a/io/connection/caller/reply.go
+++ b/io/connection/caller/reply.go
@@ -23,11 +23,16 @@
 	refusal *Refusal
 }
 
-// NewResponse returns the reply that passes a server's response on. It returns false if the response must
-// not be passed on, since its status is none, or promises that the request has not run: a response with
-// proof of that is not passed on, but leads to a refusal or another attempt.
+// CanPassOn reports whether a server's response with a status may be passed on. It may not if the status is
+// none, or promises that the request has not run: a response with proof of that is not passed on, but leads
+// to a refusal or another attempt.
+func CanPassOn(status int) bool {
+	return status >= lowestFinalStatus && status <= highestStatus && !proof.Promises(status)
+}
+
+// NewResponse returns the reply that passes a server's response on, or false if CanPassOn forbids it.
 func NewResponse(status int, header http.Header, body []byte) (Reply, bool) {
-	if status < lowestFinalStatus || status > highestStatus || proof.Promises(status) {
+	if !CanPassOn(status) {
 		return Reply{}, false
 	}
 	return Reply{status: status, header: header, body: body}, true
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -54,7 +54,7 @@
 		} else {
 			req.attempts.sent++
 		}
-		reply, sendAgain := r.evaluateAttempt(ctx, req, server, choice, resp, err)
+		reply, sendAgain := r.evaluateAttempt(ctx, req, attemptEnd{server: server, choice: choice, resp: resp, err: err})
 		if !sendAgain {
 			return reply
 		}
--- a/io/process/router/evaluate.go
+++ b/io/process/router/evaluate.go
@@ -40,73 +40,92 @@
 	return spread.Answered
 }
 
+// attemptEnd is how an attempt ended: the server that it was for, why that one was chosen, and its response or
+// an error.
+type attemptEnd struct {
+	server fleet.Server
+	choice spread.Choice
+	resp   *link.Response
+	err    error
+}
+
 // evaluateAttempt handles the end of an attempt. It returns either the reply to the caller,
 // or true if the request is to be sent again. It also sets the request's history and fallback, on
 // which the decisions after further attempts depend.
-func (r *Router) evaluateAttempt(ctx context.Context, req *request, server fleet.Server, choice spread.Choice, resp *link.Response, err error) (caller.Reply, bool) {
-	ground := link.Ground(resp, err)
-	notRun := ground.Proves()
+func (r *Router) evaluateAttempt(ctx context.Context, req *request, e attemptEnd) (caller.Reply, bool) {
+	ground := link.Ground(e.resp, e.err)
 	req.history = req.history.WithEnded(ground)
-	if !notRun {
+	if !ground.Proves() {
 		req.token = allowanceToken{} // it may be used for one run
 	}
-	if link.KindOf(err) == link.ConnectionLost {
-		r.recordLoss(req, server.ID)
+	if link.KindOf(e.err) == link.ConnectionLost {
+		r.recordLoss(req, e.server.ID)
 	}
-	reason := reasonAttemptFailed
 	switch {
-	case err == nil && resp.OutcomeLost:
-		return r.replyOutcomeLost(req, server.ID), false
-	case err == nil && !notRun && r.isServerResponse(resp):
-		r.clearSuspect(req)
-		if reply, passedOn := r.passOn(ctx, req, server, choice, resp); passedOn {
-			return reply, false
-		}
-		if proof.Promises(resp.Status) {
-			reason = reasonUnproved
-		}
-	}
-	shed := err == nil && declinedAtShortQueue(resp)
-	if notRun && req.key >= 0 && err == nil && !shed {
-		return r.giveUp(req, choice, reasonDeclined, r.retryAfterDeclined(req, server, resp)), false
+	case e.err == nil && e.resp.OutcomeLost:
+		return r.replyOutcomeLost(req, e.server.ID), false
+	case e.err == nil && ground.Proves():
+		return r.evaluateDecline(ctx, req, e)
+	case e.err == nil && r.isServerResponse(e.resp):
+		return r.evaluateResponse(ctx, req, e)
 	}
-	if shed {
+	return r.retryOrGiveUp(ctx, req, e, reasonAttemptFailed)
+}
+
+// evaluateDecline handles a server's statement that it did not run the request.
+func (r *Router) evaluateDecline(ctx context.Context, req *request, e attemptEnd) (caller.Reply, bool) {
+	switch {
+	case declinedAtShortQueue(e.resp):
 		r.metrics.increment("declines.shortQueue")
-		choice.RetryAfter = 0 // no queue to wait for: the shortest delay applies
+		e.choice.RetryAfter = 0 // no queue to wait for: the shortest delay applies
+	case req.key >= 0:
+		return r.giveUp(req, e.choice, reasonDeclined, r.retryAfterDeclined(req, e.server, e.resp)), false
+	}
+	return r.retryOrGiveUp(ctx, req, e, reasonAttemptFailed)
+}
+
+// evaluateResponse handles the response of a server that may have run the request. The caller gets it unless
+// it promises the opposite. A failure may be followed by another attempt; it becomes the request's fallback then.
+func (r *Router) evaluateResponse(ctx context.Context, req *request, e attemptEnd) (caller.Reply, bool) {
+	r.clearSuspect(req)
+	reply, ok := r.callerReply(req, e.resp)
+	switch {
+	case proof.Promises(e.resp.Status):
+		return r.retryOrGiveUp(ctx, req, e, reasonUnproved)
+	case !ok:
+		return r.retryOrGiveUp(ctx, req, e, reasonAttemptFailed)
+	case e.resp.Status < http.StatusInternalServerError:
+		r.logLateResponse(req, e.choice, e.resp)
+		return reply, false
+	case r.mayRetry(ctx, req, false):
+		req.fallback = &reply
+		return r.retryOrGiveUp(ctx, req, e, reasonAttemptFailed)
 	}
+	r.logFailedAttempt(req, e, "passed on")
+	return reply, false
+}
+
+// retryOrGiveUp ends a request whose attempt failed, or returns true if it is to be sent again.
+func (r *Router) retryOrGiveUp(ctx context.Context, req *request, e attemptEnd, reason string) (caller.Reply, bool) {
+	notRun := link.Ground(e.resp, e.err).Proves()
 	if !r.mayRetry(ctx, req, notRun) {
-		r.logFailedAttempt(req, server, choice, resp, err, "given up")
-		return r.giveUp(req, choice, reason, choice.RetryAfter), false
+		return r.giveUpAfter(req, e, e.choice, reason), false
 	}
-	req.excludeFailed(server, resp)
+	req.excludeFailed(e.server, e.resp)
 	if refusal, certain := r.certainRefusal(req); certain {
-		r.logFailedAttempt(req, server, choice, resp, err, "given up")
-		return r.giveUp(req, refusal, string(refusal.Reason), refusal.RetryAfter), false
+		return r.giveUpAfter(req, e, refusal, string(refusal.Reason)), false
 	}
 	if r.retryState(req, notRun).UsesBudget() && !r.tryWithdrawRetry(req) {
-		r.logFailedAttempt(req, server, choice, resp, err, "given up")
-		return r.giveUp(req, choice, reason, choice.RetryAfter), false
+		return r.giveUpAfter(req, e, e.choice, reason), false
 	}
-	r.logFailedAttempt(req, server, choice, resp, err, "sent again")
+	r.logFailedAttempt(req, e, "sent again")
 	return caller.Reply{}, true
 }
 
-// passOn returns the reply that passes a server's response on. It returns false if the response must not be
-// passed on, or if a failure may be followed by another attempt; it becomes the request's fallback then.
-func (r *Router) passOn(ctx context.Context, req *request, server fleet.Server, choice spread.Choice, resp *link.Response) (caller.Reply, bool) {
-	reply, ok := r.callerReply(req, resp)
-	switch {
-	case !ok:
-		return caller.Reply{}, false
-	case resp.Status < http.StatusInternalServerError:
-		r.logLateResponse(req, choice, resp)
-	case r.mayRetry(ctx, req, false):
-		req.fallback = &reply
-		return caller.Reply{}, false
-	default:
-		r.logFailedAttempt(req, server, choice, resp, nil, "passed on")
-	}
-	return reply, true
+// giveUpAfter gives a request up after a failed attempt.
+func (r *Router) giveUpAfter(req *request, e attemptEnd, choice spread.Choice, reason string) caller.Reply {
+	r.logFailedAttempt(req, e, "given up")
+	return r.giveUp(req, choice, reason, choice.RetryAfter)
 }
 
 // isServerResponse reports whether a response comes from the server itself. A response with a
@@ -118,7 +137,7 @@
 // isPassedOn reports whether the caller may get a response to a request that may have run. Otherwise the
 // caller gets a failure of the daemon's own, and may send the request again.
 func (r *Router) isPassedOn(resp *link.Response) bool {
-	return r.isServerResponse(resp) && !proof.Promises(resp.Status)
+	return r.isServerResponse(resp) && caller.CanPassOn(resp.Status)
 }
 
 // mayRetry reports whether another attempt is allowed and can still succeed in time.
@@ -132,14 +151,14 @@
 		CrashSuspect: r.checkCrashSuspect(req), MaxAttempts: req.route.MaxAttempts, TimeLeft: time.Until(req.deadline), MinLatency: r.minRetryLatency(req)}
 }
 
-func (r *Router) logFailedAttempt(req *request, server fleet.Server, choice spread.Choice, resp *link.Response, err error, decision string) {
+func (r *Router) logFailedAttempt(req *request, e attemptEnd, decision string) {
 	status := 0
-	if resp != nil {
-		status = resp.Status
+	if e.resp != nil {
+		status = e.resp.Status
 	}
 	r.metrics.increment("attempts." + strings.ReplaceAll(decision, " ", ""))
-	r.log.Info("request: attempt failed", "id", req.id, "route", req.route.Name, "key", req.key, "attempt", req.attempts.count(), "server", server.ID,
-		"expected", choice.ExpectedLatency.String(), "left", time.Until(req.deadline).String(), "status", status, "err", err, "then", decision)
+	r.log.Info("request: attempt failed", "id", req.id, "route", req.route.Name, "key", req.key, "attempt", req.attempts.count(), "server", e.server.ID,
+		"expected", e.choice.ExpectedLatency.String(), "left", time.Until(req.deadline).String(), "status", status, "err", e.err, "then", decision)
 }
 
 // minRetryLatency returns the shortest time in which another attempt can be expected to
--- a/io/process/router/promise_test.go
+++ b/io/process/router/promise_test.go
@@ -32,7 +32,7 @@
 	server := fleet.Server{ID: "a", Service: "s", DataCentre: "x", Slots: 3, StartMillis: 1}
 	req.history = req.history.WithBegun()
 	req.attempts.sent++
-	return r.evaluateAttempt(context.Background(), req, server, spread.Choice{Server: server}, resp, nil)
+	return r.evaluateAttempt(context.Background(), req, attemptEnd{server: server, choice: spread.Choice{Server: server}, resp: resp})
 }
 
 // Guards against a caller that sends an order again which has run: a server's status promised that it had
--- a/io/process/router/shedding_test.go
+++ b/io/process/router/shedding_test.go
@@ -29,7 +29,7 @@
 func afterDecline(r *Router, req *request, resp *link.Response) (reply caller.Reply, sendAgain bool) {
 	server := fleet.Server{ID: "a", Service: "s", DataCentre: "x", Slots: 3, StartMillis: 1}
 	req.attempts.sent++
-	return r.evaluateAttempt(context.Background(), req, server, spread.Choice{Server: server, RetryAfter: time.Second}, resp, nil)
+	return r.evaluateAttempt(context.Background(), req, attemptEnd{server: server, choice: spread.Choice{Server: server, RetryAfter: time.Second}, resp: resp})
 }
 
 // Guards against a request that is refused as if its holder were full, although the holder only
