router: a carried booking's outcome is a value, not a response made up for it

What callers saw: nothing yet; found on reading again. A booking of a host without links, answered by way of another daemon, was told to all daemons as unanswered, on the own interface. Its next holder would have declined a later copy as "outcome lost" instead of serving it.

Change: sentOutcome names the four ends of an attempt; sentOutcomeOf finds it for a server's response, sentOutcomeOfCarried for another daemon's. Its zero value proves nothing.

The other tests of the router and the own interface pass.

--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -115,7 +115,7 @@
 	}
 	record, repeated := r.recordSent(req)
 	resp, err := r.exchange(ctx, req, server)
-	r.recordSentOutcome(ctx, record, repeated, resp, err)
+	r.recordSentOutcome(record, repeated, r.sentOutcomeOf(ctx, resp, err))
 	return resp, err
 }
 
--- a/io/process/router/carry.go
+++ b/io/process/router/carry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -12,7 +11,6 @@
 	"catkinstep/core/request/proof"
 	"catkinstep/core/request/spread"
 	"catkinstep/io/connection/caller"
-	"catkinstep/io/connection/link"
 	"catkinstep/io/connection/mesh"
 )
 
@@ -88,18 +86,23 @@
 	}
 	record, repeated := r.recordSent(req)
 	reply, outcome := r.carryBy(ctx, req, peer)
-	switch {
-	case outcome == carryUnknown || reply.Refusal() != nil && reply.Refusal().MaybeRan():
-		r.recordSentOutcome(ctx, record, repeated, nil, &link.Error{Op: "carry", Kind: link.ConnectionLost, Err: errNoCarryReply})
-	case outcome == carryUnavailable || reply.Refusal() != nil:
-		r.recordSentOutcome(ctx, record, repeated, nil, &link.Error{Op: "carry", Kind: link.NotSent, Err: errNoCarryReply})
-	default:
-		r.recordSentOutcome(ctx, record, repeated, &link.Response{}, nil)
-	}
+	r.recordSentOutcome(record, repeated, sentOutcomeOfCarried(ctx, reply, outcome))
 	return reply, outcome
 }
 
-var errNoCarryReply = errors.New("no response of a server by way of another daemon")
+// sentOutcomeOfCarried returns how an attempt by way of another daemon ended.
+func sentOutcomeOfCarried(ctx context.Context, reply caller.Reply, outcome carryOutcome) sentOutcome {
+	refusal := reply.Refusal()
+	switch {
+	case outcome == carryUnknown || refusal != nil && refusal.MaybeRan():
+		return sentLost
+	case outcome == carryUnavailable || refusal != nil:
+		return sentNotRun
+	case ctx.Err() != nil:
+		return sentUnanswered
+	}
+	return sentAnswered
+}
 
 // carryBy sends a request to another daemon and waits for the reply. Like the request to a server, it is
 // cancelled when the caller disconnects only if it is idempotent.
--- a/io/process/router/sent.go
+++ b/io/process/router/sent.go
@@ -64,15 +64,36 @@
 	return sentRecord{hash: req.sentHash(), firstSentAt: firstSentAt}, repeated
 }
 
+// sentOutcome is how an attempt of a deduplicated request ended.
+type sentOutcome int
+
+const (
+	sentUnanswered sentOutcome = iota // it may have run, and its caller gets no server's response
+	sentLost                          // the same, and its holder may be lost
+	sentAnswered                      // its caller gets the server's response
+	sentNotRun                        // it has not run and never will
+)
+
+// sentOutcomeOf returns how an attempt ended that was sent to a server.
+func (r *Router) sentOutcomeOf(ctx context.Context, resp *link.Response, err error) sentOutcome {
+	switch {
+	case link.Ground(resp, err).Proves():
+		return sentNotRun
+	case link.KindOf(err) == link.ConnectionLost:
+		return sentLost
+	case err != nil || ctx.Err() != nil || !r.isPassedOn(resp):
+		return sentUnanswered
+	}
+	return sentAnswered
+}
+
 // recordSentOutcome records how an attempt of a deduplicated request ended. If the request may
 // have run without its caller getting the reply, the other daemons are informed: the caller
 // may send it again through any of them, possibly after the holder was lost.
-func (r *Router) recordSentOutcome(ctx context.Context, record sentRecord, repeated bool, resp *link.Response, err error) {
-	notRun := link.Ground(resp, err).Proves()
-	unanswered := err != nil || ctx.Err() != nil || !r.isPassedOn(resp)
+func (r *Router) recordSentOutcome(record sentRecord, repeated bool, outcome sentOutcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if notRun {
+	if outcome == sentNotRun {
 		if !repeated {
 			r.sentHistory.Forget(record.hash)
 		}
@@ -80,14 +101,14 @@
 	}
 	// A concurrent copy that did not run may have removed the record.
 	r.sentHistory.RecordAt(time.Now(), record.hash, record.firstSentAt)
-	if !unanswered {
+	if outcome == sentAnswered {
 		return
 	}
 	if !r.unansweredBuffer.add(time.Now(), record) {
 		r.metrics.increment("sent.notPassedOn")
 		return
 	}
-	if link.KindOf(err) == link.ConnectionLost {
+	if outcome == sentLost {
 		go r.post(propagateMsg{}) // at once, as the holder may be lost; asynchronously, as the lock is held
 	}
 }
--- a/io/process/router/sent_test.go
+++ b/io/process/router/sent_test.go
@@ -11,6 +11,7 @@
 
 	"catkinstep/core/connection/names"
 	"catkinstep/core/connection/wire"
+	"catkinstep/core/request/carry"
 	"catkinstep/core/request/spread"
 	"catkinstep/io/connection/caller"
 	"catkinstep/io/connection/link"
@@ -27,7 +28,7 @@
 // sendAndRecord records an attempt that ended with the given response or error.
 func (r *Router) sendAndRecord(req *request, resp *link.Response, err error) {
 	record, repeated := r.recordSent(req)
-	r.recordSentOutcome(context.Background(), record, repeated, resp, err)
+	r.recordSentOutcome(record, repeated, r.sentOutcomeOf(context.Background(), resp, err))
 }
 
 // signedSuccess returns a success that shows that it comes from a server.
@@ -75,8 +76,8 @@
 		refused, broken := bookingRequest("a"), bookingRequest("a")
 		record, repeated := r.recordSent(refused)
 		otherRecord, otherRepeated := r.recordSent(broken)
-		r.recordSentOutcome(context.Background(), record, repeated, nil, errNotSent)
-		r.recordSentOutcome(context.Background(), otherRecord, otherRepeated, nil, errConnectionBroken)
+		r.recordSentOutcome(record, repeated, sentNotRun)
+		r.recordSentOutcome(otherRecord, otherRepeated, sentLost)
 		So(r.sendsFirstSent("a"), ShouldBeTrue)
 	})
 	Convey("An earlier time that the caller sends is kept", t, func() {
@@ -158,7 +159,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		record, repeated := r.recordSent(bookingRequest("a"))
 		cancel()
-		r.recordSentOutcome(ctx, record, repeated, signedSuccess(), nil)
+		r.recordSentOutcome(record, repeated, r.sentOutcomeOf(ctx, signedSuccess(), nil))
 		So(r.recentUnanswered(), ShouldHaveLength, 1)
 	})
 	Convey("The number of items in a gossip message is limited", t, func() {
@@ -171,3 +172,22 @@
 		So(buffer.add(t0.Add(piggybackDuration), 0), ShouldBeTrue)
 	})
 }
+
+// Guards against a booking that counts as unanswered although its caller got the response by way of another
+// daemon, and against one without a response that counts as answered.
+func TestCarriedRequestsAreRecorded(t *testing.T) {
+	Convey("One that a server answered is not gossiped, one without such a reply is", t, func() {
+		r, m, _ := newCutOffRouter()
+		for i, lost := range []bool{false, true} {
+			req := bookingRequest("a")
+			req.Request = booking()
+			So(r.identify(r.current.Load(), req, nil), ShouldBeNil)
+			if lost {
+				m.failWith["b:1"] = errLost
+			}
+			_, outcome := r.carryRecorded(context.Background(), req, carry.Peer{Address: "b:1"})
+			So(outcome == carryAnswered, ShouldEqual, !lost)
+			So(r.recentUnanswered(), ShouldHaveLength, i)
+		}
+	})
+}
