member: a daemon claims the lead again if its claim was stored and the answer lost

Cause: the claim was stored late and its answer lost. The daemon read the table that names it, did not lead, and did not replace a leader that is itself in its present incarnation; all others took it for the leader.

Change: ShouldTakeLead, which only daemons that do not lead ask, answers yes for the daemon's own incarnation, without waiting for others, who do not try.

Why it is safe: the next claim has a higher epoch and is stored only on the revision that was read, as any takeover; terms before it are waited for as before.

--- a/core/process/member/leader.go
+++ b/core/process/member/leader.go
@@ -23,8 +23,8 @@
 	return false
 }
 
-// ShouldTakeLead reports whether this daemon should try to take the lead from the given
-// leader. ended is set if that incarnation of the leader is proven to have ended.
+// ShouldTakeLead reports whether this daemon, which does not lead, should try to take the lead from
+// the given leader. ended is set if that incarnation of the leader is proven to have ended.
 func (c *Cluster) ShouldTakeLead(now time.Time, l grant.Leader) (try, ended bool) {
 	if c.observedLeader != l {
 		c.observedLeader, c.observedSince = l, now
@@ -40,11 +40,25 @@
 	if c.leaderToReplace != l || c.replaceableSince.IsZero() {
 		c.leaderToReplace, c.replaceableSince = l, since
 	}
-	wait := time.Duration(c.candidateRank(now, false)) * rankDelay
+	return now.Sub(c.replaceableSince) >= c.takeoverDelay(now, l) && now.Sub(c.lastStoreResponse) < storeOutageTimeout, ended
+}
+
+// takeoverDelay returns how long this daemon lets others go first that may take the lead from the given
+// leader. None does so if that is this daemon.
+func (c *Cluster) takeoverDelay(now time.Time, l grant.Leader) time.Duration {
+	if c.IsSelf(l) {
+		return 0
+	}
+	delay := time.Duration(c.candidateRank(now, false)) * rankDelay
 	if !c.IsRelay(now) {
-		wait += c.GossipInterval() * nonRelayRounds
+		delay += c.GossipInterval() * nonRelayRounds
 	}
-	return now.Sub(c.replaceableSince) >= wait && now.Sub(c.lastStoreResponse) < storeOutageTimeout, ended
+	return delay
+}
+
+// IsSelf reports whether a leader is this daemon in its present incarnation.
+func (c *Cluster) IsSelf(l grant.Leader) bool {
+	return l.Daemon == c.self.Name && l.Incarnation == c.self.Incarnation
 }
 
 // shouldReplaceLeader reports whether a leader is lost, is leaving, or runs on a much weaker
@@ -55,7 +69,9 @@
 		return later(c.startedAt, c.lastStoreResponse), true, true
 	}
 	if l.Daemon == c.self.Name {
-		return now, l.Incarnation != c.self.Incarnation, true
+		// Even in its present incarnation: its claim was stored and the response lost. The others take it for
+		// the leader and wait, and all grants run out. The next claim has a higher epoch, as any takeover.
+		return now, true, true
 	}
 	p := c.peers[l.Daemon]
 	switch {
--- a/core/process/member/member_test.go
+++ b/core/process/member/member_test.go
@@ -66,6 +66,28 @@
 	})
 }
 
+// Guards against a daemon that all others take for the leader, and which does not lead: its claim was stored
+// and the response lost. All grants would run out.
+func TestOwnClaimWithoutResponse(t *testing.T) {
+	own := grant.Leader{Daemon: "b", Incarnation: 1}
+	Convey("It claims the lead again at once", t, func() {
+		c := newTestCluster() // in which "a" ranks first
+		c.RecordStoreResponse(at(10))
+		try, ended := c.ShouldTakeLead(at(10.1), own)
+		So(try, ShouldBeTrue)
+		So(ended, ShouldBeTrue)
+	})
+	Convey("but not while the store does not respond to it, or its host reaches no servers", t, func() {
+		c := newTestCluster()
+		try, _ := c.ShouldTakeLead(at(20), own)
+		So(try, ShouldBeFalse)
+		c.RecordStoreResponse(at(10))
+		c.SetCutOff(true)
+		try, _ = c.ShouldTakeLead(at(10.1), own)
+		So(try, ShouldBeFalse)
+	})
+}
+
 // Guards against treating a refused connection as proof that a leader has ended. A firewall may
 // reject connections from one daemon while the leader runs and others reach it.
 func TestRefusedConnectionDoesNotProveEnd(t *testing.T) {
