--- a/io/process/router/gossip.go
+++ b/io/process/router/gossip.go
@@ -119,7 +119,7 @@
 	g := &wire.Gossip{
 		Name: c.r.self.Name, Address: c.r.self.Address, DataCentre: c.r.self.DataCentre, Incarnation: c.r.self.Incarnation, Strength: c.r.self.CPUCapacity,
 		Region: c.r.self.Region, CutOff: c.reach.CutOff(),
-		Leaving: c.stopping || c.keeper != nil && c.members.ShouldStepDown(now), StoredAgeMillis: ageMillis(now, c.members.LastStoreResponse()), StoreFailedAgeMillis: ageMillis(now, c.members.LastStoreFailure()), Epoch: t.Epoch, Seq: t.Seq,
+		Leaving: c.stopping || (c.keeper != nil || c.members.IsSelf(t.Leader)) && c.members.ShouldStepDown(now), StoredAgeMillis: ageMillis(now, c.members.LastStoreResponse()), StoreFailedAgeMillis: ageMillis(now, c.members.LastStoreFailure()), Epoch: t.Epoch, Seq: t.Seq,
 		Leader: t.Leader.Daemon, LeaderIncarnation: t.Leader.Incarnation, LeaderAgeMillis: c.leaderAge(now, t.Leader),
 	}
 	for _, k := range object.Kinds {
--- a/io/process/router/gossip_test.go
+++ b/io/process/router/gossip_test.go
@@ -9,6 +9,7 @@
 
 	"catkinstep/core/connection/wire"
 	"catkinstep/core/process/member"
+	"catkinstep/core/version/grant"
 	"catkinstep/core/version/object"
 )
 
@@ -165,3 +166,18 @@
 		So(serversKnown(r.control.newGossip(t0)), ShouldEqual, 10)
 	})
 }
+
+// Guards against daemons that wait for one whose claim of the lead was stored without its knowledge, while it
+// cannot lead.
+func TestClaimantThatCannotLeadIsReplaced(t *testing.T) {
+	Convey("Its gossip says that it leaves, so that another daemon takes the lead", t, func() {
+		r := newTestRouter()
+		table := tableWithRange(2, false)
+		table.Leader = grant.Leader{Daemon: r.self.Name, Incarnation: r.self.Incarnation}
+		So(r.control.applyTable(atSecond(1), table), ShouldBeTrue)
+		So(r.control.newGossip(atSecond(1)).Leaving, ShouldBeFalse)
+		r.control.members.RecordGossip(atSecond(1), member.Member{Name: "other", Address: "other", DataCentre: "x", Incarnation: 1}, member.Status{})
+		r.control.members.SetCutOff(true)
+		So(r.control.newGossip(atSecond(1)).Leaving, ShouldBeTrue)
+	})
+}
