link: a response that ends with its connection is complete only once its request has been written

Callers got the first part of a response as the whole one.

Cause: the end of its connection ends a body without a length, and the system reports a reset once. When the goroutine that writes takes the error, the one that reads finds a plain end.

Ruled out: responses with a length or in chunks, which are checked to their last byte; a look at the write's error when the end comes, since the write may have taken it and not returned yet.

Why it works: such a response now waits for its request's write. A write that succeeded has taken no error, so that the end that was read is the server's own. One that failed leaves the outcome unknown. A server that ends its response and reads on is still passed on; the wait ends at the request's deadline at the latest.

--- a/io/connection/link/do.go
+++ b/io/connection/link/do.go
@@ -4,18 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"catkinstep/io/connection/chunk"
 )
 
-// minConcurrentWrite is the size in bytes from which a request body is written
-// concurrently with reading the response, since a server may respond before it has
-// read the whole body.
-const minConcurrentWrite = 16 << 10
-
 // Request is a request to a server.
 type Request struct {
 	Method string
@@ -122,65 +115,15 @@
 		return nil, 0, err
 	}
 	c.recordID(req.ID)
-	head := cl.head(req)
-	var writeDone chan error
-	if req.Body.Len() < minConcurrentWrite {
-		if n, err := c.Write(append(head, req.Body.Bytes()...)); err != nil {
-			return nil, 0, writeError(n, err)
-		}
-	} else {
-		writeDone = make(chan error, 1)
-		go func() {
-			buffers := req.Body.Buffers(head)
-			_, err := buffers.WriteTo(c.Conn)
-			writeDone <- err
-		}()
-	}
-	resp, idleTime, err := cl.readResponse(ctx, c, req)
-	if writeDone == nil || err != nil {
-		return resp, idleTime, err
+	w, err := cl.startWrite(c, req)
+	if err != nil {
+		return nil, 0, err
 	}
-	select {
-	case writeErr := <-writeDone:
-		if writeErr != nil {
-			idleTime = 0
-		}
-	default:
-		// The body is still being written, so that no other request may use the connection.
-		idleTime = 0
+	resp, idleTime, err := cl.readResponse(ctx, c, req, w)
+	if err == nil && !w.hasSucceeded() {
+		idleTime = 0 // the body is still being written, so that no other request may use the connection
 	}
-	return resp, idleTime, nil
+	return resp, idleTime, err
 }
 
 var errTooLate = errors.New("the connection was not there in time")
-
-func writeError(n int, err error) error {
-	if n == 0 {
-		return &Error{Op: "write", Kind: NotSent, Err: err}
-	}
-	return &Error{Op: "write", Kind: ConnectionLost, Err: err}
-}
-
-// head returns the request line and the header fields.
-func (cl *Client) head(req Request) []byte {
-	var b strings.Builder
-	b.Grow(512)
-	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
-	for name, values := range req.Header {
-		if name == cl.names.Timeout || name == cl.names.Instance {
-			continue
-		}
-		for _, v := range values {
-			b.WriteString(name + ": " + v + "\r\n")
-		}
-	}
-	if !req.ControlCall {
-		b.WriteString(cl.names.Timeout + ": " + strconv.FormatInt(max(1, req.TimeLeft.Milliseconds()), 10) + "\r\n")
-	}
-	b.WriteString(cl.names.Instance + ": " + cl.serverID + "\r\n")
-	if req.Body.Len() > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(req.Body.Len()) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	return []byte(b.String())
-}
--- a/io/connection/link/response.go
+++ b/io/connection/link/response.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -24,7 +25,7 @@
 
 // readResponse returns the response to the request and how long the connection may stay
 // idle. It skips responses with another ID, which belong to abandoned requests.
-func (cl *Client) readResponse(ctx context.Context, c *conn, req Request) (*Response, time.Duration, error) {
+func (cl *Client) readResponse(ctx context.Context, c *conn, req Request, w *requestWrite) (*Response, time.Duration, error) {
 	for skipped := range maxStrayResponses {
 		httpResp, err := readFinalResponse(c, req.Method) //nolint:bodyclose // the connection is closed or reused as a whole
 		if err != nil {
@@ -37,6 +38,9 @@
 		if err != nil {
 			return nil, 0, bodyError(err)
 		}
+		if err := checkEnd(httpResp, w); err != nil {
+			return nil, 0, bodyError(err)
+		}
 		idleTime := allowedIdleTime(httpResp)
 		origin := cl.attribute(httpResp, req, c.reused || skipped > 0)
 		switch origin {
@@ -120,6 +124,21 @@
 	}
 }
 
+// checkEnd returns an error unless it is certain that the server has ended a response. The end of a connection
+// is the end of a body without a length only if no reset preceded it, and the system reports a reset once: if
+// the write of the request takes that error, the next read finds a plain end. A write that has succeeded has
+// taken none.
+func checkEnd(resp *http.Response, w *requestWrite) error {
+	isDelimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
+	if isDelimited {
+		return nil
+	}
+	if err := w.await(); err != nil {
+		return fmt.Errorf("the connection broke during the response: %w", err)
+	}
+	return nil
+}
+
 // bodyError returns the error of a response whose body could not be read.
 func bodyError(err error) error {
 	if LackedMemory(err) {
