http1: malformed heads are no responses

Callers got responses with lines, bodies or statuses that were not their server's.

Cause: http.ReadResponse takes names with blanks, so that "Transfer-Encoding : chunked" and "Content-Length : 2" are passed on and not understood; it takes any number of three bytes as a status, and those below 200 were skipped as interim, so that the bytes behind them became the response; it takes any version, and drops an encoding under HTTP/1.0.

Ruled out: control characters and bytes above ASCII in names, control characters in values, different lengths, unknown and double encodings, cut bodies and chunks were refused already.

All requests, health checks, grants and releases use this reader. What it refuses is an attempt without a response, and nothing that it says is believed. It is used in place of net/http's, not beside it: an encoding under HTTP/1.0, and a length beside an encoding, cannot be seen in what net/http returns.

--- a/io/connection/link/conn.go
+++ b/io/connection/link/conn.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"bufio"
 	"errors"
 	"hash/maphash"
 	"net"
@@ -10,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"catkinstep/io/connection/bound"
+	"catkinstep/io/connection/http1"
 )
 
 const (
@@ -24,8 +23,7 @@
 type conn struct {
 	net.Conn
 	number        uint64
-	limited       *bound.Reader // limits what r reads
-	r             *bufio.Reader
+	r             *http1.Reader
 	reusableUntil time.Time
 	reused        bool // it served an earlier request
 	openedAt      time.Time
@@ -37,8 +35,7 @@
 var connCount atomic.Uint64
 
 func newConn(nc net.Conn, number uint64, now time.Time) *conn {
-	limited := bound.NewReader(nc)
-	return &conn{Conn: nc, number: number, limited: limited, r: bufio.NewReaderSize(limited, readBufferSize), openedAt: now}
+	return &conn{Conn: nc, number: number, r: http1.NewReader(nc, readBufferSize, maxResponseHead), openedAt: now}
 }
 
 var idSeed = maphash.MakeSeed()
--- a/io/connection/link/response.go
+++ b/io/connection/link/response.go
@@ -27,7 +27,7 @@
 // idle. It skips responses with another ID, which belong to abandoned requests.
 func (cl *Client) readResponse(ctx context.Context, c *conn, req Request, w *requestWrite) (*Response, time.Duration, error) {
 	for skipped := range maxStrayResponses {
-		httpResp, err := readFinalResponse(c, req.Method) //nolint:bodyclose // the connection is closed or reused as a whole
+		httpResp, err := c.r.Next(req.Method) //nolint:bodyclose // the connection is closed or reused as a whole
 		if err != nil {
 			return nil, 0, readError(err)
 		}
@@ -110,20 +110,6 @@
 	return resp
 }
 
-// readFinalResponse reads the head of a response. It skips interim responses, which are 1xx other
-// than 101.
-func readFinalResponse(c *conn, method string) (*http.Response, error) {
-	c.limited.SetLimit(maxResponseHead)
-	defer c.limited.SetLimit(0)
-	req := &http.Request{Method: method}
-	for {
-		resp, err := http.ReadResponse(c.r, req)
-		if err != nil || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, err
-		}
-	}
-}
-
 // checkEnd returns an error unless it is certain that the server has ended a response. The end of a connection
 // is the end of a body without a length only if no reset preceded it, and the system reports a reset once: if
 // the write of the request takes that error, the next read finds a plain end. A write that has succeeded has
