Stores and the operator's client check and limit the responses that they read

What callers of these clients saw: a list, a table, a conflict or a status that nobody had sent, or a value that had been cut at 32 MB; a command that took 8.6 GB.

Cause: net/http's client takes heads with blanks in names, any version, any status of three bytes, and io.LimitReader ends a body that is too long without an error. The operator's client had no limit.

Ruled out: health checks, grants, releases and carried requests read through io/connection/link; the mesh's messages have lengths; lists and events that are cut are no JSON documents.

Why it works: http1.ReadAll checks the head by the same rules as the reader of servers' responses, and reads one byte beyond the limit to tell a long body from one that fits. A write whose response is broken has an unknown outcome, as one without a response.

--- a/io/connection/http1/check.go
+++ b/io/connection/http1/check.go
@@ -1,6 +1,8 @@
 package http1
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 )
@@ -22,6 +24,19 @@
 	return checkNames(resp.Header)
 }
 
+// ReadAll returns the body of a response that net/http has read, of at most maxBytes, unless the head is malformed.
+// The caller closes the body.
+func ReadAll(resp *http.Response, maxBytes int64) ([]byte, error) {
+	if err := Check(resp); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
+	if err == nil && int64(len(body)) > maxBytes {
+		return nil, &Error{Op: "read", Kind: TooLarge, Err: fmt.Errorf("the body exceeds %d bytes", maxBytes)}
+	}
+	return body, err
+}
+
 func checkStatus(status int, text string) error {
 	if status < lowestStatus || status > highestStatus || strings.ContainsFunc(text, isControl) {
 		return malformed(BadStatusLine, "status", text)
--- a/io/connection/http1/doc.go
+++ b/io/connection/http1/doc.go
@@ -13,10 +13,10 @@
 //	resp, err := r.Next(http.MethodGet)  // until the end of the connection
 //	body, err := io.ReadAll(resp.Body)   // before the next one
 //
-// Clients of net/http check what they get:
+// Clients of net/http check what they get. An encoding that net/http has dropped is not noticed there:
 //
 //	resp, err := httpClient.Do(req)
-//	if err == nil { err = http1.Check(resp) }
+//	body, err := http1.ReadAll(resp, 1<<20)
 //
 // Errors of malformed responses are of type *Error; others are those of the connection.
 package http1
--- a/io/connection/http1/error.go
+++ b/io/connection/http1/error.go
@@ -13,7 +13,8 @@
 const (
 	BadStatusLine Kind = "statusLine"
 	BadField      Kind = "field"
-	BadFraming    Kind = "framing" // the length of the body is not certain
+	BadFraming    Kind = "framing"  // the length of the body is not certain
+	TooLarge      Kind = "tooLarge" // the body exceeds a limit
 )
 
 // Error is the error type of this package.
--- a/io/connection/plat/plat.go
+++ b/io/connection/plat/plat.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"catkinstep/io/connection/http1"
 )
 
 // Kind classifies the errors of this package.
@@ -197,8 +199,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	defer resp.Body.Close() //nolint:errcheck // the body has been read
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	defer resp.Body.Close() //nolint:errcheck // the body has been read, or is not wanted
+	data, err := http1.ReadAll(resp, maxResponseBytes)
 	return resp, data, err
 }
 
--- a/io/connection/plat/plat_test.go
+++ b/io/connection/plat/plat_test.go
@@ -108,3 +108,22 @@
 		})
 	}
 }
+
+// Guards against a value that the platform does not have, since a malformed or cut response is taken for one.
+func TestBrokenResponsesOfThePlatform(t *testing.T) {
+	const version = "Catkinstep-Version: 1\r\n"
+	for name, begin := range map[string]string{
+		"that is too large":               "HTTP/1.1 200 OK\r\n" + version + "Content-Length: 33554433\r\n\r\n",
+		"with a blank in a name":          "HTTP/1.1 200 OK\r\n" + version + "X Y: z\r\nContent-Length: 2\r\n\r\n",
+		"with a blank behind an encoding": "HTTP/1.1 200 OK\r\n" + version + "Transfer-Encoding : chunked\r\nContent-Length: 2\r\n\r\n",
+		"of version 9.9":                  "HTTP/9.9 200 OK\r\n" + version + "Content-Length: 2\r\n\r\n",
+	} {
+		Convey("A response "+name+" is none", t, func() {
+			c := plat.New(flood.Start(t, begin, "xx").Address(), "duluth")
+			_, err := c.Read(context.Background(), "site")
+			So(plat.IsKind(err, plat.Unreachable), ShouldBeTrue)
+			_, err = c.Write(context.Background(), "site", 1, []byte("a"))
+			So(plat.IsKind(err, plat.OutcomeUnknown), ShouldBeTrue)
+		})
+	}
+}
--- a/io/process/admin/client.go
+++ b/io/process/admin/client.go
@@ -10,8 +10,12 @@
 	"time"
 
 	"catkinstep/core/version/site"
+	"catkinstep/io/connection/http1"
 )
 
+// maxResponseBytes limits the body of a response. The largest is the status of all daemons.
+const maxResponseBytes = 32 << 20
+
 // Client calls the operator interface of a daemon for the command line.
 type Client struct {
 	baseURL    string
@@ -82,15 +86,19 @@
 	if err != nil {
 		return &Error{Op: path, Kind: Unreachable, Err: err}
 	}
-	defer resp.Body.Close() //nolint:errcheck // the body has been read
+	defer resp.Body.Close() //nolint:errcheck // the body has been read, or is not wanted
+	data, err := http1.ReadAll(resp, maxResponseBytes)
+	if err != nil {
+		return &Error{Op: path, Kind: Unreachable, Err: err}
+	}
 	if resp.StatusCode != http.StatusOK {
 		var failure errorBody
-		if err := json.NewDecoder(resp.Body).Decode(&failure); err != nil {
+		if err := json.Unmarshal(data, &failure); err != nil {
 			return &Error{Op: path, Kind: Unreachable, Err: errors.New(resp.Status)}
 		}
 		return &Error{Op: path, Kind: failure.Kind, Err: errors.New(failure.Message)}
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err := json.Unmarshal(data, out); err != nil {
 		return &Error{Op: path, Kind: Unreachable, Err: err}
 	}
 	return nil
