--- a/io/standin/flood/flood.go
+++ b/io/standin/flood/flood.go
@@ -24,7 +24,7 @@
 	listener net.Listener
 	begin    string
 	block    []byte
-	// Stopped gets an element for each connection on which the writes have failed.
+	// Stopped gets an element for each connection on which the writes have failed, unless it is full.
 	Stopped chan struct{}
 }
 
@@ -62,7 +62,10 @@
 	for err == nil {
 		_, err = c.Write(s.block)
 	}
-	s.Stopped <- struct{}{}
+	select {
+	case s.Stopped <- struct{}{}:
+	default: // nobody waits for it
+	}
 }
 
 // Allocated returns the bytes that the process allocates while f runs.
