A stopping daemon refuses at once what it cannot expect to answer before it ends

Cause: a request was passed on whatever time was left until the daemon ends; only its own deadline bounded it.

Ruled out: the time for which connections are accepted (such uploads began before its end, and headerTimeoutS allows them their time); refusing by deadlines alone, since routes have timeouts of seconds and answer in tenths.

Why it works: the choice of a server knows when the daemon ends. It refuses what has less than one and a half times its expected latency left, unless the request's deadline comes before; the refusal is true, comes at once, and other daemons can serve the request. What is passed on has the end as its deadline, less the way to the caller, so that it gets a reply there too. This also holds for requests that another daemon is to carry. stop has a file of its own now.

--- a/core/request/spread/choose.go
+++ b/core/request/spread/choose.go
@@ -155,6 +155,8 @@
 		choice.RetryAfter = max(limitWait, b.retryAfter(req, expected))
 	case choice.Reason == AllBusy && req.EffectiveRank() > 0:
 		choice.RetryAfter = b.jittered(max(minRetryAfter, b.excessWait(now, req, server, expected, load, secondsPerPlace)))
+	case choice.Reason == DaemonStops:
+		choice.RetryAfter = b.jittered(minRetryAfter) // other daemons can serve it now
 	case choice.Refused():
 		choice.RetryAfter = b.retryAfter(req, expected)
 	}
@@ -168,6 +170,8 @@
 		return ServerUnreachable
 	case st.inFlight >= b.connectionShare(req.Service):
 		return ConnectionLimit
+	case req.EndsTooLate(now, expected):
+		return DaemonStops
 	case now.Add(expected / 2).After(req.Deadline):
 		return DeadlineTooNear
 	case st.isCold(now) && !st.coldBucket.Has(now, b.coldRateLimit(req.Service, server.ID)):
--- a/core/request/spread/options.go
+++ b/core/request/spread/options.go
@@ -40,6 +40,9 @@
 	// surelyInTimeShare is the share of the time left until a request's latency target within
 	// which the expected response is surely in time.
 	surelyInTimeShare = 0.6
+	// stopSafety is how many times the expected latency must be left until this daemon ends for a request to be
+	// sent: some take longer than expected, and would be cut.
+	stopSafety = 1.5
 	// rankCost times a server's rank for this daemon (see package subset) is the surcharge on
 	// its cost, as a share of the typical service time. From maxRank on the surcharge no longer
 	// grows: any of these servers may look idle and yet have a queue of requests from other
--- a/core/request/spread/requirements.go
+++ b/core/request/spread/requirements.go
@@ -32,6 +32,9 @@
 	// ReceivedAt is when the request arrived from its caller, and Deadline is when it times out.
 	ReceivedAt time.Time
 	Deadline   time.Time
+	// AnswerBy is when this daemon ends, and a response would not reach the caller any more; zero if the daemon
+	// goes on.
+	AnswerBy time.Time
 	// LocalDataCentre is the data centre of this daemon.
 	LocalDataCentre string
 	// Excluded lists the IDs of servers that must not be chosen.
@@ -50,6 +53,15 @@
 	return min(r.Rank, class.MaxRank)
 }
 
+// EndsTooLate reports whether a request that is sent now probably ends after AnswerBy. One that surely ends at
+// its Deadline before that does not.
+func (r Requirements) EndsTooLate(now time.Time, expected time.Duration) bool {
+	if r.AnswerBy.IsZero() || r.Deadline.Before(r.AnswerBy) {
+		return false
+	}
+	return now.Add(time.Duration(stopSafety * float64(expected))).After(r.AnswerBy)
+}
+
 // Reason is the reason why a request is refused; "" means that it is not.
 type Reason string
 
@@ -64,7 +76,9 @@
 	ServerResting   Reason = "serverResting"
 	ConnectionLimit Reason = "connections"
 	DeadlineTooNear Reason = "deadlineTooNear"
-	ServerFailing   Reason = "serverFailing"
+	// DaemonStops means that this daemon ends before a response can be expected.
+	DaemonStops   Reason = "daemonStops"
+	ServerFailing Reason = "serverFailing"
 	// ServerUnreachable means that the last connection attempt failed, and that the next
 	// one is not due yet or still in progress.
 	ServerUnreachable Reason = "serverUnreachable"
--- a/io/process/router/attempt.go
+++ b/io/process/router/attempt.go
@@ -25,6 +25,7 @@
 			}
 			return *rejection
 		}
+		r.boundByStop(req)
 		if r.cutOff.Load() && !req.carried {
 			return r.sendByOthers(ctx, req)
 		}
--- a/io/process/router/carry.go
+++ b/io/process/router/carry.go
@@ -39,6 +39,9 @@
 // that may have run is sent again only as it would be to a server.
 func (r *Router) sendByOthers(ctx context.Context, req *request) caller.Reply {
 	req.sentToPeer = true
+	if r.endsTooLate(req) {
+		return r.giveUp(req, spread.Choice{}, string(spread.DaemonStops), carryRefusalDelay)
+	}
 	reserved, ok := r.reserveCarried(req.Body.Len())
 	if !ok {
 		return r.giveUp(req, spread.Choice{}, reasonNoMemory, r.jitter(memoryRetryDelay))
@@ -196,7 +199,7 @@
 
 // otherCarrierReasons are the reasons of refusals that another daemon may not have: they are due to the
 // daemon's own host, links or configuration.
-var otherCarrierReasons = []string{reasonNotCarrying, reasonNoConfig, reasonNoRoute, reasonUnknownAPIKey, reasonConfigOutdated, reasonAllowanceUnknown, string(spread.ServerUnreachable), string(spread.ConnectionLimit)}
+var otherCarrierReasons = []string{reasonNotCarrying, reasonNoConfig, reasonNoRoute, reasonUnknownAPIKey, reasonConfigOutdated, reasonAllowanceUnknown, string(spread.ServerUnreachable), string(spread.ConnectionLimit), string(spread.DaemonStops)}
 
 // carryMessage returns the message that asks another daemon to serve a request.
 func (r *Router) carryMessage(req *request) *wire.Carry {
--- a/io/process/router/router.go
+++ b/io/process/router/router.go
@@ -63,6 +63,9 @@
 	ready         atomic.Bool
 	// stopping is set when a shutdown begins, and cutOff while this host reaches no servers.
 	stopping, cutOff atomic.Bool
+	// answerBy is the time by which the requests must have been answered that are passed on during a shutdown; nil
+	// before it begins.
+	answerBy atomic.Pointer[time.Time]
 	// connectedAt is when a connection to a server was last opened, in Unix nanoseconds.
 	connectedAt atomic.Int64
 	// limitedServers is the number of servers whose limits are known.
@@ -273,29 +276,6 @@
 	r.clientPool.close()
 }
 
-// stop shuts down in four steps: the daemon reports that it is not ready, so that the load
-// balancer sends no new connections; responses announce the close of their connections;
-// the listener and idle connections are closed; running requests are answered.
-func (r *Router) stop(l net.Listener) {
-	startedAt := time.Now()
-	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(r.settings.GracePeriod-shutdownMargin))
-	defer cancel()
-	r.log.Info("router: stop", "running", r.callers.Running())
-	r.ready.Store(false)
-	r.stopping.Store(true)
-	r.callers.BeginShutdown()
-	r.post(stoppingMsg{})
-	sleep(ctx, shutdownAcceptTime)
-	_ = l.Close()
-	r.callers.Shutdown(ctx)
-	r.awaitCarried(ctx)
-	r.awaitLoans(ctx)
-	r.log.Info("router: stopped", "running", r.callers.Running(), "took", time.Since(startedAt).String())
-	r.tomb.Kill(nil)
-	_ = r.mesh.Close()
-	r.clientPool.close()
-}
-
 // register stores this daemon's name and address, so that other daemons discover it. It
 // retries until the store accepts the write.
 func (r *Router) register() error {
