keeper: the first grant of a move is no renewal

No caller has seen this. A range's next holder got its first grant as a renewal, which is sent on a connection that has carried other calls, or not at all. A late copy of an earlier response there could have confirmed a grant that the server had not got, and its keys would have been open and refused.

Cause: the mark that the fence has been confirmed stayed when the range got its next holder and a new fence. Merging ranges clears it.

Ruled out: two holders. A grant that is taken as confirmed only moves the time at which it is assumed to end, and that is counted from the call.

Evidence: TestFirstGrantOfAMoveIsNoRenewal failed before. Found with the tests of grants that are not answered, whose first one was a renewal that could not be sent.

--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -160,7 +160,7 @@
 		rs.releasedBy = rs.Holder
 	}
 	rs.Holder, rs.Next, rs.Pending = rs.Next, grant.Holder{}, true
-	rs.Fence, rs.step, rs.nextCallAt, rs.unansweredReleases = k.nextFence(), granting, now, 0
+	rs.Fence, rs.fenceConfirmed, rs.step, rs.nextCallAt, rs.unansweredReleases = k.nextFence(), false, granting, now, 0
 	rs.expiresAt, rs.nextExpiresAt = rs.nextExpiresAt, time.Time{}
 	k.storeState.lazySavePending, k.publishState.pending = true, true
 }
