keeper: a range leaves a next holder that does not answer its grants

Cause: a range that its last holder has released and that is assigned to the next one waits for that one's grant. It left it only if the server was gone, drained, had restarted, or a grant had expired; grants that were never sent expire never, and those with an unknown outcome were repeated, each of which began the time anew.

Why it works: two grants in a row that cannot have reached the next holder, or four of which one may have, give the range to another server, by the steps of each move: the intent is stored first, and the range is free at once only if no grant can have arrived, else when the last has certainly expired. What the last holder handed over is then still true: its origin, its handover and its name in the stored table stay. A server that has failed and never answered gets one bucket as a try, after pauses of 10 s to 5 minutes, and more once it answers.

--- a/core/process/keeper/balance.go
+++ b/core/process/keeper/balance.go
@@ -120,7 +120,7 @@
 	mayStartExchange, models := true, map[string]queue.Server{} // the models stay the same for a round
 	for n := k.countMoving(s); n < maxMoves; n++ {
 		available := s.withoutExchange(k.withoutMovingServers(s, eligible))
-		if firstKeys && k.giveFirstKeys(s, available) {
+		if firstKeys && (k.giveFirstKeys(s, available) || k.tryUnproved(s, available)) {
 			continue
 		}
 		if len(available) < 2 || s.serviceTimeSeconds <= 0 {
@@ -261,7 +261,7 @@
 func (k *Keeper) giveFirstKeys(s *serviceState, available []fleet.Server) bool {
 	est := k.newLossEstimate(s)
 	targetIndex := slices.IndexFunc(available, func(srv fleet.Server) bool {
-		return est.loads[holderOf(srv)] == 0 || srv.ColdLeft == 0 && k.records.firstKeysWhileCold[holderOf(srv)]
+		return est.loads[holderOf(srv)] == 0 || srv.ColdLeft == 0 && k.records.fewFirstKeys[holderOf(srv)]
 	})
 	if len(available) < 2 || targetIndex < 0 {
 		return false
@@ -284,12 +284,12 @@
 			best = p
 		}
 	}
-	delete(k.records.firstKeysWhileCold, holderOf(to))
+	delete(k.records.fewFirstKeys, holderOf(to))
 	if best.index < 0 {
 		return false
 	}
 	if to.ColdLeft > 0 {
-		k.records.firstKeysWhileCold[holderOf(to)] = true
+		k.records.fewFirstKeys[holderOf(to)] = true
 	}
 	k.startMove(s, s.splitOff(best), holderOf(to), "server without keys")
 	return true
--- a/core/process/keeper/fuzz_test.go
+++ b/core/process/keeper/fuzz_test.go
@@ -90,5 +90,6 @@
 		runSeed(t, seed)
 		runIndirectSeed(t, seed)
 		runWitnessedSeed(t, seed)
+		runUnreachableSeed(t, seed)
 	}
 }
--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -40,6 +40,8 @@
 	nextExpiresAt time.Time
 	// nextCallAt is the earliest time of the next call to the holder.
 	nextCallAt time.Time
+	// unansweredGrants counts the grants of the present move to Holder that failed in a row.
+	unansweredGrants int
 	// unansweredReleases counts the releases of the present move that got no answer.
 	unansweredReleases int
 	// handover is the state of the keys that the last holder returned with its release. It is
@@ -115,12 +117,11 @@
 	// ended holds instances that are known to have ended because another instance answered at
 	// their address.
 	ended map[grant.Holder]bool
-	// unansweredAt is when a server last failed to answer a call; it has no entry once
-	// it has answered again.
-	unansweredAt map[grant.Holder]time.Time
-	// firstKeysWhileCold holds servers that were cold when they got their first keys. They
-	// were given few, and are given more once they are warm.
-	firstKeysWhileCold map[grant.Holder]bool
+	// calls holds how servers have answered calls.
+	calls map[grant.Holder]callRecord
+	// fewFirstKeys holds servers that got few keys at first, since they were cold or had not
+	// answered. They are given more once they are warm and have answered.
+	fewFirstKeys map[grant.Holder]bool
 }
 
 // Keeper decides which server holds which range, during one term of a leader, which is one epoch.
@@ -147,7 +148,7 @@
 		term:       term{epoch: t.Epoch, leader: t.Leader, seq: t.Seq, revision: revision, startedAt: now, epochConfirmedAt: now, tickedAt: now},
 		leaseState: leaseState{support: lease.NewSupport(t.Witnesses), storeConfirmedAt: now},
 		siteView:   siteView{fleet: fleet.New(nil)},
-		records:    serverRecords{ended: map[grant.Holder]bool{}, unansweredAt: map[grant.Holder]time.Time{}, firstKeysWhileCold: map[grant.Holder]bool{}},
+		records:    serverRecords{ended: map[grant.Holder]bool{}, calls: map[grant.Holder]callRecord{}, fewFirstKeys: map[grant.Holder]bool{}},
 		storeState: storeState{savedAt: now},
 		limitState: limitState{control: admit.NewController()}, publishState: publishState{pending: true},
 	}
@@ -232,7 +233,7 @@
 			case !stored && rs.step == saving:
 				r.Next = grant.Holder{}
 			case stored && rs.releasedBy.Server != "":
-				r.Holder, r.Next, r.Pending = rs.releasedBy, rs.Holder, false
+				r.Holder, r.Next, r.Pending = rs.releasedBy, rs.latestHolder(), false
 			}
 			out.Ranges = append(out.Ranges, r)
 		}
@@ -279,14 +280,14 @@
 			delete(k.records.ended, h)
 		}
 	}
-	for h := range k.records.firstKeysWhileCold {
+	for h := range k.records.fewFirstKeys {
 		if s, ok := k.fleet.Find(h.Server); !ok || holderOf(s) != h {
-			delete(k.records.firstKeysWhileCold, h)
+			delete(k.records.fewFirstKeys, h)
 		}
 	}
-	for h := range k.records.unansweredAt {
+	for h := range k.records.calls {
 		if s, ok := k.fleet.Find(h.Server); !ok || holderOf(s) != h {
-			delete(k.records.unansweredAt, h)
+			delete(k.records.calls, h)
 		}
 	}
 }
--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -13,6 +13,9 @@
 		return
 	}
 	reason := k.moveReason(now, rs)
+	if reason == "" && rs.isUnanswered() {
+		reason = "next holder does not answer"
+	}
 	if reason == "" {
 		return
 	}
@@ -76,24 +79,18 @@
 	return !srv.Draining && !k.excludedDataCentres[srv.DataCentre] && !k.records.ended[holderOf(srv)] && !k.isUnresponsive(holderOf(srv))
 }
 
-// isUnresponsive reports whether a server recently failed to answer a call.
-func (k *Keeper) isUnresponsive(h grant.Holder) bool {
-	at, ok := k.records.unansweredAt[h]
-	return ok && k.tickedAt.Sub(at) < unresponsivePeriod
-}
-
 // recordCallResult records whether a server answered a call. A call that was not sent counts as
 // unanswered, unless it is a renewal: a renewal is not sent when its connection has been closed,
 // which says nothing about the server.
 func (k *Keeper) recordCallResult(now time.Time, h grant.Holder, r grant.Result, renewal bool) {
 	switch r {
 	case grant.Done, grant.Fenced, grant.Ended:
-		delete(k.records.unansweredAt, h)
+		k.records.calls[h] = callRecord{hasAnswered: true}
 	case grant.OutcomeUnknown:
-		k.records.unansweredAt[h] = now
+		k.records.calls[h] = k.records.calls[h].withFailure(now)
 	case grant.NotSent:
 		if !renewal {
-			k.records.unansweredAt[h] = now
+			k.records.calls[h] = k.records.calls[h].withFailure(now)
 		}
 	}
 }
@@ -102,8 +99,10 @@
 // is stored.
 func (k *Keeper) startMove(s *serviceState, rs *rangeState, to grant.Holder, reason string) {
 	k.seq++
-	rs.Next, rs.step, rs.intentSeq, rs.origin = to, saving, k.seq, originAfter(rs.Holder)
-	rs.releasedBy, rs.unansweredReleases = grant.Holder{}, 0
+	if !rs.neverGranted() { // otherwise the handover, and who made it, are still true
+		rs.origin, rs.releasedBy = originAfter(rs.Holder), grant.Holder{}
+	}
+	rs.Next, rs.step, rs.intentSeq, rs.unansweredReleases = to, saving, k.seq, 0
 	k.storeState.savePending = true
 	k.log(LogCmd{Text: "range is to move", Service: s.service, From: rs.From, To: rs.To,
 		Holder: rs.Holder, Next: rs.Next, Fence: rs.Fence, Reason: reason})
@@ -156,11 +155,12 @@
 	if rs.handover == "" {
 		rs.closedSince = time.Time{} // no handover, as from a lost holder: only moves with one are measured
 	}
-	if rs.origin == grant.Handed {
+	if rs.origin == grant.Handed && rs.releasedBy.Server == "" {
 		rs.releasedBy = rs.Holder
 	}
 	rs.Holder, rs.Next, rs.Pending = rs.Next, grant.Holder{}, true
-	rs.Fence, rs.fenceConfirmed, rs.step, rs.nextCallAt, rs.unansweredReleases = k.nextFence(), false, granting, now, 0
+	rs.Fence, rs.fenceConfirmed, rs.nextCallAt = k.nextFence(), false, now
+	rs.step, rs.unansweredReleases, rs.unansweredGrants = granting, 0, 0
 	rs.expiresAt, rs.nextExpiresAt = rs.nextExpiresAt, time.Time{}
 	k.storeState.lazySavePending, k.publishState.pending = true, true
 }
@@ -174,6 +174,7 @@
 		return
 	}
 	rs.callInFlight = false
+	rs.countGrant(m.Result)
 	if m.Result != grant.NotSent && m.Result != grant.Ended && m.Result != grant.Fenced {
 		rs.expiresAt = later(rs.expiresAt, k.grantExpiry(m.EndedAt))
 	}
--- a/core/process/keeper/place.go
+++ b/core/process/keeper/place.go
@@ -107,13 +107,21 @@
 
 func bucketEnd(key int) int { return (key/keysPerBucket+1)*keysPerBucket - 1 }
 
+// eligibleServers returns the servers that may get keys. Unproved ones are among them only if there are no others.
 func (k *Keeper) eligibleServers(service string) []fleet.Server {
-	var eligible []fleet.Server
+	var eligible, unproved []fleet.Server
 	for _, srv := range k.fleet.ByService(service) {
-		if k.isEligible(srv) {
+		switch {
+		case !k.isEligible(srv):
+		case k.isUnproved(srv):
+			unproved = append(unproved, srv)
+		default:
 			eligible = append(eligible, srv)
 		}
 	}
+	if len(eligible) == 0 {
+		return unproved
+	}
 	return eligible
 }
 
