queue: the model of a server with very many slots stays small, and yields a number

No caller has seen this.

Cause: the model has an entry for each request at the server, and the weights of many requests overflow.

Ruled out: entries of the platform with more than 65,536 slots, which name no server now; the operator's own list has no such bound, and 65,536 slots take 262,144 values.

Why it works: a server with more than 256 slots is modelled as several equal ones that share its load, and weights are scaled down with their sums before they overflow. Servers with fewer slots are modelled as before.

--- a/core/process/queue/queue.go
+++ b/core/process/queue/queue.go
@@ -12,11 +12,17 @@
 	admitFraction = 0.8
 	// maxRequestsPerSlot bounds, per slot, how many requests run or wait at a server in the model.
 	maxRequestsPerSlot = 16
+	// maxModelSlots bounds the slots of the model. A server with more is modelled as several equal ones that
+	// share its load.
+	maxModelSlots = 256
+	// maxWeight is from which on the weights are scaled down, long before they overflow.
+	maxWeight = 1e100
 )
 
 // Server is the queueing model of a server.
 type Server struct {
 	slots       int
+	parts       float64 // how many servers of so many slots the server counts as
 	serviceTime float64 // seconds
 	maxRate     float64 // requests a second; 0 means no limit
 	// lateShares is indexed by the number of other requests that an arriving request finds at the
@@ -30,7 +36,8 @@
 // seconds and should be answered within latencyTarget seconds. The server must not be sent more
 // than maxRate requests a second, unless maxRate is 0.
 func New(slots int, serviceTime, latencyTarget, maxRate float64) Server {
-	s := Server{slots: max(1, slots), serviceTime: serviceTime, maxRate: maxRate}
+	s := Server{slots: min(max(1, slots), maxModelSlots), serviceTime: serviceTime, maxRate: maxRate}
+	s.parts = max(1, float64(slots)/maxModelSlots)
 	if serviceTime <= 0 {
 		return s
 	}
@@ -65,7 +72,7 @@
 	if s.maxRate > 0 {
 		sent = min(rate, s.maxRate)
 	}
-	return rate - sent + sent*s.lostShare(sent*s.serviceTime)
+	return rate - sent + sent*s.lostShare(sent*s.serviceTime/s.parts)
 }
 
 // lostShare returns the share of requests that are refused or late under an offered load, which
@@ -77,6 +84,9 @@
 		total += weight
 		lost += weight * lateShare
 		weight *= offeredLoad / float64(min(ahead+1, s.slots))
+		if weight > maxWeight {
+			weight, total, lost = 1, total/weight, lost/weight
+		}
 	}
 	return (lost + weight) / (total + weight) // the last weight is for a full queue, which refuses the request
 }
