--- a/core/process/keeper/balance.go
+++ b/core/process/keeper/balance.go
@@ -255,6 +255,13 @@
 	return out
 }
 
+// mostUtilised returns the server whose slots are the busiest.
+func (est lossEstimate) mostUtilised(servers []fleet.Server) fleet.Server {
+	return slices.MaxFunc(servers, func(a, b fleet.Server) int {
+		return cmp.Compare(est.service.utilisation(est.loads, a), est.service.utilisation(est.loads, b))
+	})
+}
+
 // giveFirstKeys moves a piece from the most utilised server to one without keys, or to one
 // that got few because it was cold and is warm now. It chooses the piece after whose move the
 // higher utilisation of the two servers is lowest.
@@ -267,9 +274,7 @@
 		return false
 	}
 	to := available[targetIndex]
-	from := slices.MaxFunc(available, func(a, b fleet.Server) int {
-		return cmp.Compare(s.utilisation(est.loads, a), s.utilisation(est.loads, b))
-	})
+	from := est.mostUtilised(available)
 	sourceLoad := est.loads[holderOf(from)]
 	best := noPiece
 	best.benefit = -sourceLoad / s.effectiveSlots(from)
--- a/core/process/keeper/unanswered.go
+++ b/core/process/keeper/unanswered.go
@@ -67,9 +67,7 @@
 	if target < 0 || len(available) == 0 {
 		return false
 	}
-	from := slices.MaxFunc(available, func(a, b fleet.Server) int {
-		return cmp.Compare(s.utilisation(est.loads, a), s.utilisation(est.loads, b))
-	})
+	from := est.mostUtilised(available)
 	pieces := k.pieces(s, from, est.loads[holderOf(from)])
 	if len(pieces) == 0 {
 		return false
