Review case 8: an entry of another writer gives keys a second holder

An entry under the id of a backend that is up names a service that is not in the configuration, another address and another start. The leader takes the backend for ended and grants its keys to another one while it holds them.

Shown with review/8/run.sh.

--- a/review/lab/beat.go
+++ b/review/lab/beat.go
@@ -41,9 +41,16 @@
 	time.Sleep(8 * time.Second)
 	stop()
 	close(ended)
-	longest, first := overlaps()
-	l.record("longest time for which two servers that were up held a key: %v %s", longest, first)
-	if longest > 500*time.Millisecond {
+	return l.judgeHolders(overlaps())
+}
+
+// mayOverlap is the longest time for which the rule lets two servers hold a key.
+const mayOverlap = 500 * time.Millisecond
+
+// judgeHolders records the longest time for which two servers that were up held a key.
+func (l *lab) judgeHolders(longest time.Duration, who string) verdict {
+	l.record("longest time for which two servers that were up held a key: %v %s", longest, who)
+	if longest > mayOverlap {
 		return broken
 	}
 	return held
