Review case 4: a cut-off leader grants keys to a restarted backend

The entry keeper-restarted-holder of KNOWN-RED.txt, with the daemon's processes: the leader is cut off from the store and the other daemons for 5.5 s. Its successor has a backend that drains release its keys. The backend starts again under its id and address, and the cut-off leader grants it the keys again while another backend holds them.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # out. Needs the build of deploy/system.toml and review/build-2.sh. Writes record.txt beside this file.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/catkinstep ] && [ -x target/review-lab ] || exit 2
-exec target/review-lab stale review/6/record.txt
+exec target/review-lab hangup review/6/record.txt
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -26,7 +26,7 @@
 )
 
 var cases = map[string]func(*lab) verdict{
-	"hangup": playHangup, "poison": playPoison, "stale": playStale, "beat": playBeat, "odd": playOdd,
+	"hangup": playHangup, "poison": playPoison, "stale": playStale, "beat": playBeat, "cutoff": playCutoff, "odd": playOdd,
 }
 
 func main() {
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -50,6 +50,7 @@
 	mu       sync.Mutex
 	sequence int
 	running  int
+	state    string
 	ended    bool
 	silent   bool // it reports nothing more
 	// coldUntil is until when the server is cold, since it started during traffic.
@@ -69,7 +70,7 @@
 
 // addServer starts a server at an address, or at a free one, and registers it.
 func (l *lab) addServer(c serverConfig, at string) *server {
-	v := &server{serverConfig: c, lab: l, grants: map[int]grantTime{}}
+	v := &server{serverConfig: c, lab: l, state: "ready", grants: map[int]grantTime{}}
 	if at == "" {
 		at = l.ip + ":0"
 	}
@@ -111,7 +112,7 @@
 	v.sequence++
 	return map[string]any{"address": v.address, "born": v.born,
 		"info":   map[string]any{"service": v.service, "version": "v1", "zone": v.zone, "capacity": slots},
-		"status": map[string]any{"state": "ready", "sequence": v.sequence, "warmupLeftS": max(0, time.Until(v.coldUntil).Seconds())}}
+		"status": map[string]any{"state": v.state, "sequence": v.sequence, "warmupLeftS": max(0, time.Until(v.coldUntil).Seconds())}}
 }
 
 func (v *server) report() { v.lab.store.put("servers", v.id, v.entry()) }
