--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -117,8 +117,26 @@
 
 func (v *server) report() { v.lab.store.put("servers", v.id, v.entry()) }
 
-// crash ends the server at once: connections break and nothing is said any more.
+// missedReports is after how many reports that did not come the store removes an entry.
+const missedReports = 3
+
+// crash ends the server at once: connections break and nothing is said any more. Its entry is removed after a while,
+// unless the server has started again.
 func (v *server) crash() {
+	v.end()
+	go func() {
+		time.Sleep(missedReports * heartbeat)
+		v.lab.store.removeEntry(v.id, v.born)
+	}()
+}
+
+// exit ends the server after a planned shutdown, with which its entry is removed.
+func (v *server) exit() {
+	v.end()
+	v.lab.store.removeEntry(v.id, v.born)
+}
+
+func (v *server) end() {
 	v.mu.Lock()
 	wasUp := !v.ended
 	v.ended = true
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -71,6 +71,22 @@
 	return time.Now()
 }
 
+// removeEntry removes the entry of a backend server if it is that of the instance that started at a time.
+func (s *store) removeEntry(id string, born int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	objects, _ := s.stateAt("servers", time.Now())
+	for _, c := range objects {
+		var entry struct {
+			Born int64 `json:"born"`
+		}
+		if c.name == id && json.Unmarshal(c.spec, &entry) == nil && entry.Born == born {
+			s.add(change{kind: "servers", name: id, removed: true})
+			s.lab.record("store: the entry of %s, born %d, is removed", id, born)
+		}
+	}
+}
+
 // add adds a change and returns it. s.mu must be held.
 func (s *store) add(c change) change {
 	c.at, c.revision = time.Now(), uint64(len(s.changes)+2)
