--- a/review/lab/stale.go
+++ b/review/lab/stale.go
@@ -13,6 +13,8 @@
 	drain = 2 * time.Second
 	// staleBy is how old the store's serializable answers are.
 	staleBy = 3 * time.Second
+	// leavesAfter is how long after the removal of its entry the server exits.
+	leavesAfter = 15 * time.Second
 	// slowBy is how many times as long the store's answers take while it is slow.
 	slowBy = 60
 )
@@ -53,20 +55,22 @@
 	}
 	time.Sleep(time.Until(inTouchFrom))
 	l.record("daemon %s is in touch again", d.name)
-	sentAt := l.sendFor(d, removedAt.Add(15*time.Second))
-	leaving.crash()
-	return l.countLate(leaving, d, removedAt, sentAt)
+	endAt := removedAt.Add(leavesAfter)
+	time.AfterFunc(time.Until(endAt), leaving.end)
+	results := l.sendFor(d, endAt.Add(time.Second))
+	return l.countLate(leaving, d, removedAt, results)
 }
 
-// sendFor sends usual requests to a daemon until a time, and returns when each was sent.
-func (l *lab) sendFor(d *daemon, end time.Time) map[string]time.Time {
+// sendFor sends usual requests to a daemon until a time, and returns what became of each.
+func (l *lab) sendFor(d *daemon, end time.Time) map[string]result {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	sentAt := map[string]time.Time{}
+	results := map[string]result{}
 	for i := range 8 {
 		wg.Go(func() {
 			c := &caller{lab: l, daemon: d}
 			defer c.close()
+			time.Sleep(time.Duration(i) * 15 * time.Millisecond) // so that they don't go in step
 			for time.Now().Before(end) {
 				method, path := http.MethodGet, "/intake/parcel"
 				if i%2 == 0 {
@@ -74,30 +78,37 @@
 				}
 				res := c.send(method, path, 1500*time.Millisecond, "")
 				mu.Lock()
-				sentAt[res.id] = res.sentAt
+				results[res.id] = res
 				mu.Unlock()
 				time.Sleep(20 * time.Millisecond)
 			}
 		})
 	}
 	wg.Wait()
-	return sentAt
+	return results
 }
 
 // countLate counts the requests that a server whose entry was removed got from a machine in touch later than drainS
-// after the removal.
-func (l *lab) countLate(v *server, d *daemon, removedAt time.Time, sentAt map[string]time.Time) verdict {
+// after the removal. It records how many of them had no success, too, as the server ended while it was at work on them.
+func (l *lab) countLate(v *server, d *daemon, removedAt time.Time, results map[string]result) verdict {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	late := 0
+	var lost []string
 	for _, r := range v.runs {
-		if _, inTouch := sentAt[r.id]; inTouch && r.at.Sub(removedAt) > drain {
-			late++
+		res, inTouch := results[r.id]
+		if !inTouch || r.at.Sub(removedAt) <= drain {
+			continue
+		}
+		late++
+		if res.status != http.StatusOK {
+			lost = append(lost, fmt.Sprintf("%s: %d", r.id, res.status))
 		}
 	}
-	l.record("server %s: %d of %d requests that daemon %s took while it was in touch reached it later than %v after the removal of its entry", v.id, late, len(sentAt), d.name, drain)
+	l.record("server %s: %d of %d requests that daemon %s took while it was in touch reached it later than %v after the removal of its entry", v.id, late, len(results), d.name, drain)
+	l.record("of these, it had begun and never finished, and their callers got no success for: %d %v", len(lost), lost)
 	switch {
-	case len(sentAt) == 0:
+	case len(results) == 0:
 		return notRun
 	case late > 0:
 		return broken
