Keeper: a replaced leader grants no keys to restarted servers

Cause: a grant names a server, not its instance, and a restarted server has seen no fence. A leader that had not reached the store for up to 30 s granted on new connections. Its successor took a holder's answer for the end of these grants, which it is only for the instance that answered. And a refusal for a higher fence was forgotten 50 ms later, since older news confirmed the epoch.

Why it works: calls on new connections need a confirmation by the store within 2 s. A successor relies on answers to calls that began after the last such call could arrive, 3.54 s after it took the lead, or 1.5 s after the end of the earlier terms. Renewals stay on the connection of the instance that answered. A refused leader waits for an answer of the store to a later call.

Changed tests: those about other things now say that the earlier leader stopped before (its calls have arrived); their checks and times are as they were. TestReplacedLeaderGrantsAfterARelease and TestSuccessorCompletesAMove asked for a move within 1 s of a takeover beside an earlier leader that may run, which is the fault: they now check that nothing moves in the first 3 s, and that it has after 4 s; the second also that it takes 1 s once that leader has stopped.

--- a/core/process/keeper/balance.go
+++ b/core/process/keeper/balance.go
@@ -149,11 +149,11 @@
 	out := s.ranges[:1]
 	for _, rs := range s.ranges[1:] {
 		last := out[len(out)-1]
-		if !last.isSettled() || !rs.isSettled() || last.Holder != rs.Holder || last.handover != "" || rs.handover != "" {
+		if !last.isSettled() || !rs.isSettled() || last.Holder != rs.Holder || last.handover != "" || rs.handover != "" || !k.mayConnect(now) {
 			out = append(out, rs)
 			continue
 		}
-		last.To, last.expiresAt = rs.To, later(last.expiresAt, rs.expiresAt)
+		last.To, last.expiresAt, last.fencedOff = rs.To, later(last.expiresAt, rs.expiresAt), last.fencedOff && rs.fencedOff
 		last.Fence, last.fenceConfirmed, last.nextCallAt = k.nextFence(), false, now
 		k.storeState.lazySavePending, k.publishState.pending = true, true
 	}
--- a/core/process/keeper/indirect_test.go
+++ b/core/process/keeper/indirect_test.go
@@ -75,6 +75,7 @@
 	}
 	Convey("It is released at the second try, and the next holder gets its handover", t, func() {
 		h := newIndirectHarness(true)
+		h.endEarlierTerm()
 		calls := h.advanceReleases(time.Second, throughOthers)
 		So(triesOf(calls), ShouldResemble, []int{0, 1})
 		So(calls[1].at.Sub(calls[0].at), ShouldBeLessThan, callRetryDelay)
@@ -88,6 +89,7 @@
 	})
 	Convey("The server gets no other keys meanwhile, since the leader itself does not reach it", t, func() {
 		h := newIndirectHarness(true)
+		h.endEarlierTerm()
 		a := testServer("a", true) // it is draining: listed, but not reached by the leader
 		h.setFleet(a, testServer("b", false))
 		h.update(FleetMsg{Fleet: h.keeper.fleet, KeyedServices: []string{testService}, IndirectReleases: true})
@@ -100,6 +102,7 @@
 func TestWaysOfReleasesAlternate(t *testing.T) {
 	Convey("After a direct try three go through other daemons, with the usual pause", t, func() {
 		h := newIndirectHarness(true)
+		h.endEarlierTerm()
 		calls := h.advanceReleases(4*time.Second, unanswered)
 		So(triesOf(calls)[:10], ShouldResemble, []int{0, 1, 2, 3, 0, 4, 5, 6, 0, 7})
 		for i := 2; i < len(calls); i++ {
@@ -108,6 +111,7 @@
 	})
 	Convey("An answer does not change the way", t, func() {
 		h := newIndirectHarness(true)
+		h.endEarlierTerm()
 		calls := h.advanceReleases(2*time.Second, func(c ReleaseCmd) (grant.Result, string) {
 			if c.Indirect == 0 {
 				return grant.NotSent, ""
@@ -118,6 +122,7 @@
 	})
 	Convey("The next move of the range begins with a direct try", t, func() {
 		h := newIndirectHarness(true)
+		h.endEarlierTerm()
 		h.advanceReleases(time.Second, func(c ReleaseCmd) (grant.Result, string) {
 			if c.Indirect < 2 {
 				return grant.NotSent, ""
@@ -132,6 +137,7 @@
 func TestReleasesAreDirectByDefault(t *testing.T) {
 	Convey("All tries are direct, with the usual pause", t, func() {
 		h := newIndirectHarness(false)
+		h.endEarlierTerm()
 		calls := h.advanceReleases(2*time.Second, unanswered)
 		So(len(calls), ShouldBeGreaterThan, 3)
 		for i, c := range calls {
--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -35,6 +35,9 @@
 	// expiresAt is when the holder's last grant has certainly expired; zero means that
 	// no grant can be in force.
 	expiresAt time.Time
+	// fencedOff is set once no instance of the holder can hold the range by a grant of an earlier leader that
+	// this leader does not know of.
+	fencedOff bool
 	// nextExpiresAt is when the grant that the previous leader may have sent to Next has
 	// certainly expired. It is zero for intents of this leader.
 	nextExpiresAt time.Time
@@ -96,7 +99,11 @@
 	revision         uint64
 	startedAt        time.Time
 	epochConfirmedAt time.Time // when the epoch was last known to be current
-	tickedAt         time.Time
+	// doubtedAt is when the epoch was last in doubt: confirmations from before do not count. While fenced is
+	// set, a server has refused a grant since then, and only the store can confirm the epoch.
+	doubtedAt time.Time
+	fenced    bool
+	tickedAt  time.Time
 }
 
 // siteView is what the keeper last learnt of the site.
@@ -170,7 +177,7 @@
 	out := &serviceState{service: s.Service, balancedAt: now, firstKeysRoundAt: now, moveDuration: initialMoveDuration}
 	for _, r := range s.Ranges {
 		rs := &rangeState{Range: r, expiresAt: k.previousGrantsExpiry(), nextCallAt: now, origin: grant.Kept}
-		rs.Fence = k.nextFence()
+		rs.Fence, rs.fencedOff = k.nextFence(), r.Holder.Server == "" || k.connectsUntil.IsZero()
 		switch {
 		case r.Next.Server != "":
 			rs.step, rs.intentSeq, rs.nextExpiresAt, rs.origin = releasing, k.seq, rs.expiresAt, originAfter(r.Holder)
@@ -247,8 +254,7 @@
 	k.tickedAt = now
 	if sinceTick > suspendThreshold {
 		k.log(LogCmd{Text: "host was possibly suspended; checking the epoch before the next call", Reason: sinceTick.String()})
-		k.storeState.readPending, k.storeState.notBefore = true, now
-		k.epochConfirmedAt = now.Add(-k.leaderLease) // nothing is granted until the epoch is confirmed
+		k.doubtEpoch(now)
 	}
 	k.storeState.readPending = k.storeState.readPending || now.Sub(k.epochConfirmedAt) > k.leaderLease/checksPerLease
 	k.checkSupport(now)
@@ -260,7 +266,9 @@
 	k.placeNewServices(now)
 	k.updateLimits(now)
 	for _, s := range k.services {
-		k.balance(now, s)
+		if !now.Before(k.connectsUntil) { // until then a move closes its range for longer than it gains
+			k.balance(now, s)
+		}
 		for _, rs := range s.ranges {
 			k.planMove(now, s, rs)
 			k.callHolder(now, s, rs)
@@ -307,14 +315,27 @@
 }
 
 func (k *Keeper) handleEpochSeen(m EpochSeenMsg) {
-	if m.Epoch == k.epoch && m.At.After(k.epochConfirmedAt) {
-		k.epochConfirmedAt = m.At
+	if m.Epoch == k.epoch && !k.fenced {
+		k.confirmEpoch(m.At)
 	}
 	if m.Epoch > k.epoch {
 		k.requestStepDown("another daemon leads with a newer epoch")
 	}
 }
 
+// doubtEpoch stops all calls until the epoch is confirmed again.
+func (k *Keeper) doubtEpoch(now time.Time) {
+	k.storeState.readPending, k.storeState.notBefore = true, now
+	k.doubtedAt, k.epochConfirmedAt = now, now.Add(-k.leaderLease)
+}
+
+// confirmEpoch records that the epoch was current at a time.
+func (k *Keeper) confirmEpoch(at time.Time) {
+	if !at.Before(k.doubtedAt) {
+		k.epochConfirmedAt = later(k.epochConfirmedAt, at)
+	}
+}
+
 func (k *Keeper) publish(now time.Time) {
 	if !k.publishState.pending || now.Sub(k.publishState.publishedAt) < publishInterval {
 		return // a later tick publishes it
--- a/core/process/keeper/move.go
+++ b/core/process/keeper/move.go
@@ -44,16 +44,6 @@
 	return ""
 }
 
-// instanceEnded reports whether a server instance is known to have ended. The zero Holder, which
-// stands for no holder, counts as ended.
-func (k *Keeper) instanceEnded(h grant.Holder) bool {
-	if h.Server == "" || k.records.ended[h] {
-		return true
-	}
-	srv, ok := k.fleet.Find(h.Server)
-	return ok && srv.StartMillis != h.StartMillis
-}
-
 // isReferenced reports whether a server instance is the holder or next holder of a range.
 func (k *Keeper) isReferenced(h grant.Holder) bool {
 	for _, s := range k.services {
@@ -66,14 +56,6 @@
 	return false
 }
 
-// addressReused reports whether a new instance of the server answers at the address of
-// one that has ended. A grant meant for the old instance may have reached the new one,
-// which may then hold the range and has to release it like any holder.
-func (k *Keeper) addressReused(h grant.Holder) bool {
-	srv, ok := k.fleet.Find(h.Server)
-	return ok && srv.StartMillis != h.StartMillis && srv.Address == h.Address && !k.records.ended[h]
-}
-
 // isEligible reports whether a server may get keys.
 func (k *Keeper) isEligible(srv fleet.Server) bool {
 	return !srv.Draining && !k.excludedDataCentres[srv.DataCentre] && !k.records.ended[holderOf(srv)] && !k.isUnresponsive(holderOf(srv))
@@ -126,7 +108,11 @@
 	if rs.callInFlight || now.Before(rs.nextCallAt) {
 		return
 	}
-	if rs.Holder.Server == "" {
+	if rs.Holder.Server == "" || rs.step == releasing && k.hasLeft(rs.Holder) {
+		return
+	}
+	isRenewal := rs.fenceConfirmed && rs.step != releasing
+	if !isRenewal && !k.mayConnect(now) {
 		return
 	}
 	if rs.step == releasing {
@@ -140,15 +126,6 @@
 		Call: grant.Call{Address: rs.Holder.Address, From: rs.From, To: rs.To, Fence: rs.Fence, TTL: k.grantTTL, Handover: rs.handover, Origin: rs.origin}})
 }
 
-// isFree reports whether the holder certainly runs no more requests for keys of the range. It
-// returns false while a call to the holder is in flight, since its result is not known yet.
-func (k *Keeper) isFree(now time.Time, rs *rangeState) bool {
-	if rs.callInFlight {
-		return false
-	}
-	return rs.expiresAt.IsZero() || k.instanceEnded(rs.Holder) && !k.addressReused(rs.Holder) || now.After(rs.expiresAt)
-}
-
 // assignNextHolder makes the next holder the holder. Its grant is still to be confirmed.
 func (k *Keeper) assignNextHolder(now time.Time, s *serviceState, rs *rangeState) {
 	k.log(LogCmd{Text: "range is free", Service: s.service, From: rs.From, To: rs.To, Holder: rs.Holder, Next: rs.Next, Fence: rs.Fence})
@@ -161,6 +138,7 @@
 	rs.Holder, rs.Next, rs.Pending = rs.Next, grant.Holder{}, true
 	rs.Fence, rs.fenceConfirmed, rs.nextCallAt = k.nextFence(), false, now
 	rs.step, rs.unansweredReleases, rs.unansweredGrants = granting, 0, 0
+	rs.fencedOff = rs.nextExpiresAt.IsZero() // otherwise the previous leader may have sent grants to it
 	rs.expiresAt, rs.nextExpiresAt = rs.nextExpiresAt, time.Time{}
 	k.storeState.lazySavePending, k.publishState.pending = true, true
 }
@@ -187,7 +165,8 @@
 		// Another leader has granted the range, or a newer grant of this leader reached the
 		// server first. The next grant waits until the epoch is confirmed.
 		rs.Fence, rs.nextCallAt = k.nextFence(), now.Add(callRetryDelay)
-		k.storeState.readPending, k.storeState.notBefore, k.epochConfirmedAt = true, now, now.Add(-k.leaderLease)
+		k.fenced = true
+		k.doubtEpoch(now)
 		k.log(LogCmd{Text: "server has seen a higher fence", Service: m.Cmd.Service, From: rs.From, To: rs.To, Holder: rs.Holder, Fence: m.Cmd.Fence})
 	case grant.OutcomeUnknown:
 		// The next grant gets a new fence; once answered, it makes the server refuse this one.
@@ -210,6 +189,7 @@
 	// From now on the server refuses grants with a lower fence, both this leader's unanswered
 	// ones and the previous leader's. They no longer count, so the expiry may become earlier.
 	rs.expiresAt = k.grantExpiry(m.EndedAt)
+	k.fenceOff(rs, m.Cmd.SendBefore)
 	rs.nextCallAt = now.Add(k.grantTTL / renewalsPerTTL)
 	if !m.Cmd.Renewal {
 		rs.confirmedOn = m.Conn
@@ -256,11 +236,19 @@
 	switch m.Result {
 	case grant.Done:
 		// The server now refuses fences below that of the release, so neither a late grant
-		// nor the previous leader can make it hold the range again.
+		// nor the previous leader can make it hold the range again. A later instance can, see mayBeRegranted.
 		rs.handover, rs.origin, rs.expiresAt = m.Handover, grant.Handed, time.Time{}
+		if k.addressReused(rs.Holder) { // the answer is that of another instance
+			rs.handover, rs.origin = "", grant.Lost
+		}
+		k.fenceOff(rs, m.Cmd.SendBefore)
+		rs.nextCallAt = later(k.connectsUntil, now.Add(callRetryDelay)) // if it is not fenced off
 	case grant.Ended:
 		k.markInstanceEnded(m.Cmd.Holder)
 	default:
+		if m.Result == grant.NotSent {
+			k.fenceOffUnsent(now, rs, m.Cmd.SendBefore)
+		}
 		rs.nextCallAt = now.Add(callRetryDelay)
 		if k.countUnanswered(rs, m) {
 			rs.nextCallAt = now
@@ -268,14 +256,6 @@
 	}
 }
 
-func (k *Keeper) markInstanceEnded(h grant.Holder) {
-	if k.records.ended[h] {
-		return
-	}
-	k.records.ended[h] = true
-	k.log(LogCmd{Text: "server instance has ended", Holder: h, Reason: "another instance answers at its address"})
-}
-
 func (k *Keeper) findRange(service string, from, to int) *rangeState {
 	for _, s := range k.services {
 		if s.service != service {
--- a/core/process/keeper/origin_test.go
+++ b/core/process/keeper/origin_test.go
@@ -37,6 +37,7 @@
 	})
 	Convey("The next holder gets the handover of the last one", t, func() {
 		h := newHarness(initial)
+		h.endEarlierTerm()
 		h.setFleet(testServer("a", true), b)
 		h.advanceReleasing(2*time.Second, grant.Done)
 		So(originsOf(h.grantsTo("b")), ShouldResemble, []grant.Origin{grant.Handed, grant.Kept})
@@ -68,6 +69,7 @@
 	Convey("The stored table names the old holder until the next one has confirmed", t, func() {
 		a, b := testServer("a", true), testServer("b", false)
 		h := newHarness(grant.Range{Holder: holderOf(a)})
+		h.endEarlierTerm()
 		h.setFleet(a, b)
 		h.advance(3*time.Second, func(address string) grant.Result {
 			if address == "b" {
--- a/core/process/keeper/place.go
+++ b/core/process/keeper/place.go
@@ -45,8 +45,9 @@
 			continue // the server's share is less than a bucket
 		}
 		s.ranges = append(s.ranges, &rangeState{
-			Range: grant.Range{From: from, To: to, Next: holderOf(srv)},
-			step:  saving, intentSeq: k.seq, origin: grant.First,
+			fencedOff: true,
+			Range:     grant.Range{From: from, To: to, Next: holderOf(srv)},
+			step:      saving, intentSeq: k.seq, origin: grant.First,
 		})
 		from = to + 1
 	}
--- a/core/process/keeper/renewal_test.go
+++ b/core/process/keeper/renewal_test.go
@@ -14,6 +14,7 @@
 func TestFirstGrantOfAMoveIsNoRenewal(t *testing.T) {
 	Convey("The next holder's first grant opens a connection, although the last holder had confirmed its own", t, func() {
 		h := newHarness(grant.Range{Holder: holderOf(testServer("a", false))}, WithGrantTTL(2*time.Second))
+		h.endEarlierTerm()
 		h.setFleet(testServer("a", false))
 		h.advance(time.Second, alwaysResult(grant.Done), alwaysResult(grant.Done))
 		So(h.grantsTo("a")[len(h.grantsTo("a"))-1].Renewal, ShouldBeTrue)
--- a/core/process/keeper/save.go
+++ b/core/process/keeper/save.go
@@ -51,7 +51,13 @@
 		return
 	}
 	k.revision = m.Revision
-	k.epochConfirmedAt, k.storeConfirmedAt = later(k.epochConfirmedAt, m.RequestedAt), later(k.storeConfirmedAt, m.RequestedAt)
+	k.confirmEpoch(m.RequestedAt)
+	k.storeConfirmedAt = later(k.storeConfirmedAt, m.RequestedAt)
+	if m.RequestedAt.Before(k.doubtedAt) {
+		k.storeState.readPending = true
+	} else {
+		k.fenced = false
+	}
 	k.settleWitnesses(m)
 	k.storeState.lazySavePending = k.storeState.lazySavePending || m.Table.Seq < k.storeState.savedSeq
 	for _, s := range k.services {
--- a/core/process/keeper/simulation_test.go
+++ b/core/process/keeper/simulation_test.go
@@ -30,6 +30,8 @@
 	events    []event
 	trace     []string
 	violation string
+	// restarting makes servers restart while a leader is cut off, see restart_simulation_test.go.
+	restarting bool
 	// witnessed makes the other daemons the witnesses of each leader, see witness_simulation_test.go.
 	witnessed bool
 }
@@ -182,7 +184,11 @@
 		return
 	}
 	if s.chance(0.003) {
-		s.cutOffLeader(d)
+		if s.restarting {
+			s.restartServersDuringCut(d)
+		} else {
+			s.cutOffLeader(d)
+		}
 	}
 	if s.witnessed {
 		s.callWitnesses(d)
--- a/core/process/keeper/terms.go
+++ b/core/process/keeper/terms.go
@@ -17,6 +17,9 @@
 	terms []earlierTerm
 	// stoppedBy is by when all earlier leaders have stopped.
 	stoppedBy time.Time
+	// connectsUntil is until when calls of earlier leaders may arrive on new connections; zero if there
+	// were none.
+	connectsUntil time.Time
 }
 
 type earlierTerm struct {
@@ -33,12 +36,15 @@
 	k.stoppedBy = now
 	if len(terms) == 0 {
 		k.stoppedBy = now.Add(whole) // an older daemon may have stored none
+		return
 	}
 	for _, t := range terms {
 		endsBy := now.Add(min(whole, maxClockTime(t.LeaseLeft(whole))))
 		k.terms = append(k.terms, earlierTerm{Term: t, endsBy: endsBy})
 		k.stoppedBy = later(k.stoppedBy, endsBy)
 	}
+	k.connectsUntil = k.stoppedBy.Add(maxGrantDelay)
+	k.boundConnects()
 }
 
 // storedTerms returns the earlier terms as they are to be stored now.
@@ -58,6 +64,7 @@
 			k.terms[i].endsBy = earlier(t.endsBy, m.At)
 		}
 	}
+	k.boundConnects()
 	k.boundPreviousGrants(now)
 }
 
