edge, serve: SIGHUP during a planned stop cuts no requests

Cause: reloadOnHangup gave SIGHUP its default action back when SIGTERM came, while the requests were still awaited. serve had never taken SIGHUP.

Ruled out: any order of SIGINT and SIGTERM, which stay taken until the process ends.

Why it works: both commands take SIGHUP before they read their settings and until the process ends. It reloads the settings, in serve as well, and does nothing during a stop.

--- a/cmd/catkinstep/edge.go
+++ b/cmd/catkinstep/edge.go
@@ -4,8 +4,6 @@
 	"context"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"catkinstep/io/process/logs"
 	"catkinstep/io/process/router"
@@ -20,6 +18,7 @@
 
 // Run runs a daemon on the users' platform until a signal stops it.
 func (e *edgeCmd) Run(ctx context.Context, c *commands) error {
+	hangups := notifyHangup()
 	s, err := bridge.Load(e.Settings)
 	if err != nil {
 		return err
@@ -29,27 +28,17 @@
 	logger := slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: c.level()}))
 	router.LimitHeap(s.Daemon)
 	r := router.New(s.Daemon, bridge.NewStore(s.StoreAddress), bridge.NewProtocol(), router.WithLogger(logger))
-	go reloadOnHangup(ctx, e.Settings, r, logger)
+	go reloadOnHangup(ctx, hangups, logger, func() error { return e.reload(r) })
 	return r.Run(ctx)
 }
 
-// reloadOnHangup reads the settings file again on each SIGHUP. Settings that cannot change
-// while the daemon runs, such as its addresses, stay as they are; Router.Reload logs a warning.
-func reloadOnHangup(ctx context.Context, file string, r *router.Router, logger *slog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		}
-		s, err := bridge.Load(file)
-		if err != nil {
-			logger.Error("settings: reload failed, keeping the old settings", "err", err)
-			continue
-		}
-		r.Reload(s.Daemon)
+// reload reads the settings file again. Settings that cannot change while the daemon runs, such as its
+// addresses, stay as they are; Router.Reload logs a warning.
+func (e *edgeCmd) reload(r *router.Router) error {
+	s, err := bridge.Load(e.Settings)
+	if err != nil {
+		return err
 	}
+	r.Reload(s.Daemon)
+	return nil
 }
--- a/cmd/catkinstep/serve.go
+++ b/cmd/catkinstep/serve.go
@@ -22,6 +22,7 @@
 
 // Run runs a daemon until a signal stops it.
 func (s *serveCmd) Run(ctx context.Context, c *commands) error {
+	hangups := notifyHangup()
 	p, err := prefs.Load(s.Settings)
 	if err != nil {
 		return err
@@ -34,6 +35,7 @@
 	if err != nil {
 		return err
 	}
+	go reloadOnHangup(ctx, hangups, logger, func() error { return s.reload(d) })
 	select {
 	case <-ctx.Done():
 	case <-d.Done():
@@ -43,3 +45,14 @@
 	defer cancel()
 	return d.Stop(stopCtx)
 }
+
+// reload reads the settings file again. Settings that cannot change while the daemon runs, such as its
+// addresses, stay as they are; Router.Reload logs a warning.
+func (s *serveCmd) reload(d *native.Daemon) error {
+	p, err := prefs.Load(s.Settings)
+	if err != nil {
+		return err
+	}
+	d.Reload(native.RouterSettings(p))
+	return nil
+}
