Objects: removed ones do not come back by late or incomplete news

Cause: Cache.Merge compared an item only with what it had of the same object. The removal of an object that the cache never had left no trace, so that an older item of it, from a late list or delta of any source, was news.

Evidence: TestFuzzLateDeliveries compares each daemon with the store's state at the daemon's revision after each delivery. Ruled out: a current first list, which may be late as well.

Why it works: the cache has every change up to its revision, so nothing at or below it is news, except in a full list that is as new. Removals are recorded, replies to fetches name gaps, and a daemon whose revision lies in one of them asks again, for a full list.

claim_test.go: its stand-in stored a table at revision 1 after a list at revision 1 that had none, which no store does; it counts on from the list now. Its checks are as they were.

--- a/core/version/object/object.go
+++ b/core/version/object/object.go
@@ -38,6 +38,11 @@
 	Through uint64
 	// Whole is set if Items is a full list: objects that are not in it do not exist.
 	Whole bool
+	// Gaps are the ranges of revisions in which the sender does not know of objects that were added and
+	// removed again, if Items is no full list.
+	Gaps []Gap
+	// EveryChange is set if Items has each change of each object, in order, and not only the last one.
+	EveryChange bool
 	// CurrentAt is when Through was last known to be current, by the receiver's clock.
 	CurrentAt time.Time
 }
@@ -50,24 +55,13 @@
 	through       uint64
 	currentAt     time.Time
 	prunedThrough uint64 // removals up to this revision are no longer remembered
-	gaps          []gap
+	gaps          []Gap
+	maxTombstones int
 }
 
-// gap is a range of revisions whose changes were skipped by a full list. Of an object that was
-// added and removed between them nothing is known. A daemon that knows a revision of the range
-// may have the object, and must be sent the whole cache in order to remove it: otherwise it would
-// go on sending requests to a server that has left, since no later change mentions it.
-type gap struct{ from, to uint64 }
-
-func (g gap) contains(revision uint64) bool { return g.from < revision && revision < g.to }
-
-// maxTombstones limits the number of removed objects that are remembered. A daemon whose cache
-// is older than the oldest of them is sent the whole cache.
-const maxTombstones = 512
-
 // NewCache returns an empty Cache.
 func NewCache(kind Kind) *Cache {
-	return &Cache{kind: kind, items: map[string]Item{}, seen: map[string]uint64{}}
+	return &Cache{kind: kind, items: map[string]Item{}, seen: map[string]uint64{}, maxTombstones: defaultMaxTombstones}
 }
 
 // Through returns the revision up to which every change is known.
@@ -96,43 +90,104 @@
 }
 
 // Merge applies a delta and returns the objects that were added, changed or removed. An object
-// whose value did not change keeps its revision in the cache, so that it is not sent to other
-// daemons again: the entry of a server is rewritten every second or two.
+// whose value the store has written again without a change keeps its revision in the cache, so that it is not
+// sent to other daemons again: the entry of a server is rewritten every second or two.
+//
+// The cache has every change up to its own revision. So unless the delta is a full list that is at
+// least as new, nothing in it is news that has such a revision: an object that the cache does not
+// have has been removed since. A delta may arrive late, in any order and more than once.
 func (c *Cache) Merge(d Delta) []Item {
+	if c.hasGapAtThrough(d) {
+		return nil // the next fetch from here gets a full list
+	}
+	known, isCurrentList := c.through, d.Whole && d.Through >= c.through
 	var changed []Item
-	if d.Whole && d.Through >= c.through {
+	if isCurrentList {
 		changed = c.removeUnlisted(d)
-		c.addGap(gap{from: c.through, to: d.Through})
+		c.addGap(Gap{From: known, To: d.Through})
 	}
-	for _, it := range d.Items {
-		old, had := c.items[it.Name]
-		if seen := c.seen[it.Name]; it.Revision < seen || it.Revision == seen && (!it.Removed || old.Removed) {
-			continue // only a removal may have the same revision as the last change
+	for _, g := range d.Gaps {
+		if d.Through > known {
+			c.addGap(g)
 		}
-		c.seen[it.Name] = it.Revision
-		if had && old.Removed == it.Removed && bytes.Equal(old.Value, it.Value) {
-			continue
+	}
+	before := len(c.items)
+	for _, it := range d.Items {
+		isNews := false
+		switch {
+		case isCurrentList:
+			isNews = c.applyListed(it, known, d.Through)
+		case c.isLateRemoval(it):
+			it.Revision = max(it.Revision, known) + 1 // its true revision is at least that
+			isNews = c.apply(it, d.EveryChange)
+		case it.Revision > known:
+			isNews = c.apply(it, d.EveryChange)
 		}
-		if !had && it.Removed {
-			continue
+		if isNews {
+			changed = append(changed, c.items[it.Name])
 		}
-		c.items[it.Name] = it
-		changed = append(changed, it)
 	}
 	c.through = max(c.through, d.Through)
 	if d.CurrentAt.After(c.currentAt) && d.Through >= c.through {
 		c.currentAt = d.CurrentAt
 	}
-	if len(changed) > 0 {
+	if len(changed) > 0 || len(c.items) > before {
 		c.pruneTombstones()
 	}
 	return changed
 }
 
+// isLateRemoval reports whether an item removes an object, and bears the revision of its last change instead of its own.
+func (c *Cache) isLateRemoval(it Item) bool {
+	old, had := c.items[it.Name]
+	return had && it.Removed && !old.Removed && it.Revision == c.seen[it.Name]
+}
+
+// apply records an item unless a newer one of the object is known, and reports whether the object was added,
+// changed or removed. The removal of an object that the cache never had is recorded as well: other
+// daemons may have the object, and learn of the removal only from here.
+func (c *Cache) apply(it Item, everyChange bool) (changed bool) {
+	old, had := c.items[it.Name]
+	if seen, ok := c.seen[it.Name]; ok && it.Revision <= seen {
+		return false
+	}
+	c.seen[it.Name] = it.Revision
+	isSame := had && old.Removed == it.Removed && bytes.Equal(old.Value, it.Value)
+	if isSame && everyChange {
+		return false
+	}
+	// If it is the last of several changes, the object may have been removed in between, as other daemons know.
+	c.items[it.Name] = it
+	return !isSame && (had && !old.Removed || !it.Removed)
+}
+
+// applyListed records an item of a full list, and reports whether the object was added or changed. The list is
+// right about objects that did not change after it, whatever their revisions: those of another daemon's list are too low if
+// a value has changed and changed back while that daemon did not follow the changes.
+func (c *Cache) applyListed(it Item, known, through uint64) (changed bool) {
+	old, had := c.items[it.Name]
+	if had && old.Revision > through {
+		return false
+	}
+	seen := c.seen[it.Name]
+	c.seen[it.Name] = max(seen, it.Revision)
+	if had && !old.Removed && bytes.Equal(old.Value, it.Value) {
+		return false
+	}
+	if it.Revision <= max(known, seen) {
+		it.Revision = through
+	}
+	c.items[it.Name], c.seen[it.Name] = it, max(seen, it.Revision)
+	return true
+}
+
 // Since returns the delta for a daemon that knows every change up to a revision.
 func (c *Cache) Since(revision uint64) Delta {
-	isInGap := slices.ContainsFunc(c.gaps, func(g gap) bool { return g.contains(revision) })
+	isInGap := slices.ContainsFunc(c.gaps, func(g Gap) bool { return g.contains(revision) })
 	d := Delta{Kind: c.kind, Through: c.through, CurrentAt: c.currentAt, Whole: revision == 0 || revision < c.prunedThrough || isInGap}
+	if !d.Whole {
+		d.Gaps = slices.DeleteFunc(slices.Clone(c.gaps), func(g Gap) bool { return g.To <= revision })
+	}
 	for _, it := range c.items {
 		if d.Whole && !it.Removed || !d.Whole && it.Revision > revision {
 			d.Items = append(d.Items, it)
@@ -142,24 +197,9 @@
 	return d
 }
 
-// maxGaps limits the number of gaps that are remembered. Full lists are rare after the first one.
-const maxGaps = 8
-
-// addGap records a gap. If there are too many, the two oldest become one that covers both.
-func (c *Cache) addGap(g gap) {
-	if g.from >= g.to {
-		return
-	}
-	c.gaps = append(c.gaps, g)
-	if len(c.gaps) > maxGaps {
-		c.gaps[1].from = c.gaps[0].from
-		c.gaps = c.gaps[1:]
-	}
-}
-
 // IsFirstList reports whether the cache holds its first full list and no later change.
 func (c *Cache) IsFirstList() bool {
-	return len(c.gaps) == 1 && c.gaps[0] == gap{from: 0, to: c.through}
+	return len(c.gaps) == 1 && c.gaps[0] == Gap{To: c.through}
 }
 
 // removeUnlisted marks the objects that a full list does not name as removed. Objects that
@@ -180,23 +220,3 @@
 	}
 	return removed
 }
-
-// pruneTombstones forgets the oldest removed objects once there are more than maxTombstones, and
-// keeps half of that number.
-func (c *Cache) pruneTombstones() {
-	var tombstones []Item
-	for _, it := range c.items {
-		if it.Removed {
-			tombstones = append(tombstones, it)
-		}
-	}
-	if len(tombstones) <= maxTombstones {
-		return
-	}
-	slices.SortFunc(tombstones, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
-	for _, it := range tombstones[:len(tombstones)-maxTombstones/2] {
-		delete(c.items, it.Name)
-		delete(c.seen, it.Name)
-		c.prunedThrough = max(c.prunedThrough, it.Revision)
-	}
-}
--- a/io/process/router/claim_test.go
+++ b/io/process/router/claim_test.go
@@ -14,6 +14,9 @@
 	"catkinstep/core/version/object"
 )
 
+// listedThrough is the revision of the lists that a candidate has got, which name no table.
+const listedThrough = 1
+
 // lossyStore carries writes out, and loses the responses to the first ones.
 type lossyStore struct {
 	busyStore
@@ -34,7 +37,7 @@
 	if revision != s.item.Revision {
 		return s.item, &object.Error{Op: "save", Kind: object.Conflict, Err: errors.New("newer")}
 	}
-	s.item = object.Item{Name: name, Revision: revision + 1, Value: value}
+	s.item = object.Item{Name: name, Revision: max(revision, listedThrough) + 1, Value: value}
 	if s.lost > 0 {
 		s.lost--
 		return object.Item{}, &object.Error{Op: "save", Kind: object.OutcomeUnknown, Err: errors.New("no response")}
@@ -48,7 +51,7 @@
 	r.store = s
 	v, _ := json.Marshal(config.Config{Version: 1, Services: []config.Service{{Name: "s", Keyed: true}}})
 	r.control.update(atSecond(1), deltaMsg{delta: object.Delta{Kind: object.Config, Through: 1, CurrentAt: atSecond(1), Items: []object.Item{{Name: "main", Revision: 1, Value: v}}}})
-	r.control.update(atSecond(1), deltaMsg{delta: object.Delta{Kind: object.Tables, Through: 1, CurrentAt: atSecond(1)}})
+	r.control.update(atSecond(1), deltaMsg{delta: object.Delta{Kind: object.Tables, Through: listedThrough, CurrentAt: atSecond(1)}})
 	r.control.members.RecordStoreResponse(atSecond(1))
 	return r
 }
--- a/io/process/router/fetch.go
+++ b/io/process/router/fetch.go
@@ -137,6 +137,9 @@
 	for _, it := range d.Items {
 		out.Items = append(out.Items, object.Item{Name: it.Name, Revision: it.Revision, Removed: it.Removed, Value: it.Value})
 	}
+	for _, g := range d.Gaps {
+		out.Gaps = append(out.Gaps, object.Gap{From: g.From, To: g.To})
+	}
 	r.post(deltaMsg{delta: out})
 }
 
@@ -176,6 +179,9 @@
 	for _, it := range d.Items {
 		out.Items = append(out.Items, &wire.Item{Name: it.Name, Revision: it.Revision, Removed: it.Removed, Value: it.Value})
 	}
+	for _, g := range d.Gaps {
+		out.Gaps = append(out.Gaps, &wire.Gap{From: g.From, To: g.To})
+	}
 	return out
 }
 
