--- a/cmd/catkinstep/hangup_test.go
+++ b/cmd/catkinstep/hangup_test.go
@@ -191,7 +191,7 @@
 		callers := ports.Free(t)
 		p := startCommand(t, fmt.Sprintf("dataCentre: duluth\ncallers: %s\nmesh: %s\noperator: %s\nplatform: %s\n", callers, ports.Free(t), ports.Free(t), ports.Free(t)), "serve")
 		isUp := func() bool {
-			resp, err := http.Get("http://" + callers + "/") //nolint:noctx // bounded by await
+			resp, err := http.Get("http://" + callers + "/")
 			if err == nil {
 				_ = resp.Body.Close()
 			}
--- a/core/process/keeper/instance.go
+++ b/core/process/keeper/instance.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"fmt"
 	"time"
 
 	"catkinstep/core/process/lease"
@@ -21,10 +22,19 @@
 	if now.Sub(k.storeConfirmedAt) < lease.StoreTTL {
 		return true
 	}
-	k.storeState.readPending = true
+	k.storeState.readPending, k.connectPending = true, true
 	return false
 }
 
+// logConnectWait logs once that calls on new connections wait, since the store does not answer.
+func (k *Keeper) logConnectWait(now time.Time) {
+	if !k.connectPending || k.connectWaitLogged {
+		return
+	}
+	k.connectWaitLogged = true
+	k.log(LogCmd{Text: "calls on new connections wait for the store", Reason: fmt.Sprintf("epoch %d, confirmed %v ago", k.epoch, now.Sub(k.storeConfirmedAt))})
+}
+
 // boundConnects shortens the time until which calls of earlier leaders may arrive on new connections, once
 // more is known of the ends of their terms. The store has not confirmed their epochs since this term began.
 func (k *Keeper) boundConnects() {
--- a/core/process/keeper/instance_test.go
+++ b/core/process/keeper/instance_test.go
@@ -81,6 +81,7 @@
 			h.tickWith(grant.NotSent)
 		}
 		So(h.grantsTo("a"), ShouldHaveLength, len(g)+1)
+		So(h.logged("calls on new connections wait for the store"), ShouldEqual, 1)
 		h.run(time.Second, true)
 		g = h.grantsTo("a")[len(g)+1:]
 		So(g[0].Renewal, ShouldBeFalse)
--- a/core/process/keeper/keeper.go
+++ b/core/process/keeper/keeper.go
@@ -90,22 +90,6 @@
 	publishedAt time.Time
 }
 
-// term is the leader's term, and what is known of its validity.
-type term struct {
-	epoch            uint64
-	leader           grant.Leader
-	seq              uint64
-	fencesIssued     uint64
-	revision         uint64
-	startedAt        time.Time
-	epochConfirmedAt time.Time // when the epoch was last known to be current
-	// doubtedAt is when the epoch was last in doubt: confirmations from before do not count. While fenced is
-	// set, a server has refused a grant since then, and only the store can confirm the epoch.
-	doubtedAt time.Time
-	fenced    bool
-	tickedAt  time.Time
-}
-
 // siteView is what the keeper last learnt of the site.
 type siteView struct {
 	fleet                     *fleet.Fleet
@@ -207,6 +191,7 @@
 		k.handleStoredTable(now, m)
 	case StoreFailedMsg:
 		k.storeState.callInFlight, k.storeState.readPending, k.storeState.notBefore = false, true, now.Add(storeRetryDelay)
+		k.logConnectWait(now)
 	case EpochSeenMsg:
 		k.handleEpochSeen(m)
 	case EarlierLeaderStoppedMsg:
@@ -314,28 +299,6 @@
 	}
 }
 
-func (k *Keeper) handleEpochSeen(m EpochSeenMsg) {
-	if m.Epoch == k.epoch && !k.fenced {
-		k.confirmEpoch(m.At)
-	}
-	if m.Epoch > k.epoch {
-		k.requestStepDown("another daemon leads with a newer epoch")
-	}
-}
-
-// doubtEpoch stops all calls until the epoch is confirmed again.
-func (k *Keeper) doubtEpoch(now time.Time) {
-	k.storeState.readPending, k.storeState.notBefore = true, now
-	k.doubtedAt, k.epochConfirmedAt = now, now.Add(-k.leaderLease)
-}
-
-// confirmEpoch records that the epoch was current at a time.
-func (k *Keeper) confirmEpoch(at time.Time) {
-	if !at.Before(k.doubtedAt) {
-		k.epochConfirmedAt = later(k.epochConfirmedAt, at)
-	}
-}
-
 func (k *Keeper) publish(now time.Time) {
 	if !k.publishState.pending || now.Sub(k.publishState.publishedAt) < publishInterval {
 		return // a later tick publishes it
--- a/core/process/keeper/save.go
+++ b/core/process/keeper/save.go
@@ -51,6 +51,7 @@
 		return
 	}
 	k.revision = m.Revision
+	k.connectPending, k.connectWaitLogged = false, false
 	k.confirmEpoch(m.RequestedAt)
 	k.storeConfirmedAt = later(k.storeConfirmedAt, m.RequestedAt)
 	if m.RequestedAt.Before(k.doubtedAt) {
