Example: reads of the stored table are answered with the table

Cause: the example answered a ReadCmd with an EpochSeenMsg, which is news of a watch and no result of a read. The keeper waits for the result before its next call to the store, so its first read was also its last call.

The router answers each read with a StoredTableMsg or a StoreFailedMsg (readKeeperTable). ReadCmd says so now. The example's check is as it was, and passes.

--- a/core/process/keeper/messages.go
+++ b/core/process/keeper/messages.go
@@ -164,7 +164,8 @@
 	Revision uint64
 }
 
-// ReadCmd reads the stored table.
+// ReadCmd reads the stored table. Until a StoredTableMsg or a StoreFailedMsg follows, the keeper makes no
+// other call to the store.
 type ReadCmd struct{}
 
 // PublishCmd sends a table to all daemons.
--- a/examples/core/main.go
+++ b/examples/core/main.go
@@ -23,12 +23,13 @@
 	now         time.Time
 	keeper      *keeper.Keeper
 	unreachable map[string]bool // servers that do not answer
-	revision    uint64          // of the stored table
+	stored      grant.Table
+	revision    uint64 // of the stored table
 }
 
 func main() {
-	sim := &simulation{now: time.Unix(0, 0), unreachable: map[string]bool{}, revision: 1}
 	table := grant.Table{Epoch: 1, Leader: grant.Leader{Daemon: "host1", Incarnation: 1}}
+	sim := &simulation{now: time.Unix(0, 0), unreachable: map[string]bool{}, stored: table, revision: 1}
 	sim.keeper = keeper.New(sim.now, table, sim.revision, keeper.WithGrantTTL(2*time.Second))
 	sim.send(keeper.EarlierLeaderStoppedMsg{Epoch: 1, At: sim.now})
 
@@ -84,15 +85,19 @@
 	case keeper.ReleaseCmd:
 		s.send(keeper.ReleaseResultMsg{Cmd: c, Result: s.result(c.Holder), Handover: "state of " + c.Holder.Server + " at release"})
 	case keeper.SaveCmd:
-		s.revision++
-		s.send(keeper.StoredTableMsg{Table: c.Table, Revision: s.revision, RequestedAt: s.now})
+		s.stored, s.revision = c.Table, s.revision+1
+		s.send(s.storedTable())
 	case keeper.ReadCmd:
-		s.send(keeper.EpochSeenMsg{Epoch: 1, At: s.now})
+		s.send(s.storedTable())
 	case keeper.LogCmd:
 		fmt.Printf("%6.2fs   keys %d to %d: %s (%s -> %s) %s\n", s.seconds(), c.From, c.To, c.Text, c.Holder.Server, c.Next.Server, c.Reason)
 	}
 }
 
+func (s *simulation) storedTable() keeper.StoredTableMsg {
+	return keeper.StoredTableMsg{Table: s.stored, Revision: s.revision, RequestedAt: s.now}
+}
+
 func (s *simulation) result(h grant.Holder) grant.Result {
 	if s.unreachable[h.Server] {
 		return grant.NotSent
