ports: processes that run at once get different ports

Cause: the daemons ended at their start with "bind: address already in use". A test process looks for free ports from a random one on, so two processes come by the same ports, and each finds free what the other is about to listen on, or what a daemon of the other that a test stops for a while needs again. go test runs packages at once.

Why it works: a process has a block of 200 ports while it listens on the first one.

--- a/io/standin/ports/ports.go
+++ b/io/standin/ports/ports.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"sync/atomic"
+	"sync"
 	"testing"
 )
 
@@ -14,30 +14,76 @@
 const (
 	firstPort = 10_000
 	endPort   = 32_000
+	blockSize = 200
+	blocks    = (endPort - firstPort) / blockSize
 )
 
-// handedOut counts the ports that this process has tried. It takes them one after the other from a random
-// one on, so that none is handed out twice: a daemon that a test stops for a while needs its own again.
-var handedOut atomic.Uint32
+// allocator hands out the ports of blocks that no other process has. A process has a block while it listens
+// on the block's first port. Otherwise another one could get a port between the check and its use, or while a
+// daemon that a test stops for a while does not listen on it.
+type allocator struct {
+	firstBlock int // where the search for blocks begins
 
-var startPort = rand.IntN(endPort - firstPort)
+	mu      sync.Mutex
+	claimed []net.Listener // on the first ports of the blocks
+	offered int            // ports of these blocks that have been looked at
+}
+
+var process = allocator{firstBlock: rand.IntN(blocks)}
 
-// Free returns a loopback address on which nothing listens, and which this process has not got before
-// unless it has used up the range.
+// Free returns a loopback address on which nothing listens, and which neither this process nor another one
+// that runs has got before, unless the range is used up.
 func Free(t testing.TB) string {
 	t.Helper()
-	for range 100 {
-		offset := (startPort + int(handedOut.Add(1))) % (endPort - firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+	address, err := process.free()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address
+}
+
+func (a *allocator) free() (string, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for range blocks * blockSize {
+		if address := a.next(); address != "" && isFree(address) {
+			return address, nil
 		}
-		if err := l.Close(); err != nil {
-			t.Fatal(err)
+	}
+	return "", fmt.Errorf("no free port from %d to %d", firstPort, endPort-1)
+}
+
+// next returns the address of the next port, or "" if there is none here.
+func (a *allocator) next() string {
+	const perBlock = blockSize - 1 // the first port of a block is not handed out
+	if a.offered >= len(a.claimed)*perBlock && !a.claim() {
+		a.offered = 0 // the range is used up: begin again
+	}
+	if len(a.claimed) == 0 {
+		return ""
+	}
+	block, port := a.offered/perBlock, a.offered%perBlock
+	a.offered++
+	return loopback(portOf(a.claimed[block]) + 1 + port)
+}
+
+// claim adds a block that no process has, and reports whether there was one.
+func (a *allocator) claim() bool {
+	for i := range blocks {
+		l, err := net.Listen("tcp", loopback(firstPort+(a.firstBlock+i)%blocks*blockSize))
+		if err == nil {
+			a.claimed = append(a.claimed, l)
+			return true
 		}
-		return address
 	}
-	t.Fatal("no free port found")
-	return ""
+	return false
 }
+
+func isFree(address string) bool {
+	l, err := net.Listen("tcp", address)
+	return err == nil && l.Close() == nil
+}
+
+func portOf(l net.Listener) int { return l.Addr().(*net.TCPAddr).Port }
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
