router: no losses are recorded after their withdrawal

Cause: recordLoss looked at cutOff before it waited for the lock. A host that found out meanwhile that it was cut off had withdrawn its losses by then; the late one was recorded all the same, and told to all later.

--- a/io/process/router/suspect.go
+++ b/io/process/router/suspect.go
@@ -54,15 +54,15 @@
 // connection broke before a response. The request is then suspected of crashing servers. It is
 // gossiped a little later, unless it turns out that this host has lost its links.
 func (r *Router) recordLoss(req *request, server string) {
-	if r.cutOff.Load() {
-		return
-	}
 	instance, ok := r.current.Load().fleet.Find(server)
-	if ok {
+	if ok && !r.cutOff.Load() {
 		r.tryPost(reachMsg{reach.LostMsg{Address: instance.Address}})
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.cutOff.Load() { // read with the lock, so that no loss is recorded after withdrawLosses
+		return
+	}
 	now := time.Now()
 	if !r.suspects.RecordOwnLoss(now, req.fingerprint, server) || len(r.unconfirmedLosses) >= maxUnconfirmedLosses {
 		return
--- a/io/process/router/suspect_test.go
+++ b/io/process/router/suspect_test.go
@@ -40,6 +40,20 @@
 		So(r.recentSuspects(), ShouldBeEmpty)
 		So(req.attempts.lostServers, ShouldBeEmpty)
 	})
+	Convey("A loss that waits for the lock when the host finds out that it is cut off is not recorded", t, func() {
+		r, req := newTestRouter(), lookupRequest(time.Second)
+		done := make(chan struct{})
+		r.mu.Lock()
+		go func() {
+			r.recordLoss(req, "a")
+			close(done)
+		}()
+		time.Sleep(50 * time.Millisecond) // until it waits
+		r.cutOff.Store(true)
+		r.mu.Unlock()
+		<-done
+		So(r.unconfirmedLosses, ShouldBeEmpty)
+	})
 	Convey("Losses whose servers turn out to have ended count again", t, func() {
 		r, req := withLosses()
 		cutOff(r)
